--- /dev/null
+++ b/banklift/balance.py
@@ -0,0 +1,491 @@
+"""Every decision of banklift: one Balancer for each router. Settings, events and actions: interface.py.
+
+The design is docs/design.md: a record per member, updated at once by every fact that passes; writes and
+fresh reads to the member named primary, held while none is known; other reads to the less busy of two
+replicas known recent enough. Below: tuned values, the record, events, the rule, the guards.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from banklift import interface as io
+from banklift.interface import Effect, Need, State, Status
+
+SILENCE = 6.0  # answers overdue at a member that has given none: a false alarm about once in e^6
+FAILING = 0.4  # share of failures above which a member is set aside; honest ones stay under 0.01
+FAIL_WEIGHT = 0.25  # weight of one answer in that share: two failures in a row set a member aside
+LATENCY_WEIGHT = 0.05  # weight of one answer in a class's usual latency: some twenty answers
+FIRST_LATENCY = 0.25  # of the aim: usual latency of a class until it has answers
+TRIAL_LAPSE = 0.5  # of the shortest aim: between trials of a member set aside
+ROLE_LAPSE = 0.25  # of the shortest aim: between looks for a primary while work is held
+PATIENCE = 3.0  # usual latencies before a safe attempt gets help elsewhere; one in twenty takes longer
+TARGET = 0.5  # of the aim: latency that a member's price steers to; leaves room for the spread
+PRICE_STEP = 0.04  # what an answer late by a whole aim adds to the price: half the range in ten answers
+PRICE_HALF = 2.0  # shortest aims in which a price halves by itself, so that a refused member is tried again
+STALE_EARLY = 0.4  # of the bound: remaining validity of a position at which the next probe goes out
+SESSIONS = 10_000  # sessions remembered; those dropped count as having written at the last one dropped
+WATCH_RETRY = 0.05  # of ask_within: first wait after a failed call to the list, doubled each time
+
+
+@dataclass(slots=True, eq=False)
+class Member:
+    name: str
+    group: Group
+    state: State = State.READY
+    started: float | None = None
+    weight: float = 1.0
+    listed_primary: bool = False
+    role_at: float = float("-inf")  # when the newest fact on its role was true
+    position: float = float("-inf")  # proven; it only rises
+    alive: float = float("-inf")  # last answer
+    down: bool = False  # the last attempt found no connection
+    failing: float = 0.0
+    price: float = 0.0
+    priced: float = 0.0
+    trial: float = float("-inf")
+    probed: float = float("-inf")
+    probing: bool = False
+    flying: dict[tuple[int, int], tuple[float, float]] = field(default_factory=dict)  # sent, usual latency
+
+
+@dataclass(slots=True, eq=False)
+class Group:
+    members: list[Member] = field(default_factory=list)
+    primary: Member | None = None
+    crowned: float = float("-inf")  # when the newest fact on who is primary was true
+    held: dict[int, Pending] = field(default_factory=dict)
+    tending: bool = False
+    known: bool = False  # its members have been probed once
+
+
+@dataclass(slots=True, eq=False)
+class Pending:
+    ask: io.Request
+    kind: io.RequestClass
+    group: Group
+    floor: float  # position that a member must have; for a bounded read it moves with the clock
+    aim: float  # clock time of full worth
+    last_call: float  # clock time at which worth is out of reach
+    over: bool = False  # beyond its tenant's share
+    tried: list[Member] = field(default_factory=list)
+    flying: dict[int, Member] = field(default_factory=dict)
+    floors: list[float] = field(default_factory=list)  # position proven if that attempt is served
+    maybe_ran: float | None = None  # when the first attempt that may have run was sent
+    held: bool = False  # has been held, so that its end is timed
+
+
+class Balancer:
+    """Decides for one router: `handle` takes what happened and returns what to do, in order."""
+
+    def __init__(self, settings: io.Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = Random(seed)
+        self.kinds = {kind.name: kind for kind in settings.classes}
+        self.shortest = min(kind.aim for kind in settings.classes)
+        self.usual = {kind.name: FIRST_LATENCY * kind.aim for kind in settings.classes}
+        self.members: dict[str, Member] = {}
+        self.groups: dict[int, Group] = {}
+        self.requests: dict[int, Pending] = {}
+        self.sessions: dict[int, float] = {}
+        self.forgotten = float("-inf")  # newest commit of the sessions dropped
+        self.timers: dict[int, tuple[Callable[..., None], tuple[object, ...]]] = {}
+        self.tokens = 0
+        self.watch_failures = 0
+        self.now = 0.0
+        self.actions: list[io.Action] = []
+        self.quotas = {tenant.name: tenant.quota for tenant in settings.tenants}
+        self.credit = {tenant.name: tenant.quota / settings.balancers for tenant in settings.tenants}
+        self.credited = 0.0
+
+    def handle(self, now: float, event: io.Event) -> list[io.Action]:
+        self.now, self.actions = now, []
+        if isinstance(event, io.Request):
+            self.on_request(event)
+        elif isinstance(event, io.Outcome):
+            self.on_outcome(event)
+        elif isinstance(event, io.Timer):
+            callback, arguments = self.timers.pop(event.token, (lambda: None, ()))
+            callback(*arguments)
+        elif isinstance(event, io.Probed):
+            self.on_probed(event)
+        elif isinstance(event, io.Listing):
+            self.on_listing(event)
+        elif event.request in self.requests:  # the client has gone, or owns the stream that has started
+            self.forget(self.requests[event.request], isinstance(event, io.Abandoned))
+        return self.actions
+
+    def after(self, delay: float, callback: Callable[..., None], *arguments: object) -> None:
+        self.tokens += 1
+        self.timers[self.tokens] = callback, arguments
+        self.actions.append(io.SetTimer(max(0.0, delay), self.tokens))
+
+    # ---- facts: the record is updated as they arrive, and an older one never undoes a newer one
+
+    def on_listing(self, listing: io.Listing) -> None:
+        if listing.kind is io.ListKind.FAILED:
+            self.watch_failures += 1
+            wait = self.settings.ask_within * min(0.4, WATCH_RETRY * 2.0 ** (self.watch_failures - 1))
+            self.after(wait * self.random.uniform(0.5, 1.0), lambda: self.actions.append(io.Watch()))
+            return
+        if listing.kind is io.ListKind.CACHED and self.settings.must_ask:
+            self.actions.append(io.Watch())
+        elif listing.kind is not io.ListKind.CACHED:
+            self.watch_failures = 0
+        for entry in listing.entries:
+            self.on_entry(entry, listing.kind is io.ListKind.CACHED)
+        if listing.kind is not io.ListKind.CHANGES:
+            listed = {entry.member for entry in listing.entries}
+            for member in self.members.values():
+                if member.name not in listed:
+                    self.set_state(member, State.GONE)
+        for group in self.groups.values():
+            self.release(group)
+
+    def on_entry(self, entry: io.Entry, cached: bool) -> None:
+        group = self.groups.setdefault(entry.group, Group())
+        member = self.members.get(entry.member)
+        if member is None:
+            member = self.members[entry.member] = Member(entry.member, group)
+            group.members.append(member)
+            member.started = entry.started
+        elif entry.started is not None and entry.started != member.started:
+            member.started, member.down, member.failing = entry.started, False, 0.0
+            if group.primary is member and entry.started > group.crowned:
+                self.lose_primary(group)  # what restarts comes back as a replica
+        self.set_state(member, entry.state)
+        member.weight = entry.weight if self.settings.weighted and entry.weight > 0 else 1.0
+        # A list's roles are seconds late: one counts where traffic has told nothing, or as a change.
+        news = entry.primary and not member.listed_primary
+        member.listed_primary = entry.primary
+        if self.settings.lists_roles and news and (group.primary is None or self.settings.follows_roles):
+            if group.primary is None or self.silent(group.primary):
+                self.crown(member, group.crowned)
+            else:
+                self.probe(member)
+
+    def set_state(self, member: Member, state: State) -> None:
+        if state is State.GONE and self.settings.only_draining_binds and member.state is State.READY:
+            return
+        if state is not State.READY and member.state is State.READY and member.group.primary is member:
+            self.lose_primary(member.group)
+        member.state = state
+
+    def on_probed(self, event: io.Probed) -> None:
+        member = self.members.get(event.member)
+        if member is not None:
+            member.probing = False
+            member.down = member.down and not event.ok
+            self.on_report(member, event.report or io.Report())
+
+    def on_report(self, member: Member, report: io.Report) -> None:
+        if report.position is not None:
+            member.position = max(member.position, report.position)
+        if report.primary:
+            # A primary's position dates its report.
+            self.crown(member, report.position if report.position is not None else self.now)
+        elif report.primary is False and report.position is not None:
+            self.demote(member, report.position)
+        self.release(member.group)
+
+    def crown(self, member: Member, at: float) -> None:
+        group = member.group
+        if at < max(group.crowned, member.role_at) or member.state is not State.READY:
+            return
+        member.role_at = group.crowned = at
+        if group.primary is not member:
+            if group.primary is not None:
+                group.primary.role_at = max(group.primary.role_at, at)
+            group.primary = member
+            self.actions.append(io.Log(f"primary learnt: {member.name}"))
+        self.release(group)
+
+    def demote(self, member: Member, at: float) -> None:
+        if at < member.role_at:
+            return
+        member.role_at = at
+        if member.group.primary is member:
+            self.lose_primary(member.group)
+
+    def lose_primary(self, group: Group) -> None:
+        group.primary = None
+        self.actions.append(io.Log("primary lost"))
+        self.probe_all(group)
+
+    def probe_all(self, group: Group) -> None:
+        for member in group.members:
+            self.probe(member, ROLE_LAPSE * self.shortest)
+
+    def probe(self, member: Member, lapse: float = 0.0) -> None:
+        usable = member.state is State.READY and not member.probing and self.settings.may_probe
+        if usable and self.now - member.probed >= lapse:
+            member.probed, member.probing = self.now, True
+            self.actions.append(io.Probe(member.name))
+
+    def on_outcome(self, event: io.Outcome) -> None:
+        pending = self.requests.get(event.request)
+        member = self.members.get(event.member)
+        if member is None:
+            return
+        sent, _ = member.flying.pop((event.request, event.attempt), (self.now - event.latency, 0.0))
+        self.learn(member, event, pending, sent)
+        if pending is None or event.attempt not in pending.flying:
+            return
+        del pending.flying[event.attempt]
+        if event.finished:
+            self.forget(pending)
+        elif not pending.flying:
+            if event.status not in io.NEVER_RAN and pending.maybe_ran is None:
+                pending.maybe_ran = sent
+            self.route(pending)
+        self.release(member.group)
+
+    def learn(self, member: Member, event: io.Outcome, pending: Pending | None, sent: float) -> None:
+        status = event.status
+        if status in (Status.CANCELLED, Status.MOOT):
+            return
+        if status is Status.CONNECT_FAILED:
+            member.down = True
+        elif status is not Status.TIMEOUT:
+            member.alive, member.down = self.now, False
+        if status in (Status.OK, Status.ERROR, Status.RESET, Status.CONNECT_FAILED):
+            member.failing += FAIL_WEIGHT * ((status is not Status.OK) - member.failing)
+        if event.primary is not None and status is not Status.TIMEOUT:
+            if event.primary:
+                self.crown(member, max(sent, self.now - event.latency))
+            else:
+                self.demote(member, self.now)
+        if event.position is not None:
+            member.position = max(member.position, event.position)
+        if event.report is not None:
+            self.on_report(member, event.report)
+        if pending is not None and status is Status.OK:
+            kind = pending.kind
+            self.usual[kind.name] += LATENCY_WEIGHT * (event.latency - self.usual[kind.name])
+            if self.settings.members_check and event.attempt < len(pending.floors):
+                # Serving the read proves that the member had what the read asked for.
+                member.position = max(member.position, pending.floors[event.attempt])
+            session = pending.ask.session
+            if kind.need is Need.WRITE and session is not None and event.position is not None:
+                self.sessions[session] = max(event.position, self.sessions.pop(session, event.position))
+                if len(self.sessions) > SESSIONS:
+                    self.forgotten = max(self.forgotten, self.sessions.pop(next(iter(self.sessions))))
+        if pending is not None and status in (Status.OK, Status.TIMEOUT, Status.FULL):
+            late = 1.0 if status is Status.FULL else event.latency / pending.kind.aim
+            member.price = min(1.0, max(0.0, self.price(member) + PRICE_STEP * (min(late, 2.0) - TARGET)))
+            member.priced = self.now
+
+    # ---- the rule
+
+    def on_request(self, ask: io.Request) -> None:
+        kind = self.kinds.get(ask.kind)
+        group = self.groups.setdefault(ask.group, Group())
+        if kind is None or ask.deadline <= self.now:
+            self.actions.append(io.Refuse(ask.id))
+            return
+        floor = float("-inf")
+        if kind.need is Need.SESSION and self.settings.client_tokens:
+            floor = self.now + 0.001 - ask.since_write if ask.since_write is not None else floor
+        elif kind.need is Need.SESSION:
+            floor = self.sessions.get(ask.session, self.forgotten) if ask.session is not None else self.now
+        aim = self.now + kind.aim + kind.aim_stretch * (ask.cost or 0.0)
+        end = ask.deadline if kind.late_worth > 0 else min(aim, ask.deadline)
+        last_call = end - min(self.usual[kind.name], 0.5 * (end - self.now))
+        pending = Pending(ask, kind, group, floor, aim, last_call, self.over_share(ask.tenant))
+        self.requests[ask.id] = pending
+        if not group.known and group.members:
+            group.known = True
+            if not self.settings.members_check or group.primary is None:
+                self.probe_all(group)
+        self.route(pending)
+
+    def route(self, pending: Pending) -> None:
+        """Send it, hold it, or give it its final answer."""
+        pending.group.held.pop(pending.ask.id, None)
+        if not self.may_resend(pending) or len(pending.tried) >= self.settings.max_attempts:
+            return self.give_up(pending)
+        if self.now >= pending.last_call:
+            return self.give_up(pending)
+        member = self.choose(pending)
+        if member is None:
+            return self.hold(pending)
+        if self.value(pending) * self.random.uniform(0.5, 1.5) < self.price(member):
+            return self.give_up(pending)
+        self.send(pending, member)
+
+    def choose(self, pending: Pending) -> Member | None:
+        group, primary = pending.group, pending.group.primary
+        if pending.kind.need in (Need.WRITE, Need.FRESH):
+            if primary is not None and primary not in pending.tried and self.usable(primary):
+                return primary
+            if primary is None and pending.kind.need is Need.WRITE:
+                for member in group.members:  # one round of tries, on those of whom nothing newer is known
+                    unknown = member.role_at < max(group.crowned, self.now - self.settings.ask_within)
+                    if unknown and member not in pending.tried and self.usable(member):
+                        return member
+            return None
+        floor = self.floor(pending)
+        fresh = [member for member in group.members if member is not primary and self.open(member)
+                 and member not in pending.tried]
+        for member in [*fresh, *([primary] if primary is not None and self.open(primary) else [])]:
+            due = self.now - member.trial >= TRIAL_LAPSE * self.shortest
+            legal = member is primary or member.position >= floor or self.settings.members_check
+            if due and legal and not pending.tried and not self.healthy(member):
+                member.trial = self.now
+                return member
+        known = [member for member in fresh if member.position >= floor]
+        self.refresh(pending, fresh)
+        sound = [member for member in known if self.healthy(member)]
+        if not sound and self.settings.members_check:  # one that is too far behind will say so
+            sound = sorted(filter(self.healthy, fresh), key=lambda member: member.position)[-1:]
+        if sound:
+            return self.draw(sound)
+        if primary is not None and primary not in pending.tried and self.usable(primary):
+            return primary
+        return self.draw(known) if known else None  # if all look bad, as if none did
+
+    def draw(self, members: list[Member]) -> Member:
+        pair = self.random.sample(members, 2) if len(members) > 2 else members
+        return min(pair, key=lambda member: len(member.flying) / member.weight)
+
+    def floor(self, pending: Pending) -> float:
+        bounded = pending.kind.need is Need.BOUNDED
+        return self.now - pending.kind.bound if bounded else pending.floor
+
+    def refresh(self, pending: Pending, fresh: list[Member]) -> None:
+        """Probe replicas whose position is about to fail the bound, where answers don't tell it."""
+        bound = pending.kind.bound
+        for member in fresh if bound and not self.settings.members_check else ():
+            if member.position - (self.now - bound) < STALE_EARLY * bound:
+                self.probe(member, 0.5 * bound)
+
+    def send(self, pending: Pending, member: Member) -> None:
+        usual = self.usual[pending.kind.name]
+        pending.flying[len(pending.tried)] = member
+        member.flying[pending.ask.id, len(pending.tried)] = self.now, usual
+        pending.tried.append(member)
+        pending.floors.append(self.floor(pending) if pending.kind.need is not Need.FRESH else float("-inf"))
+        self.actions.append(io.Send(pending.ask.id, member.name, pending.ask.deadline - self.now))
+        if pending.kind.effect is Effect.SAFE and self.now < pending.last_call:
+            wait = min(PATIENCE * usual, pending.last_call - self.now)
+            self.after(wait if self.healthy(member) else min(wait, usual), self.help, pending.ask.id,
+                       len(pending.tried) - 1)
+
+    def help(self, request: int, attempt: int) -> None:
+        """A safe attempt is overdue: a second copy where allowed, else move it away from a silent member."""
+        pending = self.requests.get(request)
+        if pending is None or list(pending.flying) != [attempt] or self.now > pending.last_call:
+            return
+        if len(pending.tried) >= self.settings.max_attempts:
+            return
+        member = pending.flying[attempt]
+        if self.settings.parallel_tries:
+            other = self.choose(pending)
+            if other is not None and self.price(other) < 0.1:
+                self.send(pending, other)
+        elif self.settings.may_cancel and not self.healthy(member):
+            self.actions.append(io.Cancel(request, attempt))
+
+    # ---- guards
+
+    def may_resend(self, pending: Pending) -> bool:
+        """Rule 2: what may have run is repeated only as far as its class allows."""
+        if pending.maybe_ran is None or pending.kind.effect is Effect.SAFE:
+            return True
+        in_window = self.now < pending.maybe_ran + pending.kind.window
+        return pending.kind.effect is Effect.KEYED and in_window
+
+    def give_up(self, pending: Pending) -> None:
+        """The one final answer, at once."""
+        if pending.flying:
+            return  # its outcome, at the deadline at the latest, brings it back here
+        effect = pending.kind.effect
+        alone = effect is Effect.UNSAFE or (effect is Effect.KEYED and pending.kind.group_only)
+        if alone and pending.maybe_ran is not None:
+            self.actions.append(io.Fail(pending.ask.id))
+        else:
+            self.actions.append(io.Refuse(pending.ask.id, self.settings.max_retry_after))
+        self.forget(pending)
+
+    def forget(self, pending: Pending, cancel: bool = True) -> None:
+        pending.group.held.pop(pending.ask.id, None)
+        self.requests.pop(pending.ask.id, None)
+        if cancel and self.settings.may_cancel:
+            self.actions.extend(io.Cancel(pending.ask.id, attempt) for attempt in pending.flying)
+
+    def hold(self, pending: Pending) -> None:
+        group = pending.group
+        group.held[pending.ask.id] = pending
+        if not pending.held:
+            pending.held = True
+            self.after(pending.last_call - self.now, self.run_out, pending)
+        if not group.tending:
+            group.tending = True
+            self.after(ROLE_LAPSE * self.shortest / 2, self.tend, group)
+
+    def run_out(self, pending: Pending) -> None:
+        if pending.ask.id in pending.group.held:
+            self.give_up(pending)
+
+    def tend(self, group: Group) -> None:
+        """While work is held: look for a primary, send what can go, answer what has run out of time."""
+        group.tending = False
+        if group.held:
+            self.probe_all(group)
+            self.release(group)
+
+    def release(self, group: Group) -> None:
+        """Try again what is held, the most valuable first."""
+        for pending in sorted(group.held.values(), key=self.value, reverse=True):
+            if pending.ask.id in group.held:
+                self.route(pending)
+
+    def open(self, member: Member) -> bool:
+        """Rules 3 and 4: nothing for a member that drains; a cold one takes a part of what warm ones do."""
+        if member.state is not State.READY:
+            return False
+        if member.started is None or self.now - member.started >= self.settings.cold_time:
+            return True
+        grown = max(0.0, self.now - member.started) / self.settings.cold_time
+        share = self.settings.cold_share + (1 - self.settings.cold_share) * grown
+        loads = [len(other.flying) for other in self.members.values() if other is not member]
+        return len(member.flying) < max(1.0, share * sum(loads) / max(1, len(loads)))
+
+    def silent(self, member: Member) -> bool:
+        """Answers overdue, counted over all that is out there: a hang, a dead host, a cut link."""
+        overdue = sum((self.now - max(sent, member.alive)) / usual for sent, usual in member.flying.values())
+        return overdue >= SILENCE
+
+    def healthy(self, member: Member) -> bool:
+        return not member.down and member.failing < FAILING and not self.silent(member)
+
+    def usable(self, member: Member) -> bool:
+        """For writes: errors alone don't bar a primary, as nobody else could take them."""
+        if member.down and self.now - member.trial >= TRIAL_LAPSE * self.shortest:
+            member.trial = self.now
+            return self.open(member)
+        return self.open(member) and not member.down and not self.silent(member)
+
+    def price(self, member: Member) -> float:
+        return float(member.price * 0.5 ** ((self.now - member.priced) / (PRICE_HALF * self.shortest)))
+
+    def value(self, pending: Pending) -> float:
+        """Worth for the work, 1 for the class that pays best; refused first is what is worth least."""
+        best = max(kind.worth / self.usual[kind.name] for kind in self.settings.classes)
+        share = self.settings.over_share_worth if pending.over else 1.0
+        return share * pending.kind.worth / self.usual[pending.kind.name] / best if best > 0 else 1.0
+
+    def over_share(self, tenant: str | None) -> bool:
+        """This router's part of a tenant's quota, kept as a bucket of a second's worth."""
+        quota = self.quotas.get(tenant or "", 0.0)
+        if tenant is None or quota <= 0:
+            return False
+        passed, self.credited = self.now - self.credited if self.credited else 0.0, self.now
+        for name, each in self.quotas.items():
+            part = each / self.settings.balancers
+            self.credit[name] = min(part, self.credit[name] + part * passed)
+        over = self.credit[tenant] < 1.0
+        self.credit[tenant] -= 0.0 if over else 1.0
+        return over
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,17 @@
+"""Limits that the project sets on the decision module."""
+
+from pathlib import Path
+
+LINES = Path(__file__).parent.parent.joinpath("banklift/balance.py").read_text().splitlines()
+
+
+def test_module_is_short() -> None:
+    assert sum(bool(line.strip()) for line in LINES) <= 400
+
+
+def test_lines_are_narrow() -> None:
+    assert max(map(len, LINES)) <= 110
+
+
+def test_module_names_its_interface_file_at_the_top() -> None:
+    assert "interface.py" in LINES[0]
