Stronger prices, misses remembered where members check, cold budget by work served

Cause: prices decayed faster than they rose, so overload stayed; a lagging replica that checks was asked again and again; a cold member's share followed queues, not work.

--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -23,8 +24,9 @@
 ROLE_LAPSE = 0.25  # of the shortest aim: between looks for a primary while work is held
 PATIENCE = 3.0  # usual latencies before a safe attempt gets help elsewhere; one in twenty takes longer
 TARGET = 0.5  # of the aim: latency that a member's price steers to; leaves room for the spread
-PRICE_STEP = 0.04  # what an answer late by a whole aim adds to the price: half the range in ten answers
-PRICE_HALF = 2.0  # shortest aims in which a price halves by itself, so that a refused member is tried again
+PRICE_STEP = 0.1  # what an answer late by a whole aim adds to a member's price: its range in some ten answers
+PRICE_HALF = 8.0  # shortest aims in which a price halves by itself, so that a refused member is tried again
+PRICE_TOP = 1.5  # refuses even the class that pays best
 STALE_EARLY = 0.4  # of the bound: remaining validity of a position at which the next probe goes out
 SESSIONS = 10_000  # sessions remembered; those dropped count as having written at the last one dropped
 WATCH_RETRY = 0.05  # of ask_within: first wait after a failed call to the list, doubled each time
@@ -41,10 +43,13 @@
     role_at: float = float("-inf")  # when the newest fact on its role was true
     position: float = float("-inf")  # proven; it only rises
     alive: float = float("-inf")  # last answer
+    behind: float = 0.0  # where members check reads: it was further behind than this ...
+    missed: float = float("-inf")  # ... at this time
     down: bool = False  # the last attempt found no connection
     failing: float = 0.0
     price: float = 0.0
     priced: float = 0.0
+    cold_sends: list[tuple[float, float]] = field(default_factory=list)  # time and usual latency
     trial: float = float("-inf")
     probed: float = float("-inf")
     probing: bool = False
@@ -99,6 +104,7 @@
         self.quotas = {tenant.name: tenant.quota for tenant in settings.tenants}
         self.credit = {tenant.name: tenant.quota / settings.balancers for tenant in settings.tenants}
         self.credited = 0.0
+        self.served, self.served_at = 0.0, 0.0
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         self.now, self.actions = now, []
@@ -263,19 +269,22 @@
             self.on_report(member, event.report)
         if pending is not None and status is Status.OK:
             kind = pending.kind
+            self.served_rate(self.usual[kind.name])
             self.usual[kind.name] += LATENCY_WEIGHT * (event.latency - self.usual[kind.name])
-            if self.settings.members_check and event.attempt < len(pending.floors):
-                # Serving the read proves that the member had what the read asked for.
-                member.position = max(member.position, pending.floors[event.attempt])
+            if self.settings.members_check:  # serving the read proves that it had what the read asked for
+                floor = pending.floors[event.attempt]
+                member.position, member.behind = max(member.position, floor), min(member.behind, sent - floor)
             session = pending.ask.session
             if kind.need is Need.WRITE and session is not None and event.position is not None:
                 self.sessions[session] = max(event.position, self.sessions.pop(session, event.position))
                 if len(self.sessions) > SESSIONS:
                     self.forgotten = max(self.forgotten, self.sessions.pop(next(iter(self.sessions))))
+        if pending is not None and status is Status.MISS and pending.kind.need is not Need.WRITE:
+            member.behind, member.missed = sent - pending.floors[event.attempt], self.now
         if pending is not None and status in (Status.OK, Status.TIMEOUT, Status.FULL):
-            late = 1.0 if status is Status.FULL else event.latency / pending.kind.aim
-            member.price = min(1.0, max(0.0, self.price(member) + PRICE_STEP * (min(late, 2.0) - TARGET)))
-            member.priced = self.now
+            late = 1.0 if status is Status.FULL else min(2.0, event.latency / pending.kind.aim)
+            price = self.price(member) + PRICE_STEP * (late - TARGET)
+            member.price, member.priced = min(PRICE_TOP, max(0.0, price)), self.now
 
     # ---- the rule
 
@@ -311,7 +320,7 @@
         member = self.choose(pending)
         if member is None:
             return self.hold(pending)
-        if self.value(pending) * self.random.uniform(0.5, 1.5) < self.price(member):
+        if not self.affords(pending, member):
             return self.give_up(pending)
         self.send(pending, member)
 
@@ -331,17 +340,16 @@
                  and member not in pending.tried]
         for member in [*fresh, *([primary] if primary is not None and self.open(primary) else [])]:
             due = self.now - member.trial >= TRIAL_LAPSE * self.shortest
-            legal = member is primary or member.position >= floor or self.settings.members_check
+            legal = member is primary or self.recent(member, floor)
             if due and legal and not pending.tried and not self.healthy(member):
                 member.trial = self.now
                 return member
-        known = [member for member in fresh if member.position >= floor]
+        known = [member for member in fresh if self.recent(member, floor)]
         self.refresh(pending, fresh)
         sound = [member for member in known if self.healthy(member)]
-        if not sound and self.settings.members_check:  # one that is too far behind will say so
-            sound = sorted(filter(self.healthy, fresh), key=lambda member: member.position)[-1:]
-        if sound:
-            return self.draw(sound)
+        cheap = [member for member in sound if self.affords(pending, member)]
+        if cheap:
+            return self.draw(cheap)
         if primary is not None and primary not in pending.tried and self.usable(primary):
             return primary
         return self.draw(known) if known else None  # if all look bad, as if none did
@@ -354,6 +362,12 @@
         bounded = pending.kind.need is Need.BOUNDED
         return self.now - pending.kind.bound if bounded else pending.floor
 
+    def recent(self, member: Member, floor: float) -> bool:
+        """Proven recent enough or, where members check reads, not lately found to be further behind."""
+        if member.position >= floor or not self.settings.members_check:
+            return member.position >= floor
+        return self.now - floor > member.behind or self.now - member.missed >= TRIAL_LAPSE * self.shortest
+
     def refresh(self, pending: Pending, fresh: list[Member]) -> None:
         """Probe replicas whose position is about to fail the bound, where answers don't tell it."""
         bound = pending.kind.bound
@@ -366,6 +380,8 @@
         pending.flying[len(pending.tried)] = member
         member.flying[pending.ask.id, len(pending.tried)] = self.now, usual
         pending.tried.append(member)
+        if member.started is not None and self.now - member.started < self.settings.cold_time:
+            member.cold_sends.append((self.now, usual))
         pending.floors.append(self.floor(pending) if pending.kind.need is not Need.FRESH else float("-inf"))
         self.actions.append(io.Send(pending.ask.id, member.name, pending.ask.deadline - self.now))
         if pending.kind.effect is Effect.SAFE and self.now < pending.last_call:
@@ -450,8 +466,17 @@
             return True
         grown = max(0.0, self.now - member.started) / self.settings.cold_time
         share = self.settings.cold_share + (1 - self.settings.cold_share) * grown
-        loads = [len(other.flying) for other in self.members.values() if other is not member]
-        return len(member.flying) < max(1.0, share * sum(loads) / max(1, len(loads)))
+        member.cold_sends = [pair for pair in member.cold_sends if self.now - pair[0] < self.settings.fall_time]
+        spent = sum(cost for _, cost in member.cold_sends) + min(self.usual.values())
+        budget = share * self.served_rate() * self.settings.fall_time
+        return spent <= max(min(self.usual.values()), budget) and len(member.flying) < max(1.0, 4 * share)
+
+    def served_rate(self, more: float = 0.0) -> float:
+        """Work answered a second by each member, as usual latency, smoothed over the time to get warm."""
+        span = max(self.settings.cold_time / 4, self.shortest)
+        self.served = self.served * math.exp((self.served_at - self.now) / span) + more
+        self.served_at = self.now
+        return self.served / span / max(1, len(self.members))
 
     def silent(self, member: Member) -> bool:
         """Answers overdue, counted over all that is out there: a hang, a dead host, a cut link."""
@@ -471,6 +496,10 @@
     def price(self, member: Member) -> float:
         return float(member.price * 0.5 ** ((self.now - member.priced) / (PRICE_HALF * self.shortest)))
 
+    def affords(self, pending: Pending, member: Member) -> bool:
+        price = self.price(member)
+        return price < 0.01 or self.value(pending) * self.random.uniform(0.5, 1.5) >= price
+
     def value(self, pending: Pending) -> float:
         """Worth for the work, 1 for the class that pays best; refused first is what is worth least."""
         best = max(kind.worth / self.usual[kind.name] for kind in self.settings.classes)
