--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -23,10 +23,10 @@
 TRIAL_LAPSE = 0.5  # of the shortest aim: between trials of a member set aside
 ROLE_LAPSE = 0.25  # of the shortest aim: between looks for a primary while work is held
 PATIENCE = 3.0  # usual latencies before a safe attempt gets help elsewhere; one in twenty takes longer
-TARGET = 0.5  # of the aim: latency that a member's price steers to; leaves room for the spread
-PRICE_STEP = 0.1  # what an answer late by a whole aim adds to a member's price: its range in some ten answers
-PRICE_HALF = 8.0  # shortest aims in which a price halves by itself, so that a refused member is tried again
-PRICE_TOP = 1.5  # refuses even the class that pays best
+CROWDED = 0.35  # of the aim: smoothed latency from which a member's room is limited; usual ones stay below
+LATE_WEIGHT = 0.2  # weight of one answer in that smoothed latency: a jam shows within five answers
+TARGET = 0.5  # of the aim: queueing that a crowded member is given, by its own answer rate
+RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
 STALE_EARLY = 0.4  # of the bound: remaining validity of a position at which the next probe goes out
 SESSIONS = 10_000  # sessions remembered; those dropped count as having written at the last one dropped
 WATCH_RETRY = 0.05  # of ask_within: first wait after a failed call to the list, doubled each time
@@ -47,8 +47,9 @@
     missed: float = float("-inf")  # ... at this time
     down: bool = False  # the last attempt found no connection
     failing: float = 0.0
-    price: float = 0.0
-    priced: float = 0.0
+    late: float = 0.0  # smoothed latency, in aims
+    rate: float = 0.0  # work answered a second, as usual latency, as of ...
+    rated: float = 0.0
     cold_sends: list[tuple[float, float]] = field(default_factory=list)  # time and usual latency
     trial: float = float("-inf")
     probed: float = float("-inf")
@@ -104,7 +105,6 @@
         self.quotas = {tenant.name: tenant.quota for tenant in settings.tenants}
         self.credit = {tenant.name: tenant.quota / settings.balancers for tenant in settings.tenants}
         self.credited = 0.0
-        self.served, self.served_at = 0.0, 0.0
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         self.now, self.actions = now, []
@@ -269,7 +269,7 @@
             self.on_report(member, event.report)
         if pending is not None and status is Status.OK:
             kind = pending.kind
-            self.served_rate(self.usual[kind.name])
+            self.answered(member, self.usual[kind.name])
             self.usual[kind.name] += LATENCY_WEIGHT * (event.latency - self.usual[kind.name])
             if self.settings.members_check:  # serving the read proves that it had what the read asked for
                 floor = pending.floors[event.attempt]
@@ -283,8 +283,7 @@
             member.behind, member.missed = sent - pending.floors[event.attempt], self.now
         if pending is not None and status in (Status.OK, Status.TIMEOUT, Status.FULL):
             late = 1.0 if status is Status.FULL else min(2.0, event.latency / pending.kind.aim)
-            price = self.price(member) + PRICE_STEP * (late - TARGET)
-            member.price, member.priced = min(PRICE_TOP, max(0.0, price)), self.now
+            member.late += LATE_WEIGHT * (late - member.late)
 
     # ---- the rule
 
@@ -320,15 +319,13 @@
         member = self.choose(pending)
         if member is None:
             return self.hold(pending)
-        if not self.affords(pending, member):
-            return self.give_up(pending)
         self.send(pending, member)
 
     def choose(self, pending: Pending) -> Member | None:
         group, primary = pending.group, pending.group.primary
         if pending.kind.need in (Need.WRITE, Need.FRESH):
             if primary is not None and primary not in pending.tried and self.usable(primary):
-                return primary
+                return primary if self.room(pending, primary) else None
             if primary is None and pending.kind.need is Need.WRITE:
                 for member in group.members:  # one round of tries, on those of whom nothing newer is known
                     unknown = member.role_at < max(group.crowned, self.now - self.settings.ask_within)
@@ -347,12 +344,13 @@
         known = [member for member in fresh if self.recent(member, floor)]
         self.refresh(pending, fresh)
         sound = [member for member in known if self.healthy(member)]
-        cheap = [member for member in sound if self.affords(pending, member)]
-        if cheap:
-            return self.draw(cheap)
+        roomy = [member for member in sound or known if self.room(pending, member)]
+        if roomy and sound:
+            return self.draw(roomy)
         if primary is not None and primary not in pending.tried and self.usable(primary):
-            return primary
-        return self.draw(known) if known else None  # if all look bad, as if none did
+            if primary.late < CROWDED or not known:  # what only it can serve comes first
+                return primary if self.room(pending, primary) else None
+        return self.draw(roomy) if roomy else None  # if all look bad, as if none did
 
     def draw(self, members: list[Member]) -> Member:
         pair = self.random.sample(members, 2) if len(members) > 2 else members
@@ -399,7 +397,7 @@
         member = pending.flying[attempt]
         if self.settings.parallel_tries:
             other = self.choose(pending)
-            if other is not None and self.price(other) < 0.1:
+            if other is not None and other.late < CROWDED:
                 self.send(pending, other)
         elif self.settings.may_cancel and not self.healthy(member):
             self.actions.append(io.Cancel(request, attempt))
@@ -466,17 +464,25 @@
             return True
         grown = max(0.0, self.now - member.started) / self.settings.cold_time
         share = self.settings.cold_share + (1 - self.settings.cold_share) * grown
-        member.cold_sends = [pair for pair in member.cold_sends if self.now - pair[0] < self.settings.fall_time]
-        spent = sum(cost for _, cost in member.cold_sends) + min(self.usual.values())
-        budget = share * self.served_rate() * self.settings.fall_time
-        return spent <= max(min(self.usual.values()), budget) and len(member.flying) < max(1.0, 4 * share)
-
-    def served_rate(self, more: float = 0.0) -> float:
-        """Work answered a second by each member, as usual latency, smoothed over the time to get warm."""
-        span = max(self.settings.cold_time / 4, self.shortest)
-        self.served = self.served * math.exp((self.served_at - self.now) / span) + more
-        self.served_at = self.now
-        return self.served / span / max(1, len(self.members))
+        window, least = self.settings.fall_time, min(self.usual.values())
+        member.cold_sends = [pair for pair in member.cold_sends if self.now - pair[0] < window]
+        spent = least + sum(cost for _, cost in member.cold_sends)
+        carried = sum(map(self.answered, self.members.values())) / len(self.members)
+        return spent <= max(least, share * carried * window)
+
+    def answered(self, member: Member, more: float = 0.0) -> float:
+        """Work answered a second, as usual latency."""
+        span = RATE_SPAN * self.shortest
+        member.rate = member.rate * math.exp((member.rated - self.now) / span) + more / span
+        member.rated = self.now
+        return member.rate
+
+    def room(self, pending: Pending, member: Member) -> bool:
+        """A crowded member gets what it will answer in time, by its rate; the rest waits here, best first."""
+        if member.late < CROWDED or not member.flying:
+            return True
+        work = self.usual[pending.kind.name] + sum(usual for _, usual in member.flying.values())
+        return work <= TARGET * pending.kind.aim * self.answered(member)
 
     def silent(self, member: Member) -> bool:
         """Answers overdue, counted over all that is out there: a hang, a dead host, a cut link."""
@@ -493,13 +499,6 @@
             return self.open(member)
         return self.open(member) and not member.down and not self.silent(member)
 
-    def price(self, member: Member) -> float:
-        return float(member.price * 0.5 ** ((self.now - member.priced) / (PRICE_HALF * self.shortest)))
-
-    def affords(self, pending: Pending, member: Member) -> bool:
-        price = self.price(member)
-        return price < 0.01 or self.value(pending) * self.random.uniform(0.5, 1.5) >= price
-
     def value(self, pending: Pending) -> float:
         """Worth for the work, 1 for the class that pays best; refused first is what is worth least."""
         best = max(kind.worth / self.usual[kind.name] for kind in self.settings.classes)
