--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -40,19 +40,19 @@
     started: float | None = None
     weight: float = 1.0
     listed_primary: bool = False
-    role_at: float = float("-inf")  # when the newest fact on its role was true
-    position: float = float("-inf")  # proven; it only rises
-    alive: float = float("-inf")  # last answer
+    role_at: float = -math.inf  # when the newest fact on its role was true
+    position: float = -math.inf  # proven; it only rises
+    alive: float = -math.inf  # last answer
     behind: float = 0.0  # where members check reads: it was further behind than this ...
-    missed: float = float("-inf")  # ... at this time
+    missed: float = -math.inf  # ... at this time
     down: bool = False  # the last attempt found no connection
     failing: float = 0.0
     late: float = 0.0  # smoothed latency, in aims
     rate: float = 0.0  # work answered a second, as usual latency, as of ...
     rated: float = 0.0
     cold_sends: list[tuple[float, float]] = field(default_factory=list)  # time and usual latency
-    trial: float = float("-inf")
-    probed: float = float("-inf")
+    trial: float = -math.inf
+    probed: float = -math.inf
     probing: bool = False
     flying: dict[tuple[int, int], tuple[float, float]] = field(default_factory=dict)  # sent, usual latency
 
@@ -61,10 +61,9 @@
 class Group:
     members: list[Member] = field(default_factory=list)
     primary: Member | None = None
-    crowned: float = float("-inf")  # when the newest fact on who is primary was true
+    crowned: float = -math.inf  # when the newest fact on who is primary was true
     held: dict[int, Pending] = field(default_factory=dict)
     tending: bool = False
-    known: bool = False  # its members have been probed once
 
 
 @dataclass(slots=True, eq=False)
@@ -73,14 +72,12 @@
     kind: io.RequestClass
     group: Group
     floor: float  # position that a member must have; for a bounded read it moves with the clock
-    aim: float  # clock time of full worth
     last_call: float  # clock time at which worth is out of reach
     over: bool = False  # beyond its tenant's share
     tried: list[Member] = field(default_factory=list)
     flying: dict[int, Member] = field(default_factory=dict)
     floors: list[float] = field(default_factory=list)  # position proven if that attempt is served
     maybe_ran: float | None = None  # when the first attempt that may have run was sent
-    held: bool = False  # has been held, so that its end is timed
 
 
 class Balancer:
@@ -96,31 +93,22 @@
         self.groups: dict[int, Group] = {}
         self.requests: dict[int, Pending] = {}
         self.sessions: dict[int, float] = {}
-        self.forgotten = float("-inf")  # newest commit of the sessions dropped
+        self.forgotten = -math.inf  # newest commit of the sessions dropped
         self.timers: dict[int, tuple[Callable[..., None], tuple[object, ...]]] = {}
         self.tokens = 0
         self.watch_failures = 0
         self.now = 0.0
         self.actions: list[io.Action] = []
+        self.handlers: dict[type, Callable[..., None]] = {
+            io.Request: self.on_request, io.Outcome: self.on_outcome, io.Listing: self.on_listing,
+            io.Probed: self.on_probed, io.Timer: self.on_timer, io.Abandoned: self.on_left,
+            io.StreamStarted: self.on_left}
         self.quotas = {tenant.name: tenant.quota for tenant in settings.tenants}
-        self.credit = {tenant.name: tenant.quota / settings.balancers for tenant in settings.tenants}
-        self.credited = 0.0
+        self.credit: dict[str, tuple[float, float]] = {}  # of each tenant: requests left of its share, when
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         self.now, self.actions = now, []
-        if isinstance(event, io.Request):
-            self.on_request(event)
-        elif isinstance(event, io.Outcome):
-            self.on_outcome(event)
-        elif isinstance(event, io.Timer):
-            callback, arguments = self.timers.pop(event.token, (lambda: None, ()))
-            callback(*arguments)
-        elif isinstance(event, io.Probed):
-            self.on_probed(event)
-        elif isinstance(event, io.Listing):
-            self.on_listing(event)
-        elif event.request in self.requests:  # the client has gone, or owns the stream that has started
-            self.forget(self.requests[event.request], isinstance(event, io.Abandoned))
+        self.handlers[type(event)](event)
         return self.actions
 
     def after(self, delay: float, callback: Callable[..., None], *arguments: object) -> None:
@@ -128,6 +116,14 @@
         self.timers[self.tokens] = callback, arguments
         self.actions.append(io.SetTimer(max(0.0, delay), self.tokens))
 
+    def on_timer(self, event: io.Timer) -> None:
+        callback, arguments = self.timers.pop(event.token, (lambda: None, ()))
+        callback(*arguments)
+
+    def on_left(self, event: io.Abandoned | io.StreamStarted) -> None:
+        if event.request in self.requests:  # the client has gone, or owns the stream from here on
+            self.forget(self.requests[event.request], isinstance(event, io.Abandoned))
+
     # ---- facts: the record is updated as they arrive, and an older one never undoes a newer one
 
     def on_listing(self, listing: io.Listing) -> None:
@@ -138,25 +134,22 @@
             return
         if listing.kind is io.ListKind.CACHED and self.settings.must_ask:
             self.actions.append(io.Watch())
-        elif listing.kind is not io.ListKind.CACHED:
-            self.watch_failures = 0
+        self.watch_failures = 0
         for entry in listing.entries:
-            self.on_entry(entry, listing.kind is io.ListKind.CACHED)
-        if listing.kind is not io.ListKind.CHANGES:
-            listed = {entry.member for entry in listing.entries}
-            for member in self.members.values():
-                if member.name not in listed:
-                    self.set_state(member, State.GONE)
+            self.on_entry(entry)
+        listed = {entry.member for entry in listing.entries}
+        for member in self.members.values():
+            if listing.kind is not io.ListKind.CHANGES and member.name not in listed:
+                self.set_state(member, State.GONE)
         for group in self.groups.values():
             self.release(group)
 
-    def on_entry(self, entry: io.Entry, cached: bool) -> None:
+    def on_entry(self, entry: io.Entry) -> None:
         group = self.groups.setdefault(entry.group, Group())
         member = self.members.get(entry.member)
         if member is None:
-            member = self.members[entry.member] = Member(entry.member, group)
+            member = self.members[entry.member] = Member(entry.member, group, started=entry.started)
             group.members.append(member)
-            member.started = entry.started
         elif entry.started is not None and entry.started != member.started:
             member.started, member.down, member.failing = entry.started, False, 0.0
             if group.primary is member and entry.started > group.crowned:
@@ -164,13 +157,11 @@
         self.set_state(member, entry.state)
         member.weight = entry.weight if self.settings.weighted and entry.weight > 0 else 1.0
         # A list's roles are seconds late: one counts where traffic has told nothing, or as a change.
-        news = entry.primary and not member.listed_primary
-        member.listed_primary = entry.primary
-        if self.settings.lists_roles and news and (group.primary is None or self.settings.follows_roles):
-            if group.primary is None or self.silent(group.primary):
-                self.crown(member, group.crowned)
-            else:
-                self.probe(member)
+        news, member.listed_primary = entry.primary and not member.listed_primary, entry.primary
+        if news and group.primary is None:
+            self.crown(member, group.crowned)
+        elif news and self.settings.follows_roles:
+            self.probe(member, ROLE_LAPSE * self.shortest)
 
     def set_state(self, member: Member, state: State) -> None:
         if state is State.GONE and self.settings.only_draining_binds and member.state is State.READY:
@@ -209,22 +200,21 @@
         self.release(group)
 
     def demote(self, member: Member, at: float) -> None:
-        if at < member.role_at:
-            return
-        member.role_at = at
-        if member.group.primary is member:
-            self.lose_primary(member.group)
+        if at >= member.role_at:
+            member.role_at = at
+            if member.group.primary is member:
+                self.lose_primary(member.group)
 
     def lose_primary(self, group: Group) -> None:
         group.primary = None
         self.actions.append(io.Log("primary lost"))
-        self.probe_all(group)
+        self.probe_all(group, ROLE_LAPSE * self.shortest)
 
-    def probe_all(self, group: Group) -> None:
+    def probe_all(self, group: Group, lapse: float) -> None:
         for member in group.members:
-            self.probe(member, ROLE_LAPSE * self.shortest)
+            self.probe(member, lapse)
 
-    def probe(self, member: Member, lapse: float = 0.0) -> None:
+    def probe(self, member: Member, lapse: float) -> None:
         usable = member.state is State.READY and not member.probing and self.settings.may_probe
         if usable and self.now - member.probed >= lapse:
             member.probed, member.probing = self.now, True
@@ -237,36 +227,30 @@
             return
         sent, _ = member.flying.pop((event.request, event.attempt), (self.now - event.latency, 0.0))
         self.learn(member, event, pending, sent)
-        if pending is None or event.attempt not in pending.flying:
-            return
-        del pending.flying[event.attempt]
-        if event.finished:
-            self.forget(pending)
-        elif not pending.flying:
+        if pending is not None and pending.flying.pop(event.attempt, None) is not None:
             if event.status not in io.NEVER_RAN and pending.maybe_ran is None:
                 pending.maybe_ran = sent
-            self.route(pending)
+            if event.finished:
+                self.forget(pending)
+            elif not pending.flying:
+                self.route(pending)
         self.release(member.group)
 
     def learn(self, member: Member, event: io.Outcome, pending: Pending | None, sent: float) -> None:
         status = event.status
-        if status in (Status.CANCELLED, Status.MOOT):
-            return
         if status is Status.CONNECT_FAILED:
             member.down = True
-        elif status is not Status.TIMEOUT:
+        elif status not in (Status.TIMEOUT, Status.CANCELLED, Status.MOOT):
             member.alive, member.down = self.now, False
         if status in (Status.OK, Status.ERROR, Status.RESET, Status.CONNECT_FAILED):
             member.failing += FAIL_WEIGHT * ((status is not Status.OK) - member.failing)
-        if event.primary is not None and status is not Status.TIMEOUT:
-            if event.primary:
-                self.crown(member, max(sent, self.now - event.latency))
-            else:
-                self.demote(member, self.now)
+        if event.primary:
+            self.crown(member, sent)
+        elif event.primary is False:
+            self.demote(member, self.now)
+        self.on_report(member, event.report or io.Report())
         if event.position is not None:
             member.position = max(member.position, event.position)
-        if event.report is not None:
-            self.on_report(member, event.report)
         if pending is not None and status is Status.OK:
             kind = pending.kind
             self.answered(member, self.usual[kind.name])
@@ -291,30 +275,29 @@
         kind = self.kinds.get(ask.kind)
         group = self.groups.setdefault(ask.group, Group())
         if kind is None or ask.deadline <= self.now:
-            self.actions.append(io.Refuse(ask.id))
-            return
-        floor = float("-inf")
-        if kind.need is Need.SESSION and self.settings.client_tokens:
-            floor = self.now + 0.001 - ask.since_write if ask.since_write is not None else floor
-        elif kind.need is Need.SESSION:
+            return self.actions.append(io.Refuse(ask.id))
+        floor = -math.inf
+        if kind.need is Need.SESSION and not self.settings.client_tokens:
             floor = self.sessions.get(ask.session, self.forgotten) if ask.session is not None else self.now
+        elif kind.need is Need.SESSION and ask.since_write is not None:
+            floor = self.now + 0.001 - ask.since_write
         aim = self.now + kind.aim + kind.aim_stretch * (ask.cost or 0.0)
         end = ask.deadline if kind.late_worth > 0 else min(aim, ask.deadline)
         last_call = end - min(self.usual[kind.name], 0.5 * (end - self.now))
-        pending = Pending(ask, kind, group, floor, aim, last_call, self.over_share(ask.tenant))
+        pending = Pending(ask, kind, group, floor, last_call, self.over_share(ask.tenant))
         self.requests[ask.id] = pending
-        if not group.known and group.members:
-            group.known = True
-            if not self.settings.members_check or group.primary is None:
-                self.probe_all(group)
+        if group.primary is None or not self.settings.members_check:
+            self.probe_all(group, math.inf)  # those never probed
         self.route(pending)
 
     def route(self, pending: Pending) -> None:
         """Send it, hold it, or give it its final answer."""
         pending.group.held.pop(pending.ask.id, None)
-        if not self.may_resend(pending) or len(pending.tried) >= self.settings.max_attempts:
-            return self.give_up(pending)
-        if self.now >= pending.last_call:
+        effect, ran = pending.kind.effect, pending.maybe_ran
+        keyed = effect is Effect.KEYED and ran is not None and self.now < ran + pending.kind.window
+        repeatable = ran is None or effect is Effect.SAFE or keyed  # rule 2
+        more = len(pending.tried) < self.settings.max_attempts and self.now < pending.last_call
+        if not (repeatable and more):
             return self.give_up(pending)
         member = self.choose(pending)
         if member is None:
@@ -335,21 +318,20 @@
         floor = self.floor(pending)
         fresh = [member for member in group.members if member is not primary and self.open(member)
                  and member not in pending.tried]
-        for member in [*fresh, *([primary] if primary is not None and self.open(primary) else [])]:
-            due = self.now - member.trial >= TRIAL_LAPSE * self.shortest
-            legal = member is primary or self.recent(member, floor)
-            if due and legal and not pending.tried and not self.healthy(member):
+        known = [member for member in fresh if self.recent(member, floor)]
+        for member in known if primary is None or not self.open(primary) else [*known, primary]:
+            due = not pending.tried and self.now - member.trial >= TRIAL_LAPSE * self.shortest
+            if due and not self.healthy(member):
                 member.trial = self.now
                 return member
-        known = [member for member in fresh if self.recent(member, floor)]
         self.refresh(pending, fresh)
         sound = [member for member in known if self.healthy(member)]
         roomy = [member for member in sound or known if self.room(pending, member)]
         if roomy and sound:
             return self.draw(roomy)
-        if primary is not None and primary not in pending.tried and self.usable(primary):
-            if primary.late < CROWDED or not known:  # what only it can serve comes first
-                return primary if self.room(pending, primary) else None
+        spare = primary is not None and (primary.late < CROWDED or not known)
+        if spare and primary is not None and primary not in pending.tried and self.usable(primary):
+            return primary if self.room(pending, primary) else None  # what only it can serve comes first
         return self.draw(roomy) if roomy else None  # if all look bad, as if none did
 
     def draw(self, members: list[Member]) -> Member:
@@ -380,22 +362,19 @@
         pending.tried.append(member)
         if member.started is not None and self.now - member.started < self.settings.cold_time:
             member.cold_sends.append((self.now, usual))
-        pending.floors.append(self.floor(pending) if pending.kind.need is not Need.FRESH else float("-inf"))
+        pending.floors.append(self.floor(pending) if pending.kind.need is not Need.FRESH else -math.inf)
         self.actions.append(io.Send(pending.ask.id, member.name, pending.ask.deadline - self.now))
         if pending.kind.effect is Effect.SAFE and self.now < pending.last_call:
-            wait = min(PATIENCE * usual, pending.last_call - self.now)
-            self.after(wait if self.healthy(member) else min(wait, usual), self.help, pending.ask.id,
-                       len(pending.tried) - 1)
+            wait = min((PATIENCE if self.healthy(member) else 1.0) * usual, pending.last_call - self.now)
+            self.after(wait, self.help, pending.ask.id, len(pending.tried) - 1)
 
     def help(self, request: int, attempt: int) -> None:
         """A safe attempt is overdue: a second copy where allowed, else move it away from a silent member."""
         pending = self.requests.get(request)
         if pending is None or list(pending.flying) != [attempt] or self.now > pending.last_call:
             return
-        if len(pending.tried) >= self.settings.max_attempts:
-            return
         member = pending.flying[attempt]
-        if self.settings.parallel_tries:
+        if self.settings.parallel_tries and len(pending.tried) < self.settings.max_attempts:
             other = self.choose(pending)
             if other is not None and other.late < CROWDED:
                 self.send(pending, other)
@@ -404,13 +383,6 @@
 
     # ---- guards
 
-    def may_resend(self, pending: Pending) -> bool:
-        """Rule 2: what may have run is repeated only as far as its class allows."""
-        if pending.maybe_ran is None or pending.kind.effect is Effect.SAFE:
-            return True
-        in_window = self.now < pending.maybe_ran + pending.kind.window
-        return pending.kind.effect is Effect.KEYED and in_window
-
     def give_up(self, pending: Pending) -> None:
         """The one final answer, at once."""
         if pending.flying:
@@ -430,31 +402,30 @@
             self.actions.extend(io.Cancel(pending.ask.id, attempt) for attempt in pending.flying)
 
     def hold(self, pending: Pending) -> None:
-        group = pending.group
+        group, step = pending.group, ROLE_LAPSE * self.shortest / 2
+        if self.now + step >= pending.last_call:
+            return self.give_up(pending)
         group.held[pending.ask.id] = pending
-        if not pending.held:
-            pending.held = True
-            self.after(pending.last_call - self.now, self.run_out, pending)
         if not group.tending:
             group.tending = True
-            self.after(ROLE_LAPSE * self.shortest / 2, self.tend, group)
-
-    def run_out(self, pending: Pending) -> None:
-        if pending.ask.id in pending.group.held:
-            self.give_up(pending)
+            self.after(step, self.tend, group)
 
     def tend(self, group: Group) -> None:
         """While work is held: look for a primary, send what can go, answer what has run out of time."""
         group.tending = False
-        if group.held:
-            self.probe_all(group)
-            self.release(group)
-
-    def release(self, group: Group) -> None:
-        """Try again what is held, the most valuable first."""
-        for pending in sorted(group.held.values(), key=self.value, reverse=True):
-            if pending.ask.id in group.held:
+        if group.held and (group.primary is None or not self.healthy(group.primary)):
+            self.probe_all(group, ROLE_LAPSE * self.shortest)
+        self.release(group, every=True)
+
+    def release(self, group: Group, every: bool = False) -> None:
+        """Try what is held again, the most valuable first; where one finds no place, its like won't."""
+        placeless: set[tuple[str, bool]] = set()
+        for pending in sorted(group.held.values(), key=self.value, reverse=True) if group.held else ():
+            like = pending.kind.name, pending.over
+            if pending.ask.id in group.held and (every or like not in placeless):
                 self.route(pending)
+                if pending.ask.id in group.held:
+                    placeless.add(like)
 
     def open(self, member: Member) -> bool:
         """Rules 3 and 4: nothing for a member that drains; a cold one takes a part of what warm ones do."""
@@ -500,20 +471,16 @@
         return self.open(member) and not member.down and not self.silent(member)
 
     def value(self, pending: Pending) -> float:
-        """Worth for the work, 1 for the class that pays best; refused first is what is worth least."""
-        best = max(kind.worth / self.usual[kind.name] for kind in self.settings.classes)
+        """Worth for the work; what is worth least waits longest."""
         share = self.settings.over_share_worth if pending.over else 1.0
-        return share * pending.kind.worth / self.usual[pending.kind.name] / best if best > 0 else 1.0
+        return share * pending.kind.worth / self.usual[pending.kind.name]
 
     def over_share(self, tenant: str | None) -> bool:
         """This router's part of a tenant's quota, kept as a bucket of a second's worth."""
-        quota = self.quotas.get(tenant or "", 0.0)
-        if tenant is None or quota <= 0:
+        part = self.quotas.get(tenant or "", 0.0) / self.settings.balancers
+        if tenant is None or part <= 0:
             return False
-        passed, self.credited = self.now - self.credited if self.credited else 0.0, self.now
-        for name, each in self.quotas.items():
-            part = each / self.settings.balancers
-            self.credit[name] = min(part, self.credit[name] + part * passed)
-        over = self.credit[tenant] < 1.0
-        self.credit[tenant] -= 0.0 if over else 1.0
-        return over
+        credit, at = self.credit.get(tenant, (part, self.now))
+        credit = min(max(1.0, part), credit + part * (self.now - at))
+        self.credit[tenant] = (credit - 1.0 if credit >= 1.0 else credit), self.now
+        return credit < 1.0
