--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -43,8 +43,7 @@
     role_at: float = -math.inf  # when the newest fact on its role was true
     position: float = -math.inf  # proven; it only rises
     alive: float = -math.inf  # last answer
-    behind: float = 0.0  # where members check reads: it was further behind than this ...
-    missed: float = -math.inf  # ... at this time
+    behind: float = 0.0  # where members check reads: it was further behind than this at its last miss
     down: bool = False  # the last attempt found no connection
     failing: float = 0.0
     late: float = 0.0  # smoothed latency, in aims
@@ -180,6 +179,7 @@
     def on_report(self, member: Member, report: io.Report) -> None:
         if report.position is not None:
             member.position = max(member.position, report.position)
+            member.behind = min(member.behind, self.now - member.position)
         if report.primary:
             # A primary's position dates its report.
             self.crown(member, report.position if report.position is not None else self.now)
@@ -264,7 +264,7 @@
                 if len(self.sessions) > SESSIONS:
                     self.forgotten = max(self.forgotten, self.sessions.pop(next(iter(self.sessions))))
         if pending is not None and status is Status.MISS and pending.kind.need is not Need.WRITE:
-            member.behind, member.missed = sent - pending.floors[event.attempt], self.now
+            member.behind = sent - pending.floors[event.attempt]
         if pending is not None and status in (Status.OK, Status.TIMEOUT, Status.FULL):
             late = 1.0 if status is Status.FULL else min(2.0, event.latency / pending.kind.aim)
             member.late += LATE_WEIGHT * (late - member.late)
@@ -283,7 +283,7 @@
             floor = self.now + 0.001 - ask.since_write
         aim = self.now + kind.aim + kind.aim_stretch * (ask.cost or 0.0)
         end = ask.deadline if kind.late_worth > 0 else min(aim, ask.deadline)
-        last_call = end - min(self.usual[kind.name], 0.5 * (end - self.now))
+        last_call = end - min(1.6 * self.usual[kind.name], 0.6 * (end - self.now))
         pending = Pending(ask, kind, group, floor, last_call, self.over_share(ask.tenant))
         self.requests[ask.id] = pending
         if group.primary is None or not self.settings.members_check:
@@ -343,16 +343,14 @@
         return self.now - pending.kind.bound if bounded else pending.floor
 
     def recent(self, member: Member, floor: float) -> bool:
-        """Proven recent enough or, where members check reads, not lately found to be further behind."""
-        if member.position >= floor or not self.settings.members_check:
-            return member.position >= floor
-        return self.now - floor > member.behind or self.now - member.missed >= TRIAL_LAPSE * self.shortest
+        """Proven recent enough or, where members check reads, not found to be further behind than that."""
+        return member.position >= floor or (self.settings.members_check and self.now - floor > member.behind)
 
     def refresh(self, pending: Pending, fresh: list[Member]) -> None:
-        """Probe replicas whose position is about to fail the bound, where answers don't tell it."""
-        bound = pending.kind.bound
-        for member in fresh if bound and not self.settings.members_check else ():
-            if member.position - (self.now - bound) < STALE_EARLY * bound:
+        """Probe replicas whose position fails the bound or soon will; where members check, after a miss."""
+        checked, bound = self.settings.members_check, pending.kind.bound
+        for member in fresh if bound else ():
+            if (member.behind if checked else self.now - member.position) > (1 - STALE_EARLY) * bound:
                 self.probe(member, 0.5 * bound)
 
     def send(self, pending: Pending, member: Member) -> None:
