--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,391 @@
+"""The module by event sequences and expected actions, without the bench."""
+
+import subprocess
+import sys
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import TypeVar
+
+import pytest
+
+from banklift import (
+    Abandoned,
+    Action,
+    Balancer,
+    Cancel,
+    Effect,
+    Entry,
+    Event,
+    Fail,
+    Listing,
+    ListKind,
+    Need,
+    Outcome,
+    Probe,
+    Probed,
+    Refuse,
+    Report,
+    Request,
+    RequestClass,
+    Send,
+    SetTimer,
+    Settings,
+    State,
+    Status,
+    Tenant,
+    Timer,
+    Watch,
+)
+
+A = TypeVar("A", bound=Action)
+
+CLASSES = (
+    RequestClass("write", Effect.UNSAFE, Need.WRITE, aim=1.0, deadline=2.0, worth=6.0, late_worth=0.3),
+    RequestClass("keyed", Effect.KEYED, Need.WRITE, aim=1.0, deadline=2.0, worth=6.0, window=0.5),
+    RequestClass("fresh", Effect.SAFE, Need.FRESH, aim=0.8, deadline=2.0, worth=2.0),
+    RequestClass("own", Effect.SAFE, Need.SESSION, aim=0.5, deadline=1.2, worth=3.0),
+    RequestClass("recent", Effect.SAFE, Need.BOUNDED, aim=0.5, deadline=2.0, worth=1.0, bound=0.8),
+    RequestClass("loose", Effect.SAFE, Need.ANY, aim=0.5, deadline=2.0, worth=1.0),
+)
+SETTINGS = Settings(classes=CLASSES, max_attempts=6, may_cancel=True, may_probe=True,
+                    answers_carry_position=True, client_tokens=True, lists_roles=True, drain_grace=1.0, cold_share=0.2, cold_time=18.0,
+                    fall_multiple=3.0, fall_time=3.0, max_retry_after=1.0)
+T0 = 1000.0
+MEMBERS = tuple(Entry(name, 1, primary=name == "p") for name in ("p", "r1", "r2", "r3"))
+
+
+class Bench:
+    """One balancer and a clock; keeps timers and numbers requests."""
+
+    def __init__(self, settings: Settings = SETTINGS, members: Iterable[Entry] = MEMBERS) -> None:
+        self.balancer = Balancer(settings, 7)
+        self.now = T0
+        self.timers: list[tuple[float, int]] = []
+        self.log: list[tuple[float, Action]] = []
+        self.ids = 0
+        self.do(Listing(ListKind.CACHED, tuple(members)))
+
+    def do(self, event: Event) -> list[Action]:
+        actions = self.balancer.handle(self.now, event)
+        self.log += [(self.now, action) for action in actions]
+        self.timers += [(self.now + a.delay, a.token) for a in actions if isinstance(a, SetTimer)]
+        return actions
+
+    def ask(self, kind: str, left: float = 2.0, **more: float | int | str | None) -> list[Action]:
+        self.ids += 1
+        return self.do(Request(self.ids, kind, 1, self.now + left, **more))  # type: ignore[arg-type]
+
+    def answer(self, request: int, member: str, status: Status = Status.OK, attempt: int = 0,
+               primary: bool | None = None, position: float | None = None) -> list[Action]:
+        finished = status is Status.OK
+        return self.do(Outcome(request, attempt, member, status, finished, 0.01, primary, position))
+
+    def run(self, seconds: float) -> list[Action]:
+        """Let time pass; the actions of the timers that come due."""
+        end, actions = self.now + seconds, list[Action]()
+        while self.timers and min(self.timers)[0] <= end:
+            timer = min(self.timers)
+            self.timers.remove(timer)
+            self.now = max(self.now, timer[0])
+            actions += self.do(Timer(timer[1]))
+        self.now = end
+        return actions
+
+    def positions(self, lag: float = 0.01) -> None:
+        for name in ("r1", "r2", "r3"):
+            self.do(Probed(name, True, 0.001, Report(position=self.now - lag, primary=False)))
+        self.do(Probed("p", True, 0.001, Report(position=self.now, primary=True)))
+
+
+def of(kind: type[A], actions: Iterable[Action]) -> list[A]:
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def targets(actions: Iterable[Action]) -> list[str]:
+    return [action.member for action in of(Send, actions)]
+
+
+# ---- the rule
+
+
+@pytest.mark.parametrize("kind", ["write", "keyed", "fresh"])
+def test_writes_and_fresh_reads_go_to_the_named_primary(kind: str) -> None:
+    assert targets(Bench().ask(kind)) == ["p"]
+
+
+def test_other_reads_go_to_the_less_busy_of_two_recent_replicas() -> None:
+    bench = Bench()
+    bench.positions()
+    sent = [target for _ in range(6) for target in targets(bench.ask("recent"))]
+    assert set(sent) == {"r1", "r2", "r3"}
+
+
+def test_a_bounded_read_with_no_replica_known_recent_goes_to_the_primary() -> None:
+    bench = Bench()
+    bench.positions()
+    bench.run(1.0)
+    assert targets(bench.ask("recent")) == ["p"]
+
+
+def test_a_session_read_needs_its_sessions_last_write() -> None:
+    bench = Bench()
+    bench.positions(lag=0.3)
+    assert targets(bench.ask("own", since_write=0.2)) == ["p"]
+    assert targets(bench.ask("own", since_write=0.4))[0] in {"r1", "r2", "r3"}
+    assert targets(bench.ask("own"))[0] in {"r1", "r2", "r3"}  # it has not written
+
+
+def test_a_remembered_session_needs_the_writes_answered_here() -> None:
+    bench = Bench(replace(SETTINGS, client_tokens=False))
+    bench.positions(lag=0.0)
+    assert targets(bench.ask("write", session=9)) == ["p"]
+    bench.answer(1, "p", position=T0 + 0.1, primary=True)
+    assert targets(bench.ask("own", session=9)) == ["p"]
+    assert targets(bench.ask("own", session=8))[0] != "p"
+
+
+def test_forgotten_sessions_stay_safe_and_memory_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("banklift.balance.SESSIONS", 3)
+    bench = Bench(replace(SETTINGS, client_tokens=False))
+    for session in range(5):
+        bench.ask("write", session=session)
+        bench.answer(bench.ids, "p", position=T0 + session, primary=True)
+    assert len(bench.balancer.sessions) == 3
+    bench.positions(lag=0.5)
+    assert targets(bench.ask("own", session=0)) == ["p"]
+
+
+def test_where_members_check_an_unknown_replica_may_be_tried_and_a_miss_is_remembered() -> None:
+    bench = Bench(replace(SETTINGS, members_check=True, answers_carry_position=False))
+    first = targets(bench.ask("recent"))[0]
+    assert first != "p"
+    bench.answer(1, first, Status.MISS, primary=False)
+    sent = [target for _ in range(8) for target in targets(bench.ask("recent"))]
+    assert first not in sent and sent
+
+
+# ---- roles
+
+
+def test_a_write_is_held_without_a_primary_and_released_by_a_role_fact() -> None:
+    bench = Bench()
+    bench.positions()
+    bench.ask("write")
+    bench.answer(1, "p", Status.MISS, primary=False)
+    for attempt, replica in enumerate(("r1", "r2", "r3"), 1):  # the round of tries
+        bench.answer(1, replica, Status.MISS, attempt, primary=False)
+    bench.run(0.2)
+    assert 1 in bench.balancer.requests
+    assert targets(bench.do(Probed("r2", True, 0.001, Report(position=bench.now, primary=True)))) == ["r2"]
+
+
+def test_with_no_role_known_a_write_tries_each_member_in_turn_then_waits() -> None:
+    bench = Bench(replace(SETTINGS, lists_roles=False), [replace(entry, primary=False) for entry in MEMBERS])
+    tried = targets(bench.ask("write"))
+    for attempt in range(4):
+        tried += targets(bench.answer(1, tried[-1], Status.MISS, attempt, primary=False))
+    assert sorted(tried) == ["p", "r1", "r2", "r3"]
+    assert not of(Refuse, [action for _, action in bench.log])
+
+
+def test_an_older_report_does_not_undo_a_newer_answer() -> None:
+    bench = Bench()
+    bench.now += 1
+    bench.ask("write")
+    bench.now += 0.1
+    bench.answer(1, "p", Status.MISS, primary=False)
+    bench.do(Probed("r1", True, 0.001, Report(position=bench.now, primary=True)))
+    bench.do(Probed("p", True, 0.001, Report(position=bench.now - 0.5, primary=True)))
+    assert targets(bench.ask("write")) == ["r1"]
+
+
+def test_positions_never_fall() -> None:
+    bench = Bench()
+    bench.positions(lag=0.1)
+    bench.positions(lag=5.0)
+    assert targets(bench.ask("recent"))[0] != "p"
+
+
+# ---- the five rules
+
+
+def test_every_request_ends_once_before_its_deadline_whatever_happens() -> None:
+    for kind in (each.name for each in CLASSES):
+        bench = Bench(members=[replace(entry, state=State.DRAINING) for entry in MEMBERS])
+        bench.ask(kind, left=0.7)
+        bench.run(0.7)
+        finals = [(at, action) for at, action in bench.log if isinstance(action, (Refuse, Fail))]
+        assert len(finals) == 1 and finals[0][0] < T0 + 0.7
+        assert not bench.balancer.requests
+
+
+@pytest.mark.parametrize("left", [-1.0, 0.0])
+def test_a_deadline_already_past_is_answered_at_once(left: float) -> None:
+    assert of(Refuse, Bench().ask("loose", left=left))
+
+
+def test_no_list_yet_and_unknown_classes_are_answered() -> None:
+    bench = Bench(members=[])
+    assert of(Refuse, bench.ask("no-such-class"))
+    bench.ask("loose", left=0.5)
+    assert of(Refuse, bench.run(0.5))
+
+
+@pytest.mark.parametrize("status", [Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED])
+def test_an_unsafe_request_that_may_have_run_fails_and_is_not_resent(status: Status) -> None:
+    bench = Bench()
+    bench.ask("write")
+    actions = bench.answer(1, "p", status)
+    assert of(Fail, actions) and not of(Send, actions) and not of(Refuse, actions)
+
+
+def test_an_unsafe_request_that_never_ran_is_refused_at_its_end() -> None:
+    bench = Bench()
+    bench.ask("write")
+    bench.answer(1, "p", Status.CONNECT_FAILED)
+    assert of(Refuse, bench.run(2.0)) == [Refuse(1, 1.0)]
+
+
+def test_a_keyed_request_is_resent_only_within_its_window() -> None:
+    for wait, resent in ((0.1, True), (0.6, False)):
+        bench = Bench()
+        bench.ask("keyed")
+        bench.now += wait
+        bench.answer(1, "p", Status.RESET)
+        actions = bench.do(Probed("r1", True, 0.001, Report(position=bench.now, primary=True)))
+        assert (targets(actions) == ["r1"]) is resent
+
+
+def test_a_safe_read_goes_elsewhere_after_an_error() -> None:
+    bench = Bench()
+    bench.positions()
+    first = targets(bench.ask("loose"))[0]
+    again = targets(bench.answer(1, first, Status.ERROR))
+    assert len(again) == 1 and again[0] != first
+
+
+def test_attempts_are_limited() -> None:
+    bench = Bench(replace(SETTINGS, max_attempts=2))
+    bench.positions()
+    first = targets(bench.ask("loose"))[0]
+    second = targets(bench.answer(1, first, Status.ERROR))[0]
+    assert of(Refuse, bench.answer(1, second, Status.ERROR, attempt=1))
+
+
+def test_no_second_copy_where_none_is_allowed_and_one_where_it_is() -> None:
+    for allowed, count in ((False, 0), (True, 1)):
+        bench = Bench(replace(SETTINGS, parallel_tries=allowed))
+        bench.positions()
+        bench.ask("loose")
+        assert len(of(Send, bench.run(0.45))) == count
+
+
+@pytest.mark.parametrize("state", [State.DRAINING, State.GONE])
+def test_nothing_new_for_a_member_that_drains_or_is_gone(state: State) -> None:
+    bench = Bench()
+    bench.positions()
+    bench.do(Listing(ListKind.CHANGES, (replace(MEMBERS[1], state=state),)))
+    assert "r1" not in {target for _ in range(20) for target in targets(bench.ask("loose"))}
+
+
+def test_a_member_missing_from_a_full_list_is_gone_unless_only_draining_binds() -> None:
+    for binds, excluded in ((False, True), (True, False)):
+        bench = Bench(replace(SETTINGS, only_draining_binds=binds))
+        bench.do(Listing(ListKind.FULL, (MEMBERS[0], MEMBERS[1])))
+        bench.positions()
+        sent = {target for _ in range(20) for target in targets(bench.ask("loose"))}
+        assert ("r2" not in sent) is excluded
+
+
+def test_a_cold_member_gets_a_trickle() -> None:
+    bench = Bench()
+    bench.positions()
+    bench.do(Listing(ListKind.CHANGES, (replace(MEMBERS[1], started=T0),)))
+    sent = [target for _ in range(30) for target in targets(bench.ask("loose"))]
+    assert sent.count("r1") <= 1 and len(sent) > 20
+
+
+# ---- guards
+
+
+def test_a_member_that_fails_quickly_is_set_aside_and_tried_again() -> None:
+    bench = Bench()
+    bench.positions()
+    for _ in range(20):
+        for target in targets(bench.ask("loose")):
+            bench.answer(bench.ids, target, Status.ERROR if target == "r1" else Status.OK)
+    sent = [target for _ in range(20) for target in targets(bench.ask("loose"))]
+    assert sent.count("r1") <= 1
+    bench.run(1.0)
+    assert "r1" in {target for _ in range(3) for target in targets(bench.ask("loose"))}
+
+
+def test_a_silent_primary_gets_no_more_writes_and_others_are_probed() -> None:
+    bench = Bench()
+    bench.positions()
+    for _ in range(4):
+        bench.ask("write")
+    bench.positions()
+    bench.run(1.5)
+    actions = bench.ask("write")
+    assert not of(Send, actions)
+    assert {probe.member for probe in of(Probe, bench.run(0.3))} >= {"r1", "r2", "r3"}
+
+
+def test_safe_attempts_are_moved_away_from_a_silent_member() -> None:
+    bench = Bench()
+    bench.positions()
+    bench.balancer.members["r1"].down = bench.balancer.members["r2"].down = True
+    for _ in range(5):
+        bench.ask("loose")
+    assert of(Cancel, bench.run(0.45))
+
+
+def test_if_all_look_bad_the_module_acts_as_if_none_did() -> None:
+    bench = Bench()
+    bench.positions()
+    for member in bench.balancer.members.values():
+        member.failing, member.trial = 1.0, bench.now
+    assert targets(bench.ask("loose"))
+
+
+def test_the_watch_is_renewed_after_errors_with_growing_waits() -> None:
+    bench = Bench(replace(SETTINGS, must_ask=True, ask_within=10.0))
+    assert of(Watch, [action for _, action in bench.log])
+    waits = [of(SetTimer, bench.do(Listing(ListKind.FAILED)))[0].delay for _ in range(6)]
+    assert waits[0] < waits[-1] < 10.0
+    assert of(Watch, bench.run(10.0))
+
+
+def test_late_and_unknown_events_do_no_harm() -> None:
+    bench = Bench()
+    bench.ask("write")
+    bench.do(Abandoned(1))
+    assert not bench.answer(1, "p")
+    for event in (Abandoned(77), Timer(99), Probed("nobody", True, 0.1, Report(position=T0)),
+                  Outcome(77, 0, "p", Status.OK, True, 0.1),
+                  Outcome(77, 3, "nobody", Status.ERROR, False, 0.1)):
+        assert not of(Send, bench.do(event))
+
+
+def test_over_share_work_waits_longest() -> None:
+    bench = Bench(replace(SETTINGS, tenants=(Tenant("big", 3.0, 1.0),), over_share_worth=0.05))
+    assert [bench.balancer.over_share("big") for _ in range(5)] == [False, False, False, True, True]
+
+
+def test_same_events_same_actions_whatever_the_hash_seed() -> None:
+    script = ("from tests.test_balance import Bench\nb = Bench()\nb.positions()\n"
+              "for i in range(50):\n    b.ask(('loose', 'recent', 'write')[i % 3], session=i)\n"
+              "    b.run(0.05)\nprint(b.log)")
+    runs = [subprocess.run([sys.executable, "-c", script], env={"PYTHONHASHSEED": seed, "PYTHONPATH": "."},
+                           capture_output=True, text=True, check=True).stdout for seed in ("1", "2")]
+    assert runs[0] == runs[1] and "Send" in runs[0]
+
+
+@pytest.mark.parametrize(("change", "field"), [
+    ({"classes": ()}, "classes"), ({"balancers": 0}, "balancers"), ({"fall_time": -1.0}, "fall_time"),
+    ({"classes": CLASSES + CLASSES[:1]}, "classes"), ({"tenants": (Tenant("t", -1.0, 0.5),)}, "tenants"),
+])
+def test_settings_that_make_no_sense_are_refused(change: dict[str, object], field: str) -> None:
+    with pytest.raises(ValueError, match=field):
+        replace(SETTINGS, **change)  # type: ignore[arg-type]
