--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -60,6 +60,7 @@
 class Group:
     members: list[Member] = field(default_factory=list)
     primary: Member | None = None
+    lost: float = -math.inf  # when the last one was lost
     crowned: float = -math.inf  # when the newest fact on who is primary was true
     held: dict[int, Pending] = field(default_factory=dict)
     tending: bool = False
@@ -72,7 +73,6 @@
     group: Group
     floor: float  # position that a member must have; for a bounded read it moves with the clock
     last_call: float  # clock time at which worth is out of reach
-    over: bool = False  # beyond its tenant's share
     tried: list[Member] = field(default_factory=list)
     flying: dict[int, Member] = field(default_factory=dict)
     floors: list[float] = field(default_factory=list)  # position proven if that attempt is served
@@ -102,8 +102,6 @@
             io.Request: self.on_request, io.Outcome: self.on_outcome, io.Listing: self.on_listing,
             io.Probed: self.on_probed, io.Timer: self.on_timer, io.Abandoned: self.on_left,
             io.StreamStarted: self.on_left}
-        self.quotas = {tenant.name: tenant.quota for tenant in settings.tenants}
-        self.credit: dict[str, tuple[float, float]] = {}  # of each tenant: requests left of its share, when
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         self.now, self.actions = now, []
@@ -206,7 +204,7 @@
                 self.lose_primary(member.group)
 
     def lose_primary(self, group: Group) -> None:
-        group.primary = None
+        group.primary, group.lost = None, self.now
         self.actions.append(io.Log("primary lost"))
         self.probe_all(group, ROLE_LAPSE * self.shortest)
 
@@ -284,7 +282,7 @@
         aim = self.now + kind.aim + kind.aim_stretch * (ask.cost or 0.0)
         end = ask.deadline if kind.late_worth > 0 else min(aim, ask.deadline)
         last_call = end - min(1.6 * self.usual[kind.name], 0.6 * (end - self.now))
-        pending = Pending(ask, kind, group, floor, last_call, self.over_share(ask.tenant))
+        pending = Pending(ask, kind, group, floor, last_call)
         self.requests[ask.id] = pending
         if group.primary is None or not self.settings.members_check:
             self.probe_all(group, math.inf)  # those never probed
@@ -311,8 +309,8 @@
                 return primary if self.room(pending, primary) else None
             if primary is None and pending.kind.need is Need.WRITE:
                 for member in group.members:  # one round of tries, on those of whom nothing newer is known
-                    unknown = member.role_at < max(group.crowned, self.now - self.settings.ask_within)
-                    if unknown and member not in pending.tried and self.usable(member):
+                    unknown = member.role_at <= group.lost and member not in pending.tried
+                    if unknown and self.usable(member):
                         return member
             return None
         floor = self.floor(pending)
@@ -417,13 +415,12 @@
 
     def release(self, group: Group, every: bool = False) -> None:
         """Try what is held again, the most valuable first; where one finds no place, its like won't."""
-        placeless: set[tuple[str, bool]] = set()
+        placeless: set[str] = set()
         for pending in sorted(group.held.values(), key=self.value, reverse=True) if group.held else ():
-            like = pending.kind.name, pending.over
-            if pending.ask.id in group.held and (every or like not in placeless):
+            if pending.ask.id in group.held and (every or pending.kind.name not in placeless):
                 self.route(pending)
                 if pending.ask.id in group.held:
-                    placeless.add(like)
+                    placeless.add(pending.kind.name)
 
     def open(self, member: Member) -> bool:
         """Rules 3 and 4: nothing for a member that drains; a cold one takes a part of what warm ones do."""
@@ -470,15 +467,4 @@
 
     def value(self, pending: Pending) -> float:
         """Worth for the work; what is worth least waits longest."""
-        share = self.settings.over_share_worth if pending.over else 1.0
-        return share * pending.kind.worth / self.usual[pending.kind.name]
-
-    def over_share(self, tenant: str | None) -> bool:
-        """This router's part of a tenant's quota, kept as a bucket of a second's worth."""
-        part = self.quotas.get(tenant or "", 0.0) / self.settings.balancers
-        if tenant is None or part <= 0:
-            return False
-        credit, at = self.credit.get(tenant, (part, self.now))
-        credit = min(max(1.0, part), credit + part * (self.now - at))
-        self.credit[tenant] = (credit - 1.0 if credit >= 1.0 else credit), self.now
-        return credit < 1.0
+        return pending.kind.worth / self.usual[pending.kind.name]
