--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -1,8 +1,6 @@
 """Every decision of banklift: one Balancer for each router. Settings, events and actions: interface.py.
 
-The design is docs/design.md: a record per member, updated at once by every fact that passes; writes and
-fresh reads to the member named primary, held while none is known; other reads to the less busy of two
-replicas known recent enough. Below: tuned values, the record, events, the rule, the guards.
+The design is told in docs/design.md. Below: tuned values, the record, facts, the rule, the guards.
 """
 
 from __future__ import annotations
@@ -52,7 +50,6 @@
     cold_sends: list[tuple[float, float]] = field(default_factory=list)  # time and usual latency
     trial: float = -math.inf
     probed: float = -math.inf
-    probing: bool = False
     flying: dict[tuple[int, int], tuple[float, float]] = field(default_factory=dict)  # sent, usual latency
 
 
@@ -75,7 +72,7 @@
     last_call: float  # clock time at which worth is out of reach
     tried: list[Member] = field(default_factory=list)
     flying: dict[int, Member] = field(default_factory=dict)
-    floors: list[float] = field(default_factory=list)  # position proven if that attempt is served
+    sent: float = -math.inf  # when the last attempt was
     maybe_ran: float | None = None  # when the first attempt that may have run was sent
 
 
@@ -93,30 +90,26 @@
         self.requests: dict[int, Pending] = {}
         self.sessions: dict[int, float] = {}
         self.forgotten = -math.inf  # newest commit of the sessions dropped
-        self.timers: dict[int, tuple[Callable[..., None], tuple[object, ...]]] = {}
+        self.timers: dict[int, Callable[[], None]] = {}
         self.tokens = 0
         self.watch_failures = 0
         self.now = 0.0
         self.actions: list[io.Action] = []
         self.handlers: dict[type, Callable[..., None]] = {
             io.Request: self.on_request, io.Outcome: self.on_outcome, io.Listing: self.on_listing,
-            io.Probed: self.on_probed, io.Timer: self.on_timer, io.Abandoned: self.on_left,
-            io.StreamStarted: self.on_left}
+            io.Probed: self.on_probed, io.Abandoned: self.on_left, io.StreamStarted: self.on_left,
+            io.Timer: lambda event: self.timers.pop(event.token, lambda: None)()}
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         self.now, self.actions = now, []
         self.handlers[type(event)](event)
         return self.actions
 
-    def after(self, delay: float, callback: Callable[..., None], *arguments: object) -> None:
+    def after(self, delay: float, callback: Callable[[], None]) -> None:
         self.tokens += 1
-        self.timers[self.tokens] = callback, arguments
+        self.timers[self.tokens] = callback
         self.actions.append(io.SetTimer(max(0.0, delay), self.tokens))
 
-    def on_timer(self, event: io.Timer) -> None:
-        callback, arguments = self.timers.pop(event.token, (lambda: None, ()))
-        callback(*arguments)
-
     def on_left(self, event: io.Abandoned | io.StreamStarted) -> None:
         if event.request in self.requests:  # the client has gone, or owns the stream from here on
             self.forget(self.requests[event.request], isinstance(event, io.Abandoned))
@@ -138,8 +131,6 @@
         for member in self.members.values():
             if listing.kind is not io.ListKind.CHANGES and member.name not in listed:
                 self.set_state(member, State.GONE)
-        for group in self.groups.values():
-            self.release(group)
 
     def on_entry(self, entry: io.Entry) -> None:
         group = self.groups.setdefault(entry.group, Group())
@@ -170,7 +161,6 @@
     def on_probed(self, event: io.Probed) -> None:
         member = self.members.get(event.member)
         if member is not None:
-            member.probing = False
             member.down = member.down and not event.ok
             self.on_report(member, event.report or io.Report())
 
@@ -178,9 +168,8 @@
         if report.position is not None:
             member.position = max(member.position, report.position)
             member.behind = min(member.behind, self.now - member.position)
-        if report.primary:
-            # A primary's position dates its report.
-            self.crown(member, report.position if report.position is not None else self.now)
+        if report.primary and report.position is not None:  # a primary's position dates its report
+            self.crown(member, report.position)
         elif report.primary is False and report.position is not None:
             self.demote(member, report.position)
         self.release(member.group)
@@ -191,11 +180,8 @@
             return
         member.role_at = group.crowned = at
         if group.primary is not member:
-            if group.primary is not None:
-                group.primary.role_at = max(group.primary.role_at, at)
             group.primary = member
             self.actions.append(io.Log(f"primary learnt: {member.name}"))
-        self.release(group)
 
     def demote(self, member: Member, at: float) -> None:
         if at >= member.role_at:
@@ -213,14 +199,13 @@
             self.probe(member, lapse)
 
     def probe(self, member: Member, lapse: float) -> None:
-        usable = member.state is State.READY and not member.probing and self.settings.may_probe
+        usable = self.settings.may_probe and member.state is State.READY
         if usable and self.now - member.probed >= lapse:
-            member.probed, member.probing = self.now, True
+            member.probed = self.now
             self.actions.append(io.Probe(member.name))
 
     def on_outcome(self, event: io.Outcome) -> None:
-        pending = self.requests.get(event.request)
-        member = self.members.get(event.member)
+        pending, member = self.requests.get(event.request), self.members.get(event.member)
         if member is None:
             return
         sent, _ = member.flying.pop((event.request, event.attempt), (self.now - event.latency, 0.0))
@@ -254,7 +239,7 @@
             self.answered(member, self.usual[kind.name])
             self.usual[kind.name] += LATENCY_WEIGHT * (event.latency - self.usual[kind.name])
             if self.settings.members_check:  # serving the read proves that it had what the read asked for
-                floor = pending.floors[event.attempt]
+                floor = self.floor(pending, sent)
                 member.position, member.behind = max(member.position, floor), min(member.behind, sent - floor)
             session = pending.ask.session
             if kind.need is Need.WRITE and session is not None and event.position is not None:
@@ -262,7 +247,7 @@
                 if len(self.sessions) > SESSIONS:
                     self.forgotten = max(self.forgotten, self.sessions.pop(next(iter(self.sessions))))
         if pending is not None and status is Status.MISS and pending.kind.need is not Need.WRITE:
-            member.behind = sent - pending.floors[event.attempt]
+            member.behind = sent - self.floor(pending, sent)
         if pending is not None and status in (Status.OK, Status.TIMEOUT, Status.FULL):
             late = 1.0 if status is Status.FULL else min(2.0, event.latency / pending.kind.aim)
             member.late += LATE_WEIGHT * (late - member.late)
@@ -305,7 +290,8 @@
     def choose(self, pending: Pending) -> Member | None:
         group, primary = pending.group, pending.group.primary
         if pending.kind.need in (Need.WRITE, Need.FRESH):
-            if primary is not None and primary not in pending.tried and self.usable(primary):
+            again = primary not in pending.tried or group.crowned > pending.sent
+            if primary is not None and again and self.usable(primary):
                 return primary if self.room(pending, primary) else None
             if primary is None and pending.kind.need is Need.WRITE:
                 for member in group.members:  # one round of tries, on those of whom nothing newer is known
@@ -313,7 +299,7 @@
                     if unknown and self.usable(member):
                         return member
             return None
-        floor = self.floor(pending)
+        floor = self.floor(pending, self.now)
         fresh = [member for member in group.members if member is not primary and self.open(member)
                  and member not in pending.tried]
         known = [member for member in fresh if self.recent(member, floor)]
@@ -336,9 +322,8 @@
         pair = self.random.sample(members, 2) if len(members) > 2 else members
         return min(pair, key=lambda member: len(member.flying) / member.weight)
 
-    def floor(self, pending: Pending) -> float:
-        bounded = pending.kind.need is Need.BOUNDED
-        return self.now - pending.kind.bound if bounded else pending.floor
+    def floor(self, pending: Pending, sent: float) -> float:
+        return sent - pending.kind.bound if pending.kind.need is Need.BOUNDED else pending.floor
 
     def recent(self, member: Member, floor: float) -> bool:
         """Proven recent enough or, where members check reads, not found to be further behind than that."""
@@ -356,18 +341,18 @@
         pending.flying[len(pending.tried)] = member
         member.flying[pending.ask.id, len(pending.tried)] = self.now, usual
         pending.tried.append(member)
+        pending.sent = self.now
         if member.started is not None and self.now - member.started < self.settings.cold_time:
             member.cold_sends.append((self.now, usual))
-        pending.floors.append(self.floor(pending) if pending.kind.need is not Need.FRESH else -math.inf)
         self.actions.append(io.Send(pending.ask.id, member.name, pending.ask.deadline - self.now))
         if pending.kind.effect is Effect.SAFE and self.now < pending.last_call:
             wait = min((PATIENCE if self.healthy(member) else 1.0) * usual, pending.last_call - self.now)
-            self.after(wait, self.help, pending.ask.id, len(pending.tried) - 1)
+            attempt = len(pending.tried) - 1
+            self.after(wait, lambda: self.help(pending, attempt))
 
-    def help(self, request: int, attempt: int) -> None:
+    def help(self, pending: Pending, attempt: int) -> None:
         """A safe attempt is overdue: a second copy where allowed, else move it away from a silent member."""
-        pending = self.requests.get(request)
-        if pending is None or list(pending.flying) != [attempt] or self.now > pending.last_call:
+        if list(pending.flying) != [attempt] or self.now > pending.last_call:
             return
         member = pending.flying[attempt]
         if self.settings.parallel_tries and len(pending.tried) < self.settings.max_attempts:
@@ -375,7 +360,7 @@
             if other is not None and other.late < CROWDED:
                 self.send(pending, other)
         elif self.settings.may_cancel and not self.healthy(member):
-            self.actions.append(io.Cancel(request, attempt))
+            self.actions.append(io.Cancel(pending.ask.id, attempt))
 
     # ---- guards
 
@@ -396,6 +381,7 @@
         self.requests.pop(pending.ask.id, None)
         if cancel and self.settings.may_cancel:
             self.actions.extend(io.Cancel(pending.ask.id, attempt) for attempt in pending.flying)
+        pending.flying.clear()
 
     def hold(self, pending: Pending) -> None:
         group, step = pending.group, ROLE_LAPSE * self.shortest / 2
@@ -404,7 +390,7 @@
         group.held[pending.ask.id] = pending
         if not group.tending:
             group.tending = True
-            self.after(step, self.tend, group)
+            self.after(step, lambda: self.tend(group))
 
     def tend(self, group: Group) -> None:
         """While work is held: look for a primary, send what can go, answer what has run out of time."""
