--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -72,7 +72,6 @@
     last_call: float  # clock time at which worth is out of reach
     tried: list[Member] = field(default_factory=list)
     flying: dict[int, Member] = field(default_factory=dict)
-    sent: float = -math.inf  # when the last attempt was
     maybe_ran: float | None = None  # when the first attempt that may have run was sent
 
 
@@ -290,8 +289,7 @@
     def choose(self, pending: Pending) -> Member | None:
         group, primary = pending.group, pending.group.primary
         if pending.kind.need in (Need.WRITE, Need.FRESH):
-            again = primary not in pending.tried or group.crowned > pending.sent
-            if primary is not None and again and self.usable(primary):
+            if primary is not None and primary not in pending.tried[-1:] and self.usable(primary):
                 return primary if self.room(pending, primary) else None
             if primary is None and pending.kind.need is Need.WRITE:
                 for member in group.members:  # one round of tries, on those of whom nothing newer is known
@@ -341,7 +339,6 @@
         pending.flying[len(pending.tried)] = member
         member.flying[pending.ask.id, len(pending.tried)] = self.now, usual
         pending.tried.append(member)
-        pending.sent = self.now
         if member.started is not None and self.now - member.started < self.settings.cold_time:
             member.cold_sends.append((self.now, usual))
         self.actions.append(io.Send(pending.ask.id, member.name, pending.ask.deadline - self.now))
