--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -15,14 +15,14 @@
 
 SILENCE = 6.0  # answers overdue at a member that has given none: a false alarm about once in e^6
 FAILING = 0.4  # share of failures above which a member is set aside; honest ones stay under 0.01
-FAIL_WEIGHT = 0.25  # weight of one answer in that share: two failures in a row set a member aside
+NEWS_WEIGHT = 0.25  # weight of one answer in a member's failures and lateness: four answers show a change
 LATENCY_WEIGHT = 0.05  # weight of one answer in a class's usual latency: some twenty answers
 FIRST_LATENCY = 0.25  # of the aim: usual latency of a class until it has answers
 TRIAL_LAPSE = 0.5  # of the shortest aim: between trials of a member set aside
 ROLE_LAPSE = 0.25  # of the shortest aim: between looks for a primary while work is held
 PATIENCE = 3.0  # usual latencies before a safe attempt gets help elsewhere; one in twenty takes longer
 CROWDED = 0.35  # of the aim: smoothed latency from which a member's room is limited; usual ones stay below
-LATE_WEIGHT = 0.2  # weight of one answer in that smoothed latency: a jam shows within five answers
+LONG = 3.0  # times the least usual latency: reads above it are packed onto one replica
 TARGET = 0.5  # of the aim: queueing that a crowded member is given, by its own answer rate
 RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
 STALE_EARLY = 0.4  # of the bound: remaining validity of a position at which the next probe goes out
@@ -198,8 +198,7 @@
             self.probe(member, lapse)
 
     def probe(self, member: Member, lapse: float) -> None:
-        usable = self.settings.may_probe and member.state is State.READY
-        if usable and self.now - member.probed >= lapse:
+        if self.settings.may_probe and member.state is State.READY and self.now - member.probed >= lapse:
             member.probed = self.now
             self.actions.append(io.Probe(member.name))
 
@@ -225,7 +224,7 @@
         elif status not in (Status.TIMEOUT, Status.CANCELLED, Status.MOOT):
             member.alive, member.down = self.now, False
         if status in (Status.OK, Status.ERROR, Status.RESET, Status.CONNECT_FAILED):
-            member.failing += FAIL_WEIGHT * ((status is not Status.OK) - member.failing)
+            member.failing += NEWS_WEIGHT * ((status is not Status.OK) - member.failing)
         if event.primary:
             self.crown(member, sent)
         elif event.primary is False:
@@ -249,7 +248,7 @@
             member.behind = sent - self.floor(pending, sent)
         if pending is not None and status in (Status.OK, Status.TIMEOUT, Status.FULL):
             late = 1.0 if status is Status.FULL else min(2.0, event.latency / pending.kind.aim)
-            member.late += LATE_WEIGHT * (late - member.late)
+            member.late += NEWS_WEIGHT * (late - member.late)
 
     # ---- the rule
 
@@ -293,11 +292,10 @@
                 return primary if self.room(pending, primary) else None
             if primary is None and pending.kind.need is Need.WRITE:
                 for member in group.members:  # one round of tries, on those of whom nothing newer is known
-                    unknown = member.role_at <= group.lost and member not in pending.tried
-                    if unknown and self.usable(member):
+                    if member.role_at <= group.lost and member not in pending.tried and self.usable(member):
                         return member
             return None
-        floor = self.floor(pending, self.now)
+        floor, usual = self.floor(pending, self.now), self.usual[pending.kind.name]
         fresh = [member for member in group.members if member is not primary and self.open(member)
                  and member not in pending.tried]
         known = [member for member in fresh if self.recent(member, floor)]
@@ -310,7 +308,10 @@
         sound = [member for member in known if self.healthy(member)]
         roomy = [member for member in sound or known if self.room(pending, member)]
         if roomy and sound:
-            return self.draw(roomy)
+            # A replica may apply nothing while it holds a long read: they all go to one, the same at each
+            # router, so that the others stay recent. Hurts where one replica can't carry them all.
+            long = pending.kind.need is Need.ANY and usual > LONG * min(self.usual.values())
+            return min(roomy, key=lambda member: member.name) if long else self.draw(roomy)
         spare = primary is not None and (primary.late < CROWDED or not known)
         if spare and primary is not None and primary not in pending.tried and self.usable(primary):
             return primary if self.room(pending, primary) else None  # what only it can serve comes first
@@ -420,7 +421,6 @@
         return spent <= max(least, share * carried * window)
 
     def answered(self, member: Member, more: float = 0.0) -> float:
-        """Work answered a second, as usual latency."""
         span = RATE_SPAN * self.shortest
         member.rate = member.rate * math.exp((member.rated - self.now) / span) + more / span
         member.rated = self.now
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -165,6 +165,14 @@
     assert first not in sent and sent
 
 
+def test_long_reads_are_packed_onto_one_replica_so_that_the_others_stay_recent() -> None:
+    long = RequestClass("report", Effect.SAFE, Need.ANY, aim=4.0, deadline=8.0, worth=6.0)
+    bench = Bench(replace(SETTINGS, classes=(*CLASSES, long)))
+    bench.positions()
+    assert {target for _ in range(6) for target in targets(bench.ask("report", left=8.0))} == {"r1"}
+    assert {target for _ in range(12) for target in targets(bench.ask("loose"))} >= {"r2", "r3"}
+
+
 # ---- roles
 
 
