--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -26,6 +26,7 @@
 TARGET = 0.5  # of the aim: queueing that a crowded member is given, by its own answer rate
 RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
 STALE_EARLY = 0.4  # of the bound: remaining validity of a position at which the next probe goes out
+COLD_PART = 0.6  # of what the falling rule allows a cold member, going by what members carry on the whole
 SESSIONS = 10_000  # sessions remembered; those dropped count as having written at the last one dropped
 WATCH_RETRY = 0.05  # of ask_within: first wait after a failed call to the list, doubled each time
 
@@ -92,7 +93,7 @@
         self.timers: dict[int, Callable[[], None]] = {}
         self.tokens = 0
         self.watch_failures = 0
-        self.now = 0.0
+        self.now = self.began = self.work = 0.0  # work answered since it began, as usual latency
         self.actions: list[io.Action] = []
         self.handlers: dict[type, Callable[..., None]] = {
             io.Request: self.on_request, io.Outcome: self.on_outcome, io.Listing: self.on_listing,
@@ -101,6 +102,7 @@
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         self.now, self.actions = now, []
+        self.began = self.began or now
         self.handlers[type(event)](event)
         return self.actions
 
@@ -143,11 +145,10 @@
                 self.lose_primary(group)  # what restarts comes back as a replica
         self.set_state(member, entry.state)
         member.weight = entry.weight if self.settings.weighted and entry.weight > 0 else 1.0
-        # A list's roles are seconds late: one counts where traffic has told nothing, or as a change.
         news, member.listed_primary = entry.primary and not member.listed_primary, entry.primary
         if news and group.primary is None:
             self.crown(member, group.crowned)
-        elif news and self.settings.follows_roles:
+        elif news and self.settings.follows_roles:  # seconds late, so no more than a hint
             self.probe(member, ROLE_LAPSE * self.shortest)
 
     def set_state(self, member: Member, state: State) -> None:
@@ -235,6 +236,7 @@
         if pending is not None and status is Status.OK:
             kind = pending.kind
             self.answered(member, self.usual[kind.name])
+            self.work += self.usual[kind.name]
             self.usual[kind.name] += LATENCY_WEIGHT * (event.latency - self.usual[kind.name])
             if self.settings.members_check:  # serving the read proves that it had what the read asked for
                 floor = self.floor(pending, sent)
@@ -253,8 +255,7 @@
     # ---- the rule
 
     def on_request(self, ask: io.Request) -> None:
-        kind = self.kinds.get(ask.kind)
-        group = self.groups.setdefault(ask.group, Group())
+        kind, group = self.kinds.get(ask.kind), self.groups.setdefault(ask.group, Group())
         if kind is None or ask.deadline <= self.now:
             return self.actions.append(io.Refuse(ask.id))
         floor = -math.inf
@@ -308,8 +309,7 @@
         sound = [member for member in known if self.healthy(member)]
         roomy = [member for member in sound or known if self.room(pending, member)]
         if roomy and sound:
-            # A replica may apply nothing while it holds a long read: they all go to one, the same at each
-            # router, so that the others stay recent. Hurts where one replica can't carry them all.
+            # A replica may apply nothing while it holds a long read: they go to one, the same at each router.
             long = pending.kind.need is Need.ANY and usual > LONG * min(self.usual.values())
             return min(roomy, key=lambda member: member.name) if long else self.draw(roomy)
         spare = primary is not None and (primary.late < CROWDED or not known)
@@ -417,8 +417,8 @@
         window, least = self.settings.fall_time, min(self.usual.values())
         member.cold_sends = [pair for pair in member.cold_sends if self.now - pair[0] < window]
         spent = least + sum(cost for _, cost in member.cold_sends)
-        carried = sum(map(self.answered, self.members.values())) / len(self.members)
-        return spent <= max(least, share * carried * window)
+        carried = self.work / max(window, self.now - self.began) / len(self.members)
+        return spent <= max(least, COLD_PART * self.settings.fall_multiple * share * carried * window)
 
     def answered(self, member: Member, more: float = 0.0) -> float:
         span = RATE_SPAN * self.shortest
