--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -21,9 +21,9 @@
 TRIAL_LAPSE = 0.5  # of the shortest aim: between trials of a member set aside
 ROLE_LAPSE = 0.25  # of the shortest aim: between looks for a primary while work is held
 PATIENCE = 3.0  # usual latencies before a safe attempt gets help elsewhere; one in twenty takes longer
-CROWDED = 0.2  # of the aim: smoothed latency from which a member's room is limited
+CROWDED = 0.15  # of the aim: smoothed latency from which room is limited; earlier starves routers of little traffic
 LONG = 3.0  # times the least usual latency: reads above it are packed onto one replica
-TARGET = 0.6  # of the aim: queueing that a crowded member is given, by its own answer rate
+TARGET = 0.5  # of the aim: work given to a member, by its own answer rate; two attempts are always let in
 RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
 STALE_EARLY = 0.4  # of the bound: remaining validity of a position at which the next probe goes out
 COLD_PART = 0.6  # of what the falling rule allows a cold member, going by what members carry on the whole
@@ -428,7 +428,7 @@
 
     def room(self, pending: Pending, member: Member) -> bool:
         """A crowded member gets what it will answer in time, by its rate; the rest waits here, best first."""
-        if member.late < CROWDED or not member.flying:
+        if member.late < CROWDED or len(member.flying) < 2:
             return True
         work = self.usual[pending.kind.name] + sum(usual for _, usual in member.flying.values())
         return work <= TARGET * pending.kind.aim * self.answered(member)
