--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -21,8 +21,9 @@
 TRIAL_LAPSE = 0.5  # of the shortest aim: between trials of a member set aside
 ROLE_LAPSE = 0.25  # of the shortest aim: between looks for a primary while work is held
 PATIENCE = 3.0  # usual latencies before a safe attempt gets help elsewhere; one in twenty takes longer
-CROWDED = 0.15  # of the aim: smoothed latency from which room is limited; earlier starves routers of little traffic
+CROWDED = 0.15  # of the aim: smoothed latency from which room is limited; less starves small routers
 LONG = 3.0  # times the least usual latency: reads above it are packed onto one replica
+LAST_CALL = 1.6  # usual latencies before the end of worth: what starts later mostly ends late
 TARGET = 0.5  # of the aim: work given to a member, by its own answer rate; two attempts are always let in
 RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
 STALE_EARLY = 0.4  # of the bound: remaining validity of a position at which the next probe goes out
@@ -121,8 +122,7 @@
         if listing.kind is io.ListKind.FAILED:
             self.watch_failures += 1
             wait = self.settings.ask_within * min(0.4, WATCH_RETRY * 2.0 ** (self.watch_failures - 1))
-            self.after(wait * self.random.uniform(0.5, 1.0), lambda: self.actions.append(io.Watch()))
-            return
+            return self.after(wait * self.random.uniform(0.5, 1.0), lambda: self.actions.append(io.Watch()))
         if listing.kind is io.ListKind.CACHED and self.settings.must_ask:
             self.actions.append(io.Watch())
         self.watch_failures = 0
@@ -265,7 +265,7 @@
             floor = self.now + 0.001 - ask.since_write
         aim = self.now + kind.aim + kind.aim_stretch * (ask.cost or 0.0)
         end = ask.deadline if kind.late_worth > 0 else min(aim, ask.deadline)
-        last_call = end - min(1.6 * self.usual[kind.name], 0.6 * (end - self.now))
+        last_call = end - min(LAST_CALL * self.usual[kind.name], 0.5 * (end - self.now))
         pending = Pending(ask, kind, group, floor, last_call)
         self.requests[ask.id] = pending
         if group.primary is None or not self.settings.members_check:
