--- /dev/null
+++ b/tests/test_readme.py
@@ -0,0 +1,15 @@
+"""The README's example runs as it stands."""
+
+from pathlib import Path
+from typing import Any
+
+from banklift import Send
+
+
+def test_example() -> None:
+    text = Path(__file__).parent.parent.joinpath("README.md").read_text()
+    code = text.split("<!-- example -->\n```python\n")[1].split("```")[0]
+    names: dict[str, Any] = {}
+    exec(code, names)
+    assert [(send.request, send.member) for send in names["sends"]] == [(1, "a:1")]
+    assert all(not isinstance(action, Send) for action in names["actions"])
