--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -23,7 +23,7 @@
 PATIENCE = 3.0  # usual latencies before a safe attempt gets help elsewhere; one in twenty takes longer
 CROWDED = 0.15  # of the aim: smoothed latency from which room is limited; less starves small routers
 LONG = 3.0  # times the least usual latency: reads above it are packed onto one replica
-LAST_CALL = 1.6  # usual latencies before the end of worth: what starts later mostly ends late
+LAST_CALL = 1.6  # usual latencies before the end of worth, at most 0.6 of the time left: later is late
 TARGET = 0.5  # of the aim: work given to a member, by its own answer rate; two attempts are always let in
 RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
 STALE_EARLY = 0.4  # of the bound: remaining validity of a position at which the next probe goes out
@@ -265,7 +265,7 @@
             floor = self.now + 0.001 - ask.since_write
         aim = self.now + kind.aim + kind.aim_stretch * (ask.cost or 0.0)
         end = ask.deadline if kind.late_worth > 0 else min(aim, ask.deadline)
-        last_call = end - min(LAST_CALL * self.usual[kind.name], 0.5 * (end - self.now))
+        last_call = end - min(LAST_CALL * self.usual[kind.name], 0.6 * (end - self.now))
         pending = Pending(ask, kind, group, floor, last_call)
         self.requests[ask.id] = pending
         if group.primary is None or not self.settings.members_check:
