--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -27,7 +27,7 @@
 TARGET = 0.5  # of the aim: work given to a member, by its own answer rate; two attempts are always let in
 RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
 STALE_EARLY = 0.4  # of the bound: remaining validity of a position at which the next probe goes out
-COLD_PART = 0.6  # of what the falling rule allows a cold member, going by what members carry on the whole
+COLD_PART = 0.5  # of what the falling rule allows a cold member; the rest is for uneven load and retries
 SESSIONS = 10_000  # sessions remembered; those dropped count as having written at the last one dropped
 WATCH_RETRY = 0.05  # of ask_within: first wait after a failed call to the list, doubled each time
 
@@ -49,7 +49,6 @@
     late: float = 0.0  # smoothed latency, in aims
     rate: float = 0.0  # work answered a second, as usual latency, as of ...
     rated: float = 0.0
-    cold_sends: list[tuple[float, float]] = field(default_factory=list)  # time and usual latency
     trial: float = -math.inf
     probed: float = -math.inf
     flying: dict[tuple[int, int], tuple[float, float]] = field(default_factory=dict)  # sent, usual latency
@@ -72,6 +71,7 @@
     group: Group
     floor: float  # position that a member must have; for a bounded read it moves with the clock
     last_call: float  # clock time at which worth is out of reach
+    luck: float  # drawn once for each request: a cold member takes it if it is warm to that share
     tried: list[Member] = field(default_factory=list)
     flying: dict[int, Member] = field(default_factory=dict)
     maybe_ran: float | None = None  # when the first attempt that may have run was sent
@@ -94,7 +94,7 @@
         self.timers: dict[int, Callable[[], None]] = {}
         self.tokens = 0
         self.watch_failures = 0
-        self.now = self.began = self.work = 0.0  # work answered since it began, as usual latency
+        self.now = 0.0
         self.actions: list[io.Action] = []
         self.handlers: dict[type, Callable[..., None]] = {
             io.Request: self.on_request, io.Outcome: self.on_outcome, io.Listing: self.on_listing,
@@ -103,7 +103,6 @@
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         self.now, self.actions = now, []
-        self.began = self.began or now
         self.handlers[type(event)](event)
         return self.actions
 
@@ -236,7 +235,6 @@
         if pending is not None and status is Status.OK:
             kind = pending.kind
             self.answered(member, self.usual[kind.name])
-            self.work += self.usual[kind.name]
             self.usual[kind.name] += LATENCY_WEIGHT * (event.latency - self.usual[kind.name])
             if self.settings.members_check:  # serving the read proves that it had what the read asked for
                 floor = self.floor(pending, sent)
@@ -266,7 +264,7 @@
         aim = self.now + kind.aim + kind.aim_stretch * (ask.cost or 0.0)
         end = ask.deadline if kind.late_worth > 0 else min(aim, ask.deadline)
         last_call = end - min(LAST_CALL * self.usual[kind.name], 0.6 * (end - self.now))
-        pending = Pending(ask, kind, group, floor, last_call)
+        pending = Pending(ask, kind, group, floor, last_call, self.random.random())
         self.requests[ask.id] = pending
         if group.primary is None or not self.settings.members_check:
             self.probe_all(group, math.inf)  # those never probed
@@ -289,18 +287,19 @@
     def choose(self, pending: Pending) -> Member | None:
         group, primary = pending.group, pending.group.primary
         if pending.kind.need in (Need.WRITE, Need.FRESH):
-            if primary is not None and primary not in pending.tried[-1:] and self.usable(primary):
+            if primary is not None and primary not in pending.tried[-1:] and self.usable(pending, primary):
                 return primary if self.room(pending, primary) else None
             if primary is None and pending.kind.need is Need.WRITE:
                 for member in group.members:  # one round of tries, on those of whom nothing newer is known
-                    if member.role_at <= group.lost and member not in pending.tried and self.usable(member):
+                    unasked = member.role_at <= group.lost and member not in pending.tried
+                    if unasked and self.usable(pending, member):
                         return member
             return None
         floor, usual = self.floor(pending, self.now), self.usual[pending.kind.name]
-        fresh = [member for member in group.members if member is not primary and self.open(member)
+        fresh = [member for member in group.members if member is not primary and self.open(pending, member)
                  and member not in pending.tried]
         known = [member for member in fresh if self.recent(member, floor)]
-        for member in known if primary is None or not self.open(primary) else [*known, primary]:
+        for member in known if primary is None or not self.open(pending, primary) else [*known, primary]:
             due = not pending.tried and self.now - member.trial >= TRIAL_LAPSE * self.shortest
             if due and not self.healthy(member):
                 member.trial = self.now
@@ -313,7 +312,7 @@
             long = pending.kind.need is Need.ANY and usual > LONG * min(self.usual.values())
             return min(roomy, key=lambda member: member.name) if long else self.draw(roomy)
         spare = primary is not None and (primary.late < CROWDED or not known)
-        if spare and primary is not None and primary not in pending.tried and self.usable(primary):
+        if spare and primary is not None and primary not in pending.tried and self.usable(pending, primary):
             return primary if self.room(pending, primary) else None  # what only it can serve comes first
         return self.draw(roomy) if roomy else None  # if all look bad, as if none did
 
@@ -340,8 +339,6 @@
         pending.flying[len(pending.tried)] = member
         member.flying[pending.ask.id, len(pending.tried)] = self.now, usual
         pending.tried.append(member)
-        if member.started is not None and self.now - member.started < self.settings.cold_time:
-            member.cold_sends.append((self.now, usual))
         self.actions.append(io.Send(pending.ask.id, member.name, pending.ask.deadline - self.now))
         if pending.kind.effect is Effect.SAFE and self.now < pending.last_call:
             wait = min((PATIENCE if self.healthy(member) else 1.0) * usual, pending.last_call - self.now)
@@ -406,19 +403,17 @@
                 if pending.ask.id in group.held:
                     placeless.add(pending.kind.name)
 
-    def open(self, member: Member) -> bool:
-        """Rules 3 and 4: nothing for a member that drains; a cold one takes a part of what warm ones do."""
+    def open(self, pending: Pending, member: Member) -> bool:
+        """Rules 3 and 4: nothing for a member that drains; a cold one takes the share of requests that it is
+        warmed up to. The draw is the request's own and stays with it, so all routers together keep to the
+        share, whatever their number, and what waits or is tried again does not draw anew."""
         if member.state is not State.READY:
             return False
         if member.started is None or self.now - member.started >= self.settings.cold_time:
             return True
         grown = max(0.0, self.now - member.started) / self.settings.cold_time
         share = self.settings.cold_share + (1 - self.settings.cold_share) * grown
-        window, least = self.settings.fall_time, min(self.usual.values())
-        member.cold_sends = [pair for pair in member.cold_sends if self.now - pair[0] < window]
-        spent = least + sum(cost for _, cost in member.cold_sends)
-        carried = self.work / max(window, self.now - self.began) / len(self.members)
-        return spent <= max(least, COLD_PART * self.settings.fall_multiple * share * carried * window)
+        return pending.luck < COLD_PART * self.settings.fall_multiple * share
 
     def answered(self, member: Member, more: float = 0.0) -> float:
         span = RATE_SPAN * self.shortest
@@ -441,12 +436,12 @@
     def healthy(self, member: Member) -> bool:
         return not member.down and member.failing < FAILING and not self.silent(member)
 
-    def usable(self, member: Member) -> bool:
+    def usable(self, pending: Pending, member: Member) -> bool:
         """For writes: errors alone don't bar a primary, as nobody else could take them."""
         if member.down and self.now - member.trial >= TRIAL_LAPSE * self.shortest:
             member.trial = self.now
-            return self.open(member)
-        return self.open(member) and not member.down and not self.silent(member)
+            return self.open(pending, member)
+        return self.open(pending, member) and not member.down and not self.silent(member)
 
     def value(self, pending: Pending) -> float:
         """Worth for the work; what is worth least waits longest."""
