--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -14,19 +14,19 @@
 from banklift.interface import Effect, Need, State, Status
 
 SILENCE = 6.0  # answers overdue at a member that has given none: a false alarm about once in e^6
-FAILING = 0.4  # share of failures above which a member is set aside; honest ones stay under 0.01
-NEWS_WEIGHT = 0.25  # weight of one answer in a member's failures and lateness: four answers show a change
 LATENCY_WEIGHT = 0.05  # weight of one answer in a class's usual latency: some twenty answers
 FIRST_LATENCY = 0.25  # of the aim: usual latency of a class until it has answers
-TRIAL_LAPSE = 0.5  # of the shortest aim: between trials of a member set aside
-ROLE_LAPSE = 0.25  # of the shortest aim: between looks for a primary while work is held
+FORGIVEN = 4.0  # shortest aims for which a member is set aside after a failure; honest ones are rare
+LONG = 3.0  # times the least usual latency: reads above it are packed onto the first replicas
+LOOK = 0.3  # of the shortest aim: age from which a member is asked again before it is sent to
+REPORT_AGE = 1.0  # of the shortest aim: age of a position in a new report beyond which it stands still
+STEP = 0.125  # of the shortest aim: wait for a report, some milliseconds off, and between looks at held work
 PATIENCE = 3.0  # usual latencies before a safe attempt gets help elsewhere; one in twenty takes longer
-CROWDED = 0.15  # of the aim: smoothed latency from which room is limited; less starves small routers
-LONG = 3.0  # times the least usual latency: reads above it are packed onto one replica
+CROWDED = 0.2  # of the aim: expected latency up to which a member is not crowded
 LAST_CALL = 1.6  # usual latencies before the end of worth, at most 0.6 of the time left: later is late
-TARGET = 0.5  # of the aim: work given to a member, by its own answer rate; two attempts are always let in
+TARGET = 0.5  # of the aim: expected latency up to which a crowded member is given work
 RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
-STALE_EARLY = 0.4  # of the bound: remaining validity of a position at which the next probe goes out
+FIRST_PACE = 12.0  # requests at a member that answers within the usual latency, until there are answers
 COLD_PART = 0.5  # of what the falling rule allows a cold member; the rest is for uneven load and retries
 SESSIONS = 10_000  # sessions remembered; those dropped count as having written at the last one dropped
 WATCH_RETRY = 0.05  # of ask_within: first wait after a failed call to the list, doubled each time
@@ -43,15 +43,16 @@
     role_at: float = -math.inf  # when the newest fact on its role was true
     position: float = -math.inf  # proven; it only rises
     alive: float = -math.inf  # last answer
-    behind: float = 0.0  # where members check reads: it was further behind than this at its last miss
-    down: bool = False  # the last attempt found no connection
-    failing: float = 0.0
-    late: float = 0.0  # smoothed latency, in aims
+    seen: float = -math.inf  # last answer or report
+    load: float = 0.0  # requests there, by its last report and by what was sent and answered since
+    behind: float = 0.0  # how far when last seen, as long as that is more than the age of a report
+    refused: float = -math.inf  # last attempt that found no connection, with no answer since
+    failed: float = -math.inf  # last failed attempt
     rate: float = 0.0  # work answered a second, as usual latency, as of ...
     rated: float = 0.0
-    trial: float = -math.inf
     probed: float = -math.inf
-    flying: dict[tuple[int, int], tuple[float, float]] = field(default_factory=dict)  # sent, usual latency
+    # attempts out there: time sent, usual latency, load of the member then
+    flying: dict[tuple[int, int], tuple[float, float, float]] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
@@ -72,6 +73,7 @@
     floor: float  # position that a member must have; for a bounded read it moves with the clock
     last_call: float  # clock time at which worth is out of reach
     luck: float  # drawn once for each request: a cold member takes it if it is warm to that share
+    order: list[Member]  # the draw: replicas in the order in which this request considers them
     tried: list[Member] = field(default_factory=list)
     flying: dict[int, Member] = field(default_factory=dict)
     maybe_ran: float | None = None  # when the first attempt that may have run was sent
@@ -95,6 +97,7 @@
         self.tokens = 0
         self.watch_failures = 0
         self.now = 0.0
+        self.pace_load, self.pace_time = FIRST_PACE, FIRST_LATENCY * self.shortest
         self.actions: list[io.Action] = []
         self.handlers: dict[type, Callable[..., None]] = {
             io.Request: self.on_request, io.Outcome: self.on_outcome, io.Listing: self.on_listing,
@@ -139,7 +142,7 @@
             member = self.members[entry.member] = Member(entry.member, group, started=entry.started)
             group.members.append(member)
         elif entry.started is not None and entry.started != member.started:
-            member.started, member.down, member.failing = entry.started, False, 0.0
+            member.started, member.refused, member.failed = entry.started, -math.inf, -math.inf
             if group.primary is member and entry.started > group.crowned:
                 self.lose_primary(group)  # what restarts comes back as a replica
         self.set_state(member, entry.state)
@@ -148,7 +151,7 @@
         if news and group.primary is None:
             self.crown(member, group.crowned)
         elif news and self.settings.follows_roles:  # seconds late, so no more than a hint
-            self.probe(member, ROLE_LAPSE * self.shortest)
+            self.probe(member, 2 * STEP * self.shortest)
 
     def set_state(self, member: Member, state: State) -> None:
         if state is State.GONE and self.settings.only_draining_binds and member.state is State.READY:
@@ -160,13 +163,17 @@
     def on_probed(self, event: io.Probed) -> None:
         member = self.members.get(event.member)
         if member is not None:
-            member.down = member.down and not event.ok
-            self.on_report(member, event.report or io.Report())
+            if event.ok:
+                member.seen, member.refused = self.now, -math.inf
+            self.on_report(member, event.report or io.Report(), self.now - event.latency)
 
-    def on_report(self, member: Member, report: io.Report) -> None:
+    def on_report(self, member: Member, report: io.Report, asked: float) -> None:
+        load = report.queued if report.in_flight is None else report.in_flight
+        member.load = member.load if load is None else load
         if report.position is not None:
             member.position = max(member.position, report.position)
-            member.behind = min(member.behind, self.now - member.position)
+            lag = asked - member.position
+            member.behind = lag if lag > REPORT_AGE * self.shortest else 0.0
         if report.primary and report.position is not None:  # a primary's position dates its report
             self.crown(member, report.position)
         elif report.primary is False and report.position is not None:
@@ -191,7 +198,7 @@
     def lose_primary(self, group: Group) -> None:
         group.primary, group.lost = None, self.now
         self.actions.append(io.Log("primary lost"))
-        self.probe_all(group, ROLE_LAPSE * self.shortest)
+        self.probe_all(group, 2 * STEP * self.shortest)
 
     def probe_all(self, group: Group, lapse: float) -> None:
         for member in group.members:
@@ -206,8 +213,8 @@
         pending, member = self.requests.get(event.request), self.members.get(event.member)
         if member is None:
             return
-        sent, _ = member.flying.pop((event.request, event.attempt), (self.now - event.latency, 0.0))
-        self.learn(member, event, pending, sent)
+        sent, _, load = member.flying.pop((event.request, event.attempt), (self.now - event.latency, 0, 1))
+        self.learn(member, event, pending, sent, load)
         if pending is not None and pending.flying.pop(event.attempt, None) is not None:
             if event.status not in io.NEVER_RAN and pending.maybe_ran is None:
                 pending.maybe_ran = sent
@@ -217,38 +224,37 @@
                 self.route(pending)
         self.release(member.group)
 
-    def learn(self, member: Member, event: io.Outcome, pending: Pending | None, sent: float) -> None:
+    def learn(self, member: Member, event: io.Outcome, pending: Pending | None, sent: float,
+              load: float) -> None:
         status = event.status
         if status is Status.CONNECT_FAILED:
-            member.down = True
+            member.refused = self.now
         elif status not in (Status.TIMEOUT, Status.CANCELLED, Status.MOOT):
-            member.alive, member.down = self.now, False
-        if status in (Status.OK, Status.ERROR, Status.RESET, Status.CONNECT_FAILED):
-            member.failing += NEWS_WEIGHT * ((status is not Status.OK) - member.failing)
+            member.alive, member.seen, member.refused = self.now, self.now, -math.inf
+        member.load = max(0.0, member.load - 1)
+        if status in (Status.ERROR, Status.RESET):
+            member.failed = self.now
         if event.primary:
             self.crown(member, sent)
+            member.position, member.behind = max(member.position, sent), 0.0  # it stands at the present
         elif event.primary is False:
             self.demote(member, self.now)
-        self.on_report(member, event.report or io.Report())
+        self.on_report(member, event.report or io.Report(), sent)
         if event.position is not None:
             member.position = max(member.position, event.position)
         if pending is not None and status is Status.OK:
             kind = pending.kind
             self.answered(member, self.usual[kind.name])
+            self.pace_load += LATENCY_WEIGHT * (load - self.pace_load)
+            self.pace_time += LATENCY_WEIGHT * (event.latency - self.pace_time)
             self.usual[kind.name] += LATENCY_WEIGHT * (event.latency - self.usual[kind.name])
-            if self.settings.members_check:  # serving the read proves that it had what the read asked for
-                floor = self.floor(pending, sent)
-                member.position, member.behind = max(member.position, floor), min(member.behind, sent - floor)
             session = pending.ask.session
             if kind.need is Need.WRITE and session is not None and event.position is not None:
                 self.sessions[session] = max(event.position, self.sessions.pop(session, event.position))
                 if len(self.sessions) > SESSIONS:
                     self.forgotten = max(self.forgotten, self.sessions.pop(next(iter(self.sessions))))
-        if pending is not None and status is Status.MISS and pending.kind.need is not Need.WRITE:
+        elif pending is not None and status is Status.MISS and pending.kind.need is not Need.WRITE:
             member.behind = sent - self.floor(pending, sent)
-        if pending is not None and status in (Status.OK, Status.TIMEOUT, Status.FULL):
-            late = 1.0 if status is Status.FULL else min(2.0, event.latency / pending.kind.aim)
-            member.late += NEWS_WEIGHT * (late - member.late)
 
     # ---- the rule
 
@@ -264,9 +270,12 @@
         aim = self.now + kind.aim + kind.aim_stretch * (ask.cost or 0.0)
         end = ask.deadline if kind.late_worth > 0 else min(aim, ask.deadline)
         last_call = end - min(LAST_CALL * self.usual[kind.name], 0.6 * (end - self.now))
-        pending = Pending(ask, kind, group, floor, last_call, self.random.random())
+        order = self.random.sample(group.members, len(group.members))
+        if kind.need is Need.ANY and self.usual[kind.name] > LONG * min(self.usual.values()):
+            order = sorted(group.members, key=lambda member: member.name)
+        pending = Pending(ask, kind, group, floor, last_call, self.random.random(), order)
         self.requests[ask.id] = pending
-        if group.primary is None or not self.settings.members_check:
+        if group.primary is None:
             self.probe_all(group, math.inf)  # those never probed
         self.route(pending)
 
@@ -288,37 +297,42 @@
         group, primary = pending.group, pending.group.primary
         if pending.kind.need in (Need.WRITE, Need.FRESH):
             if primary is not None and primary not in pending.tried[-1:] and self.usable(pending, primary):
-                return primary if self.room(pending, primary) else None
-            if primary is None and pending.kind.need is Need.WRITE:
-                for member in group.members:  # one round of tries, on those of whom nothing newer is known
-                    unasked = member.role_at <= group.lost and member not in pending.tried
-                    if unasked and self.usable(pending, member):
-                        return member
-            return None
-        floor, usual = self.floor(pending, self.now), self.usual[pending.kind.name]
-        fresh = [member for member in group.members if member is not primary and self.open(pending, member)
+                return None if self.look(primary) or not self.room(pending, primary) else primary
+            if primary is not None or pending.kind.need is Need.FRESH:
+                return None
+            unasked = (m for m in group.members if m.role_at <= group.lost and m not in pending.tried)
+            return next((m for m in unasked if self.usable(pending, m)), None)  # one round of tries
+        floor = self.floor(pending, self.now)
+        fresh = [member for member in pending.order if member is not primary and self.open(pending, member)
                  and member not in pending.tried]
+        pair: list[Member] = []
+        waiting = 0
+        for member in fresh:  # the first two that are healthy and known recent enough
+            if len(pair) + waiting < 2 and self.healthy(member):
+                if self.look(member):
+                    waiting += 1
+                elif self.recent(member, floor) and self.room(pending, member):
+                    pair.append(member)
+        if waiting:
+            return None
+        if pair:
+            return self.least(pair)
         known = [member for member in fresh if self.recent(member, floor)]
-        for member in known if primary is None or not self.open(pending, primary) else [*known, primary]:
-            due = not pending.tried and self.now - member.trial >= TRIAL_LAPSE * self.shortest
-            if due and not self.healthy(member):
-                member.trial = self.now
-                return member
-        self.refresh(pending, fresh)
-        sound = [member for member in known if self.healthy(member)]
-        roomy = [member for member in sound or known if self.room(pending, member)]
-        if roomy and sound:
-            # A replica may apply nothing while it holds a long read: they go to one, the same at each router.
-            long = pending.kind.need is Need.ANY and usual > LONG * min(self.usual.values())
-            return min(roomy, key=lambda member: member.name) if long else self.draw(roomy)
-        spare = primary is not None and (primary.late < CROWDED or not known)
+        roomy = [member for member in known if self.room(pending, member)]
+        spare = primary is not None and (not known or self.expected(primary) < CROWDED * pending.kind.aim)
         if spare and primary is not None and primary not in pending.tried and self.usable(pending, primary):
             return primary if self.room(pending, primary) else None  # what only it can serve comes first
-        return self.draw(roomy) if roomy else None  # if all look bad, as if none did
+        return self.least(roomy) if roomy else None  # if all look bad, as if none did
+
+    def least(self, members: list[Member]) -> Member:
+        return min(members, key=lambda member: max(len(member.flying), member.load) / member.weight)
 
-    def draw(self, members: list[Member]) -> Member:
-        pair = self.random.sample(members, 2) if len(members) > 2 else members
-        return min(pair, key=lambda member: len(member.flying) / member.weight)
+    def look(self, member: Member) -> bool:
+        """Whether to wait for a report: a router that sees little asks before it sends, not after."""
+        if self.now - member.seen < LOOK * self.shortest or not self.settings.may_probe:
+            return False
+        self.probe(member, LOOK * self.shortest)
+        return self.now - member.probed < STEP * self.shortest
 
     def floor(self, pending: Pending, sent: float) -> float:
         return sent - pending.kind.bound if pending.kind.need is Need.BOUNDED else pending.floor
@@ -327,17 +341,11 @@
         """Proven recent enough or, where members check reads, not found to be further behind than that."""
         return member.position >= floor or (self.settings.members_check and self.now - floor > member.behind)
 
-    def refresh(self, pending: Pending, fresh: list[Member]) -> None:
-        """Probe replicas whose position fails the bound or soon will; where members check, after a miss."""
-        checked, bound = self.settings.members_check, pending.kind.bound
-        for member in fresh if bound else ():
-            if (member.behind if checked else self.now - member.position) > (1 - STALE_EARLY) * bound:
-                self.probe(member, 0.5 * bound)
-
     def send(self, pending: Pending, member: Member) -> None:
         usual = self.usual[pending.kind.name]
         pending.flying[len(pending.tried)] = member
-        member.flying[pending.ask.id, len(pending.tried)] = self.now, usual
+        member.load = max(member.load, len(member.flying)) + 1
+        member.flying[pending.ask.id, len(pending.tried)] = self.now, usual, member.load
         pending.tried.append(member)
         self.actions.append(io.Send(pending.ask.id, member.name, pending.ask.deadline - self.now))
         if pending.kind.effect is Effect.SAFE and self.now < pending.last_call:
@@ -346,23 +354,15 @@
             self.after(wait, lambda: self.help(pending, attempt))
 
     def help(self, pending: Pending, attempt: int) -> None:
-        """A safe attempt is overdue: a second copy where allowed, else move it away from a silent member."""
-        if list(pending.flying) != [attempt] or self.now > pending.last_call:
-            return
-        member = pending.flying[attempt]
-        if self.settings.parallel_tries and len(pending.tried) < self.settings.max_attempts:
-            other = self.choose(pending)
-            if other is not None and other.late < CROWDED:
-                self.send(pending, other)
-        elif self.settings.may_cancel and not self.healthy(member):
+        """A safe attempt is overdue: it is moved away from a member that looks sick."""
+        member = pending.flying.get(attempt)
+        if member is not None and self.settings.may_cancel and not self.healthy(member):
             self.actions.append(io.Cancel(pending.ask.id, attempt))
 
     # ---- guards
 
     def give_up(self, pending: Pending) -> None:
         """The one final answer, at once."""
-        if pending.flying:
-            return  # its outcome, at the deadline at the latest, brings it back here
         effect = pending.kind.effect
         alone = effect is Effect.UNSAFE or (effect is Effect.KEYED and pending.kind.group_only)
         if alone and pending.maybe_ran is not None:
@@ -379,7 +379,7 @@
         pending.flying.clear()
 
     def hold(self, pending: Pending) -> None:
-        group, step = pending.group, ROLE_LAPSE * self.shortest / 2
+        group, step = pending.group, STEP * self.shortest
         if self.now + step >= pending.last_call:
             return self.give_up(pending)
         group.held[pending.ask.id] = pending
@@ -391,17 +391,14 @@
         """While work is held: look for a primary, send what can go, answer what has run out of time."""
         group.tending = False
         if group.held and (group.primary is None or not self.healthy(group.primary)):
-            self.probe_all(group, ROLE_LAPSE * self.shortest)
-        self.release(group, every=True)
-
-    def release(self, group: Group, every: bool = False) -> None:
-        """Try what is held again, the most valuable first; where one finds no place, its like won't."""
-        placeless: set[str] = set()
-        for pending in sorted(group.held.values(), key=self.value, reverse=True) if group.held else ():
-            if pending.ask.id in group.held and (every or pending.kind.name not in placeless):
+            self.probe_all(group, 2 * STEP * self.shortest)
+        self.release(group)
+
+    def release(self, group: Group) -> None:
+        """Try what is held again, the best worth for its work first: what is worth least waits longest."""
+        for pending in sorted(group.held.values(), key=lambda p: -p.kind.worth / self.usual[p.kind.name]):
+            if pending.ask.id in group.held:
                 self.route(pending)
-                if pending.ask.id in group.held:
-                    placeless.add(pending.kind.name)
 
     def open(self, pending: Pending, member: Member) -> bool:
         """Rules 3 and 4: nothing for a member that drains; a cold one takes the share of requests that it is
@@ -415,6 +412,10 @@
         share = self.settings.cold_share + (1 - self.settings.cold_share) * grown
         return pending.luck < COLD_PART * self.settings.fall_multiple * share
 
+    def expected(self, member: Member) -> float:
+        """Latency that one more request meets there, at the pace of all members."""
+        return (max(len(member.flying), member.load) + 1) * self.pace_time / self.pace_load
+
     def answered(self, member: Member, more: float = 0.0) -> float:
         span = RATE_SPAN * self.shortest
         member.rate = member.rate * math.exp((member.rated - self.now) / span) + more / span
@@ -422,27 +423,33 @@
         return member.rate
 
     def room(self, pending: Pending, member: Member) -> bool:
-        """A crowded member gets what it will answer in time, by its rate; the rest waits here, best first."""
-        if member.late < CROWDED or len(member.flying) < 2:
-            return True
-        work = self.usual[pending.kind.name] + sum(usual for _, usual in member.flying.values())
-        return work <= TARGET * pending.kind.aim * self.answered(member)
+        """A crowded member gets what it will answer in time; the rest waits here, best first. Where we have
+        attempts out there our answer rate tells, else the pace of all members at the load that it reports."""
+        target, expected = TARGET * pending.kind.aim, self.expected(member)
+        if len(member.flying) < 2 or expected < CROWDED * pending.kind.aim:
+            return expected <= target
+        work = self.usual[pending.kind.name] + sum(usual for _, usual, _ in member.flying.values())
+        return work <= target * self.answered(member)
 
     def silent(self, member: Member) -> bool:
         """Answers overdue, counted over all that is out there: a hang, a dead host, a cut link."""
-        overdue = sum((self.now - max(sent, member.alive)) / usual for sent, usual in member.flying.values())
-        return overdue >= SILENCE
+        late = ((self.now - max(sent, member.alive)) / usual for sent, usual, _ in member.flying.values())
+        return sum(late) >= SILENCE
+
+    def down(self, member: Member) -> bool:
+        return self.now - member.refused < LOOK * self.shortest
+
+    def stalled(self, member: Member) -> bool:
+        """A primary whose position stands still hangs, though it may answer probes."""
+        return member.group.primary is member and member.behind > 0
 
     def healthy(self, member: Member) -> bool:
-        return not member.down and member.failing < FAILING and not self.silent(member)
+        waited = self.now - member.probed  # asked for a report in vain: dead, cut off or far away
+        mute = member.probed > member.seen and STEP * self.shortest <= waited < LOOK * self.shortest
+        sick = mute or self.down(member) or self.silent(member) or self.stalled(member)
+        return not sick and self.now - member.failed >= FORGIVEN * self.shortest
 
     def usable(self, pending: Pending, member: Member) -> bool:
         """For writes: errors alone don't bar a primary, as nobody else could take them."""
-        if member.down and self.now - member.trial >= TRIAL_LAPSE * self.shortest:
-            member.trial = self.now
-            return self.open(pending, member)
-        return self.open(pending, member) and not member.down and not self.silent(member)
-
-    def value(self, pending: Pending) -> float:
-        """Worth for the work; what is worth least waits longest."""
-        return pending.kind.worth / self.usual[pending.kind.name]
+        sound = not self.down(member) and not self.silent(member) and not self.stalled(member)
+        return sound and self.open(pending, member)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -52,6 +52,7 @@
 def test_every_event_is_taken() -> None:
     host = Host()
     assert ["track", 3, True] in reply(host, 100.0, *START)
+    reply(host, 100.1, ["check_result", 3, 0, "a:1", 0.001, {"x0": 95.05, "x1": 1}])
     sent = reply(host, 100.1, ["submit", 3, 7, "save", None, 12, 102.0, None, 0, None, 4])
     assert [action[:4] for action in sent if action[0] == "assign"] == [["assign", 3, 7, "a:1"]]
     reply(
