--- a/banklift/adapter.py
+++ b/banklift/adapter.py
@@ -147,7 +147,6 @@
         check_wait=figure(family, "wait_s", 0.0),
         answers_carry_position=bool(family.get("stamps", False)),
         client_tokens=family.get("token_mode") == "client",
-        weighted=info.get("weight_source", "off") != "off",
         drain_grace=figure(rules, "drain_grace_s", 0.0),
         only_draining_binds=bool(rules.get("dropped_stay_open", False)),
         cold_share=figure(rules, "cold_share", 1.0),
@@ -161,14 +160,13 @@
 def parse_entry(value: Any) -> Entry:
     if not isinstance(value, list) or len(value) < 8:
         raise WireError(f"manifest: an entry of 8 values is needed, not {value!r}")
-    weight, node, started, group, state, _kind, head, _zone = value[:8]
+    _weight, node, started, group, state, _kind, head, _zone = value[:8]
     return Entry(
         member=text(node, "manifest node"),
         group=integer(group, "manifest cluster"),
         state=pick(STATES, state, "manifest state"),
         started=number(started, "manifest came_up_s") if started else None,
         primary=bool(head),
-        weight=number(weight, "manifest share") if weight else 1.0,
     )
 
 
--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -19,12 +19,14 @@
 FORGIVEN = 4.0  # shortest aims for which a member is set aside after a failure; honest ones are rare
 LONG = 3.0  # times the least usual latency: reads above it are packed onto the first replicas
 LOOK = 0.3  # of the shortest aim: age from which a member is asked again before it is sent to
+CATCH_UP = 0.5  # seconds before one that is a second too far behind is asked again
 REPORT_AGE = 1.0  # of the shortest aim: age of a position in a new report beyond which it stands still
 STEP = 0.125  # of the shortest aim: wait for a report, some milliseconds off, and between looks at held work
 PATIENCE = 3.0  # usual latencies before a safe attempt gets help elsewhere; one in twenty takes longer
 CROWDED = 0.2  # of the aim: expected latency up to which a member is not crowded
 LAST_CALL = 1.6  # usual latencies before the end of worth, at most 0.6 of the time left: later is late
-TARGET = 0.5  # of the aim: expected latency up to which a crowded member is given work
+TARGET = 0.5  # of the aim: work given to a crowded member, by the rate at which it answers this router
+PACE_TARGET = 0.75  # of the aim: the same by reported load, for the class with the best worth for its work
 RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
 FIRST_PACE = 12.0  # requests at a member that answers within the usual latency, until there are answers
 COLD_PART = 0.5  # of what the falling rule allows a cold member; the rest is for uneven load and retries
@@ -38,12 +40,11 @@
     group: Group
     state: State = State.READY
     started: float | None = None
-    weight: float = 1.0
-    listed_primary: bool = False
     role_at: float = -math.inf  # when the newest fact on its role was true
     position: float = -math.inf  # proven; it only rises
     alive: float = -math.inf  # last answer
     seen: float = -math.inf  # last answer or report
+    reported: float = -math.inf  # last report
     load: float = 0.0  # requests there, by its last report and by what was sent and answered since
     behind: float = 0.0  # how far when last seen, as long as that is more than the age of a report
     refused: float = -math.inf  # last attempt that found no connection, with no answer since
@@ -131,7 +132,7 @@
         for entry in listing.entries:
             self.on_entry(entry)
         listed = {entry.member for entry in listing.entries}
-        for member in self.members.values():
+        for member in list(self.members.values()):
             if listing.kind is not io.ListKind.CHANGES and member.name not in listed:
                 self.set_state(member, State.GONE)
 
@@ -140,18 +141,15 @@
         member = self.members.get(entry.member)
         if member is None:
             member = self.members[entry.member] = Member(entry.member, group, started=entry.started)
-            group.members.append(member)
         elif entry.started is not None and entry.started != member.started:
             member.started, member.refused, member.failed = entry.started, -math.inf, -math.inf
             if group.primary is member and entry.started > group.crowned:
                 self.lose_primary(group)  # what restarts comes back as a replica
         self.set_state(member, entry.state)
-        member.weight = entry.weight if self.settings.weighted and entry.weight > 0 else 1.0
-        news, member.listed_primary = entry.primary and not member.listed_primary, entry.primary
-        if news and group.primary is None:
+        if entry.primary and group.primary is None:
             self.crown(member, group.crowned)
-        elif news and self.settings.follows_roles:  # seconds late, so no more than a hint
-            self.probe(member, 2 * STEP * self.shortest)
+        elif entry.primary and self.settings.follows_roles and group.primary is not member:
+            self.probe(member, LOOK * self.shortest)  # seconds late, so no more than a hint
 
     def set_state(self, member: Member, state: State) -> None:
         if state is State.GONE and self.settings.only_draining_binds and member.state is State.READY:
@@ -159,12 +157,17 @@
         if state is not State.READY and member.state is State.READY and member.group.primary is member:
             self.lose_primary(member.group)
         member.state = state
+        if state is State.GONE:  # kept only while attempts are out there
+            member.group.members = [other for other in member.group.members if other is not member]
+            self.bury(member)
+        elif member not in member.group.members:
+            member.group.members.append(member)
 
     def on_probed(self, event: io.Probed) -> None:
         member = self.members.get(event.member)
         if member is not None:
             if event.ok:
-                member.seen, member.refused = self.now, -math.inf
+                member.seen, member.reported, member.refused = self.now, self.now, -math.inf
             self.on_report(member, event.report or io.Report(), self.now - event.latency)
 
     def on_report(self, member: Member, report: io.Report, asked: float) -> None:
@@ -180,6 +183,10 @@
             self.demote(member, report.position)
         self.release(member.group)
 
+    def bury(self, member: Member) -> None:
+        if member.state is State.GONE and not member.flying:
+            self.members.pop(member.name, None)
+
     def crown(self, member: Member, at: float) -> None:
         group = member.group
         if at < max(group.crowned, member.role_at) or member.state is not State.READY:
@@ -213,8 +220,7 @@
         pending, member = self.requests.get(event.request), self.members.get(event.member)
         if member is None:
             return
-        sent, _, load = member.flying.pop((event.request, event.attempt), (self.now - event.latency, 0, 1))
-        self.learn(member, event, pending, sent, load)
+        sent = self.learn(member, event, pending)
         if pending is not None and pending.flying.pop(event.attempt, None) is not None:
             if event.status not in io.NEVER_RAN and pending.maybe_ran is None:
                 pending.maybe_ran = sent
@@ -222,10 +228,11 @@
                 self.forget(pending)
             elif not pending.flying:
                 self.route(pending)
+        self.bury(member)
         self.release(member.group)
 
-    def learn(self, member: Member, event: io.Outcome, pending: Pending | None, sent: float,
-              load: float) -> None:
+    def learn(self, member: Member, event: io.Outcome, pending: Pending | None) -> float:
+        sent, _, load = member.flying.pop((event.request, event.attempt), (self.now - event.latency, 0, 1))
         status = event.status
         if status is Status.CONNECT_FAILED:
             member.refused = self.now
@@ -243,18 +250,18 @@
         if event.position is not None:
             member.position = max(member.position, event.position)
         if pending is not None and status is Status.OK:
-            kind = pending.kind
+            kind, session = pending.kind, pending.ask.session
             self.answered(member, self.usual[kind.name])
             self.pace_load += LATENCY_WEIGHT * (load - self.pace_load)
             self.pace_time += LATENCY_WEIGHT * (event.latency - self.pace_time)
             self.usual[kind.name] += LATENCY_WEIGHT * (event.latency - self.usual[kind.name])
-            session = pending.ask.session
             if kind.need is Need.WRITE and session is not None and event.position is not None:
                 self.sessions[session] = max(event.position, self.sessions.pop(session, event.position))
                 if len(self.sessions) > SESSIONS:
                     self.forgotten = max(self.forgotten, self.sessions.pop(next(iter(self.sessions))))
         elif pending is not None and status is Status.MISS and pending.kind.need is not Need.WRITE:
             member.behind = sent - self.floor(pending, sent)
+        return sent
 
     # ---- the rule
 
@@ -272,7 +279,7 @@
         last_call = end - min(LAST_CALL * self.usual[kind.name], 0.6 * (end - self.now))
         order = self.random.sample(group.members, len(group.members))
         if kind.need is Need.ANY and self.usual[kind.name] > LONG * min(self.usual.values()):
-            order = sorted(group.members, key=lambda member: member.name)
+            order.sort(key=lambda member: member.name)
         pending = Pending(ask, kind, group, floor, last_call, self.random.random(), order)
         self.requests[ask.id] = pending
         if group.primary is None:
@@ -303,35 +310,36 @@
             unasked = (m for m in group.members if m.role_at <= group.lost and m not in pending.tried)
             return next((m for m in unasked if self.usable(pending, m)), None)  # one round of tries
         floor = self.floor(pending, self.now)
-        fresh = [member for member in pending.order if member is not primary and self.open(pending, member)
-                 and member not in pending.tried]
+        fresh = [m for m in pending.order if m not in (primary, *pending.tried) and self.open(pending, m)]
         pair: list[Member] = []
-        waiting = 0
         for member in fresh:  # the first two that are healthy and known recent enough
-            if len(pair) + waiting < 2 and self.healthy(member):
-                if self.look(member):
-                    waiting += 1
-                elif self.recent(member, floor) and self.room(pending, member):
-                    pair.append(member)
-        if waiting:
-            return None
+            if pair and (len(pair) == 2 or self.expected(pair[0]) < CROWDED * pending.kind.aim):
+                break  # where the first is idle no other is asked
+            if self.healthy(member) and self.look(member, floor):
+                return None
+            if self.healthy(member) and self.recent(member, floor) and self.room(pending, member):
+                pair.append(member)
         if pair:
-            return self.least(pair)
+            return min(pair, key=self.load)
         known = [member for member in fresh if self.recent(member, floor)]
-        roomy = [member for member in known if self.room(pending, member)]
         spare = primary is not None and (not known or self.expected(primary) < CROWDED * pending.kind.aim)
         if spare and primary is not None and primary not in pending.tried and self.usable(pending, primary):
             return primary if self.room(pending, primary) else None  # what only it can serve comes first
-        return self.least(roomy) if roomy else None  # if all look bad, as if none did
-
-    def least(self, members: list[Member]) -> Member:
-        return min(members, key=lambda member: max(len(member.flying), member.load) / member.weight)
-
-    def look(self, member: Member) -> bool:
-        """Whether to wait for a report: a router that sees little asks before it sends, not after."""
-        if self.now - member.seen < LOOK * self.shortest or not self.settings.may_probe:
+        return next((m for m in known if self.room(pending, m)), None)  # if all look bad, as if none did
+
+    def load(self, member: Member) -> float:
+        return max(len(member.flying), member.load)
+
+    def look(self, member: Member, floor: float = -math.inf) -> bool:
+        """Whether to wait for a report: a router that sees little asks before it sends, not after. One far
+        behind is left alone for longer, as it can't have caught up yet."""
+        catch_up = min(FORGIVEN * self.shortest, CATCH_UP * max(0.0, floor - member.position))
+        lapse = LOOK * self.shortest + catch_up
+        known = self.recent(member, floor) and self.now - member.seen < lapse
+        told = member.reported >= member.probed and self.now - member.probed < lapse
+        if known or told or not self.settings.may_probe:
             return False
-        self.probe(member, LOOK * self.shortest)
+        self.probe(member, lapse)
         return self.now - member.probed < STEP * self.shortest
 
     def floor(self, pending: Pending, sent: float) -> float:
@@ -348,10 +356,9 @@
         member.flying[pending.ask.id, len(pending.tried)] = self.now, usual, member.load
         pending.tried.append(member)
         self.actions.append(io.Send(pending.ask.id, member.name, pending.ask.deadline - self.now))
-        if pending.kind.effect is Effect.SAFE and self.now < pending.last_call:
-            wait = min((PATIENCE if self.healthy(member) else 1.0) * usual, pending.last_call - self.now)
+        if pending.kind.effect is Effect.SAFE:
             attempt = len(pending.tried) - 1
-            self.after(wait, lambda: self.help(pending, attempt))
+            self.after(PATIENCE * usual, lambda: self.help(pending, attempt))
 
     def help(self, pending: Pending, attempt: int) -> None:
         """A safe attempt is overdue: it is moved away from a member that looks sick."""
@@ -365,10 +372,8 @@
         """The one final answer, at once."""
         effect = pending.kind.effect
         alone = effect is Effect.UNSAFE or (effect is Effect.KEYED and pending.kind.group_only)
-        if alone and pending.maybe_ran is not None:
-            self.actions.append(io.Fail(pending.ask.id))
-        else:
-            self.actions.append(io.Refuse(pending.ask.id, self.settings.max_retry_after))
+        refused = io.Refuse(pending.ask.id, self.settings.max_retry_after)
+        self.actions.append(io.Fail(pending.ask.id) if alone and pending.maybe_ran is not None else refused)
         self.forget(pending)
 
     def forget(self, pending: Pending, cancel: bool = True) -> None:
@@ -391,7 +396,7 @@
         """While work is held: look for a primary, send what can go, answer what has run out of time."""
         group.tending = False
         if group.held and (group.primary is None or not self.healthy(group.primary)):
-            self.probe_all(group, 2 * STEP * self.shortest)
+            self.probe_all(group, 4 * STEP * self.shortest)
         self.release(group)
 
     def release(self, group: Group) -> None:
@@ -408,13 +413,12 @@
             return False
         if member.started is None or self.now - member.started >= self.settings.cold_time:
             return True
-        grown = max(0.0, self.now - member.started) / self.settings.cold_time
-        share = self.settings.cold_share + (1 - self.settings.cold_share) * grown
-        return pending.luck < COLD_PART * self.settings.fall_multiple * share
+        cold, grown = self.settings.cold_share, max(0.0, self.now - member.started) / self.settings.cold_time
+        return pending.luck < COLD_PART * self.settings.fall_multiple * (cold + (1 - cold) * grown)
 
     def expected(self, member: Member) -> float:
         """Latency that one more request meets there, at the pace of all members."""
-        return (max(len(member.flying), member.load) + 1) * self.pace_time / self.pace_load
+        return (self.load(member) + 1) * self.pace_time / self.pace_load
 
     def answered(self, member: Member, more: float = 0.0) -> float:
         span = RATE_SPAN * self.shortest
@@ -425,31 +429,26 @@
     def room(self, pending: Pending, member: Member) -> bool:
         """A crowded member gets what it will answer in time; the rest waits here, best first. Where we have
         attempts out there our answer rate tells, else the pace of all members at the load that it reports."""
-        target, expected = TARGET * pending.kind.aim, self.expected(member)
+        expected = self.expected(member)
         if len(member.flying) < 2 or expected < CROWDED * pending.kind.aim:
-            return expected <= target
+            best = max(kind.worth / self.usual[kind.name] for kind in self.settings.classes)
+            rank = pending.kind.worth / self.usual[pending.kind.name] / best if best else 1.0
+            return expected <= (TARGET + (PACE_TARGET - TARGET) * rank) * pending.kind.aim
         work = self.usual[pending.kind.name] + sum(usual for _, usual, _ in member.flying.values())
-        return work <= target * self.answered(member)
+        return work <= TARGET * pending.kind.aim * self.answered(member)
 
-    def silent(self, member: Member) -> bool:
-        """Answers overdue, counted over all that is out there: a hang, a dead host, a cut link."""
+    def sick(self, member: Member) -> bool:
+        """No connection, answers overdue over all that is out there, or a primary whose position stands
+        still, though it may answer probes: a hang, a dead host, a cut link."""
+        down = self.now - member.refused < LOOK * self.shortest
         late = ((self.now - max(sent, member.alive)) / usual for sent, usual, _ in member.flying.values())
-        return sum(late) >= SILENCE
-
-    def down(self, member: Member) -> bool:
-        return self.now - member.refused < LOOK * self.shortest
-
-    def stalled(self, member: Member) -> bool:
-        """A primary whose position stands still hangs, though it may answer probes."""
-        return member.group.primary is member and member.behind > 0
+        return down or sum(late) >= SILENCE or (member.group.primary is member and member.behind > 0)
 
     def healthy(self, member: Member) -> bool:
         waited = self.now - member.probed  # asked for a report in vain: dead, cut off or far away
-        mute = member.probed > member.seen and STEP * self.shortest <= waited < LOOK * self.shortest
-        sick = mute or self.down(member) or self.silent(member) or self.stalled(member)
-        return not sick and self.now - member.failed >= FORGIVEN * self.shortest
+        mute = member.probed > member.reported and STEP * self.shortest <= waited < LOOK * self.shortest
+        return not (mute or self.sick(member)) and self.now - member.failed >= FORGIVEN * self.shortest
 
     def usable(self, pending: Pending, member: Member) -> bool:
         """For writes: errors alone don't bar a primary, as nobody else could take them."""
-        sound = not self.down(member) and not self.silent(member) and not self.stalled(member)
-        return sound and self.open(pending, member)
+        return self.open(pending, member) and not self.sick(member)
--- a/banklift/interface.py
+++ b/banklift/interface.py
@@ -102,7 +102,6 @@
     check_wait: float = 0.0  # ... after waiting this long
     answers_carry_position: bool = False
     client_tokens: bool = False  # session reads say how long ago their session wrote
-    weighted: bool = False  # list weights tell the members' sizes
     drain_grace: float = 1.0
     only_draining_binds: bool = False  # a member that vanished undrained may still be tried
     cold_share: float = 1.0
@@ -155,7 +154,6 @@
     state: State = State.READY
     started: float | None = None  # None: long ago
     primary: bool = False
-    weight: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
