--- a/banklift/adapter.py
+++ b/banklift/adapter.py
@@ -142,7 +142,6 @@
         must_ask=info.get("membership_mode") == "subscribe",
         ask_within=figure(rules, "ask_within_s", 0.0),
         lists_roles=family.get("role_in_list", "off") != "off",
-        follows_roles=family.get("role_in_list") == "delayed",
         members_check=family.get("behind", "off") != "off",
         check_wait=figure(family, "wait_s", 0.0),
         answers_carry_position=bool(family.get("stamps", False)),
--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -29,7 +29,7 @@
 PACE_TARGET = 0.75  # of the aim: the same by reported load, for the class with the best worth for its work
 RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
 FIRST_PACE = 12.0  # requests at a member that answers within the usual latency, until there are answers
-COLD_PART = 0.5  # of what the falling rule allows a cold member; the rest is for uneven load and retries
+COLD_PART = 0.4  # of what the falling rule allows a cold member; the rest is for uneven load and retries
 SESSIONS = 10_000  # sessions remembered; those dropped count as having written at the last one dropped
 WATCH_RETRY = 0.05  # of ask_within: first wait after a failed call to the list, doubled each time
 
@@ -148,8 +148,6 @@
         self.set_state(member, entry.state)
         if entry.primary and group.primary is None:
             self.crown(member, group.crowned)
-        elif entry.primary and self.settings.follows_roles and group.primary is not member:
-            self.probe(member, LOOK * self.shortest)  # seconds late, so no more than a hint
 
     def set_state(self, member: Member, state: State) -> None:
         if state is State.GONE and self.settings.only_draining_binds and member.state is State.READY:
@@ -405,20 +403,23 @@
             if pending.ask.id in group.held:
                 self.route(pending)
 
+    def warm(self, member: Member) -> float:
+        """The part of its capacity that a member has at the least, by the time since its start."""
+        age, full = self.now - (member.started or -math.inf), self.settings.cold_time
+        cold = self.settings.cold_share
+        return 1.0 if age >= full else cold + (1 - cold) * max(0.0, age) / full
+
     def open(self, pending: Pending, member: Member) -> bool:
         """Rules 3 and 4: nothing for a member that drains; a cold one takes the share of requests that it is
-        warmed up to. The draw is the request's own and stays with it, so all routers together keep to the
-        share, whatever their number, and what waits or is tried again does not draw anew."""
-        if member.state is not State.READY:
-            return False
-        if member.started is None or self.now - member.started >= self.settings.cold_time:
-            return True
-        cold, grown = self.settings.cold_share, max(0.0, self.now - member.started) / self.settings.cold_time
-        return pending.luck < COLD_PART * self.settings.fall_multiple * (cold + (1 - cold) * grown)
+        warmed up to. The draw stays with the request, so all routers together keep to the share, whatever
+        their number, and what waits or is tried again does not draw anew."""
+        warm = self.warm(member)
+        lucky = warm >= 1 or pending.luck < COLD_PART * self.settings.fall_multiple * warm
+        return lucky and member.state is State.READY
 
     def expected(self, member: Member) -> float:
-        """Latency that one more request meets there, at the pace of all members."""
-        return (self.load(member) + 1) * self.pace_time / self.pace_load
+        """Latency of one more request there, at the pace of all; a cold one may be all that is left and slow."""
+        return (self.load(member) + 1) * self.pace_time / self.pace_load / self.warm(member)
 
     def answered(self, member: Member, more: float = 0.0) -> float:
         span = RATE_SPAN * self.shortest
--- a/banklift/interface.py
+++ b/banklift/interface.py
@@ -97,7 +97,6 @@
     must_ask: bool = False  # the list comes only when watched or fetched
     ask_within: float = 0.0
     lists_roles: bool = False  # the list names primaries, at the start of the day at least
-    follows_roles: bool = False  # ... and goes on naming them, late
     members_check: bool = False  # a member too far behind turns a read away
     check_wait: float = 0.0  # ... after waiting this long
     answers_carry_position: bool = False
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -392,6 +392,14 @@
         assert 0 < sent.count(cold) < share * 400
 
 
+def test_a_cold_member_left_alone_gets_no_more_than_it_can_answer_in_time() -> None:
+    for started, served in ((None, True), (T0, False)):
+        bench = Bench(members=(replace(MEMBERS[0], started=started),), seed=3)
+        bench.do(Probed("p", True, 0.001, Report(bench.now, True, in_flight=20.0)))
+        sent = [target for _ in range(50) for target in targets(bench.ask("write"))]
+        assert bool(sent) is served
+
+
 # ---- guards
 
 
