--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -418,7 +418,7 @@
         return lucky and member.state is State.READY
 
     def expected(self, member: Member) -> float:
-        """Latency of one more request there, at the pace of all; a cold one may be all that is left and slow."""
+        """Latency of one more request there, at the pace of all; one that is cold may be all that is left."""
         return (self.load(member) + 1) * self.pace_time / self.pace_load / self.warm(member)
 
     def answered(self, member: Member, more: float = 0.0) -> float:
