--- /dev/null
+++ b/banklift/__main__.py
@@ -0,0 +1,3 @@
+from banklift.cli.main import main
+
+main()
--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -175,10 +175,11 @@
             member.position = max(member.position, report.position)
             lag = asked - member.position
             member.behind = lag if lag > REPORT_AGE * self.shortest else 0.0
-        if report.primary and report.position is not None:  # a primary's position dates its report
-            self.crown(member, report.position)
-        elif report.primary is False and report.position is not None:
-            self.demote(member, report.position)
+        at = report.position if report.at is None else report.at  # a position dates its report, unless told
+        if report.primary and at is not None:
+            self.crown(member, at)
+        elif report.primary is False and at is not None:
+            self.demote(member, at)
         self.release(member.group)
 
     def bury(self, member: Member) -> None:
--- /dev/null
+++ b/banklift/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: arguments in, exit codes out."""
--- /dev/null
+++ b/banklift/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's file: Jsonnet templates, schema, checks."""
--- /dev/null
+++ b/banklift/decide/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions beside the module, without I/O."""
--- a/banklift/interface.py
+++ b/banklift/interface.py
@@ -142,6 +142,7 @@
     primary: bool | None = None
     in_flight: float | None = None
     queued: float | None = None
+    at: float | None = None  # when the role was true; None: as of the position
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/banklift/proxy/events.py
@@ -0,0 +1,118 @@
+"""What the router's machine is told and what it asks for. Times are seconds on the router's clock.
+
+Ids of clients and links are numbers that the caller (clients) or the machine (links) gives and never uses again. The
+caller may be a shell on sockets or an emulator in virtual time; it owns the clock, the network and the randomness.
+After every event it looks at `Machine.wake` and calls `Machine.handle` with `Wake` at that time or later.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from banklift.interface import State
+
+
+class ClientOpened(msgspec.Struct, frozen=True, gc=False):
+    client: int
+
+
+class ClientData(msgspec.Struct, frozen=True, gc=False):
+    client: int
+    data: bytes
+
+
+class ClientEof(msgspec.Struct, frozen=True, gc=False):
+    """It sends no more, and may still read."""
+
+    client: int
+
+
+class ClientLost(msgspec.Struct, frozen=True, gc=False):
+    client: int
+
+
+class LinkUp(msgspec.Struct, frozen=True, gc=False):
+    link: int
+
+
+class LinkData(msgspec.Struct, frozen=True, gc=False):
+    link: int
+    data: bytes
+
+
+class LinkLost(msgspec.Struct, frozen=True, gc=False):
+    """It could not be opened, or broke."""
+
+    link: int
+    reason: str
+
+
+class Wake(msgspec.Struct, frozen=True, gc=False):
+    pass
+
+
+class Listed(msgspec.Struct, frozen=True):
+    """One member as a roster tells it."""
+
+    name: str
+    group: int
+    address: str
+    state: State = State.READY
+    primary: bool = False
+    started: float | None = None  # on the router's clock
+
+
+class Roster(msgspec.Struct, frozen=True):
+    """Every member there is now."""
+
+    members: tuple[Listed, ...]
+
+
+Event = ClientOpened | ClientData | ClientEof | ClientLost | LinkUp | LinkData | LinkLost | Wake | Roster
+
+
+class ToClient(msgspec.Struct, frozen=True, gc=False):
+    client: int
+    data: bytes
+
+
+class CloseClient(msgspec.Struct, frozen=True, gc=False):
+    """Close it once what was written has gone out."""
+
+    client: int
+
+
+class PauseClient(msgspec.Struct, frozen=True, gc=False):
+    """Read it no more until `ResumeClient`."""
+
+    client: int
+
+
+class ResumeClient(msgspec.Struct, frozen=True, gc=False):
+    client: int
+
+
+class OpenLink(msgspec.Struct, frozen=True, gc=False):
+    link: int
+    address: str
+
+
+class ToLink(msgspec.Struct, frozen=True, gc=False):
+    link: int
+    data: bytes
+
+
+class CloseLink(msgspec.Struct, frozen=True, gc=False):
+    """Close it at once; nothing of it is to be told any more."""
+
+    link: int
+
+
+class Note(msgspec.Struct, frozen=True):
+    """A line for the log."""
+
+    event: str
+    fields: dict[str, object]
+
+
+Action = ToClient | CloseClient | PauseClient | ResumeClient | OpenLink | ToLink | CloseLink | Note
--- /dev/null
+++ b/banklift/proxy/machine.py
@@ -0,0 +1,619 @@
+"""The router as a machine without I/O: events in, actions out (events.py).
+
+Theory of operation. A front (resp/front.py) turns what clients send into requests. The machine tells the module
+(`Balancer`) of each and does what it decides; it decides nothing itself but what only sockets know:
+
+- An *attempt* waits for a link to its member, is written, and ends once: by its answer, by time, by a cancel or with
+  its link. While nothing of it was written it never ran, whatever ends it; afterwards it may have run, unless the
+  answer says otherwise. A link carries one attempt at a time. One that is cut off closes its link, so a late answer
+  has no way to another request.
+- Each attempt asks the member for its standing on the same link: a read before its command, so what is read is at
+  least as new as what is proven; a write after it, so the mark it leaves holds the write. The first exchange of a link
+  asks for the history too: a restart of the member ends its links, so nothing outlives the data it spoke of. A read
+  whose own proof fails its floor is not passed on; the module hears of a miss.
+- A probe of a replica also asks the primary, as a sample: positions come from samples (decide/offsets.py). The report
+  waits up to `SAMPLE_WAIT` for it.
+- A member whose data began anew is listed to the module as gone, and under a new name as come: what was proven about
+  the old data does not hold on.
+- The module's own rules end every request in time; `done` is called once for each.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from banklift import interface as io
+from banklift.balance import Balancer
+from banklift.decide.offsets import Fact, Seen, Standing, Track
+from banklift.interface import Need, State, Status
+from banklift.proxy import events as ev
+from banklift.proxy.plan import Limits
+from banklift.proxy.wire import Ask, BrokenFrame, Failed, Final, Front, Reader, Refused, Served, Wire
+
+SAMPLE_WAIT = 0.02  # seconds that a replica's report waits for the primary's sample
+PROBES = -1  # flavour of links for probes
+
+
+@dataclass(slots=True, eq=False)
+class Node:
+    """A member as the machine holds it."""
+
+    name: str
+    group: int
+    address: str
+    state: State
+    started: float | None
+    alias: str  # its name towards the module, new for new data
+    births: int = 0
+    links: set[Link] = field(default_factory=set)
+    idle: dict[int, list[Link]] = field(default_factory=dict)
+    waiting: deque[Attempt] = field(default_factory=deque)
+    opening: int = 0
+    prober: Link | None = None
+    probes: deque[float] = field(default_factory=deque)  # asked, not yet answered
+    reports: deque[tuple[float, bool]] = field(default_factory=deque)  # of these, whether the module asked
+    doubt: bool = True  # its history is to be asked
+    unanswered: float | None = None  # since when a write of ours has had no answer
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    id: int
+    node: Node
+    flavour: int
+    reader: Reader
+    up: bool = False
+    greeting: int = 0  # frames of the greeting still to come
+    fresh: bool = True  # nothing was asked on it
+    attempt: Attempt | None = None
+    since: float = 0.0  # idle since
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    open: Open
+    number: int
+    node: Node
+    alias: str
+    sent: float  # when the module decided it
+    asked: float = math.inf  # when its bytes were written
+    link: Link | None = None
+    frames: list[bytes] = field(default_factory=list)
+    ended: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Open:
+    """A request that has no final answer yet."""
+
+    id: int
+    ask: Ask
+    arrived: float
+    deadline: float
+    attempts: list[Attempt] = field(default_factory=list)
+    final: bool = False
+
+
+class Machine:
+    """One router. `handle` takes an event at `now` and returns actions, in order; `wake` is when it wants `Wake`.
+
+    `settings` and `seed` go to the module; `wire` speaks to members; `front` makes the clients' side.
+    """
+
+    def __init__(self, settings: io.Settings, limits: Limits, groups: int, seed: int, wire: Wire,
+                 front: Callable[[Machine], Front]) -> None:
+        self.limits = limits
+        self.wire = wire
+        self.balancer = Balancer(settings, seed)
+        self.tracks = [Track() for _ in range(groups)]
+        self.nodes: dict[str, Node] = {}
+        self.aliases: dict[str, Node] = {}
+        self.links: dict[int, Link] = {}
+        self.open: dict[int, Open] = {}
+        self.flying: dict[tuple[int, int], Attempt] = {}
+        self.now = 0.0
+        self.ids = 0
+        self.link_ids = 0
+        self.timers: list[tuple[float, int, Callable[[], None]]] = []
+        self.timer_ids = 0
+        self.inbox: deque[io.Event] = deque()  # what the module is to be told
+        self.deciding = False
+        self.actions: list[ev.Action] = []
+        self.delayed: dict[int, list[tuple[Node, float, float]]] = {}  # reports that wait for a sample, by group
+        self.front = front(self)
+        self.sweeping = False
+
+    # ---- events
+
+    def handle(self, now: float, event: ev.Event) -> list[ev.Action]:
+        self.now, self.actions = now, []
+        match event:
+            case ev.ClientData(client, data):
+                self.front.data(client, data)
+            case ev.LinkData(link, data):
+                if link in self.links:
+                    self._link_data(self.links[link], data)
+            case ev.Wake():
+                while self.timers and self.timers[0][0] <= now:
+                    heapq.heappop(self.timers)[2]()
+            case ev.ClientOpened(client):
+                self.front.opened(client)
+            case ev.ClientEof(client):
+                self.front.eof(client)
+            case ev.ClientLost(client):
+                self.front.lost(client)
+            case ev.LinkUp(link):
+                if link in self.links:
+                    self._link_up(self.links[link])
+            case ev.LinkLost(link, reason):
+                if link in self.links:
+                    self._link_lost(self.links[link], reason)
+            case ev.Roster(members):
+                self._roster(members)
+        return self.actions
+
+    @property
+    def wake(self) -> float:
+        return self.timers[0][0] if self.timers else math.inf
+
+    def at(self, when: float, callback: Callable[[], None]) -> None:
+        self.timer_ids += 1
+        heapq.heappush(self.timers, (when, self.timer_ids, callback))
+
+    def note(self, event: str, **fields: object) -> None:
+        self.actions.append(ev.Note(event, fields))
+
+    # ---- requests, for fronts
+
+    def submit(self, ask: Ask) -> int:
+        """Take a request; `front.done` will be called once, perhaps before this returns."""
+        self.ids += 1
+        kind, now = ask.kind, self.now
+        request = Open(self.ids, ask, now, now + max(kind.deadline - self.limits.margin, kind.deadline / 2))
+        self.open[request.id] = request
+        ask.ids.append(request.id)
+        since: float | None = None
+        if kind.need is Need.SESSION:
+            if ask.current:
+                since = 0.001
+            elif ask.seen is not None:
+                since = now + 0.001 - self.tracks[ask.group].floor(ask.seen, now)
+        self._decide(io.Request(request.id, kind.name, ask.group, request.deadline, ask.tenant, since_write=since))
+        return request.id
+
+    def abandon(self, request: int) -> None:
+        """Its client has gone: no answer is owed."""
+        if (open_ := self.open.pop(request, None)) is not None:
+            open_.final = True
+            self._decide(io.Abandoned(request))
+
+    def under_way(self, request: int) -> bool:
+        """Whether an attempt of it is out there."""
+        open_ = self.open.get(request)
+        return open_ is not None and any(not attempt.ended for attempt in open_.attempts)
+
+    # ---- the module
+
+    def _decide(self, event: io.Event) -> None:
+        """Tell the module and do what it says; what comes of that at once is told afterwards, in order."""
+        self.inbox.append(event)
+        if self.deciding:
+            return
+        self.deciding = True
+        try:
+            while self.inbox:
+                for action in self.balancer.handle(self.now, self.inbox.popleft()):
+                    self._act(action)
+        finally:
+            self.deciding = False
+
+    def _act(self, action: io.Action) -> None:
+        match action:
+            case io.Send(request, member, timeout):
+                self._send(request, member, timeout)
+            case io.SetTimer(delay, token):
+                self.at(self.now + delay, lambda: self._decide(io.Timer(token)))
+            case io.Refuse(request, retry_after):
+                self._finish(request, Refused(retry_after))
+            case io.Fail(request):
+                self._finish(request, Failed())
+            case io.Cancel(request, number):
+                self._cancel(request, number)
+            case io.Probe(member):
+                if (node := self.aliases.get(member)) is not None:
+                    self._probe(node, True)
+            case io.Log(text):
+                self.note("module", text=text)
+            case io.Watch() | io.Fetch():
+                pass  # rosters come unasked
+
+    def _finish(self, request: int, final: Final) -> None:
+        open_ = self.open.pop(request, None)
+        if open_ is not None:
+            open_.final = True
+            self.front.done(open_.ask, final)
+
+    # ---- attempts
+
+    def _send(self, request: int, member: str, timeout: float) -> None:
+        open_, node = self.open.get(request), self.aliases.get(member)
+        if open_ is None:
+            return
+        number = len(open_.attempts)
+        if node is None:
+            self._decide(io.Outcome(request, number, member, Status.MOOT, False, 0.0))
+            return
+        attempt = Attempt(open_, number, node, member, self.now)
+        open_.attempts.append(attempt)
+        self.flying[request, number] = attempt
+        end = min(self.now + timeout, open_.deadline)
+        self.at(end, lambda: self._overdue(attempt))
+        flavour = open_.ask.exchange.flavour
+        idle = node.idle.get(flavour)
+        if idle:
+            self._write(idle.pop(), attempt)
+            return
+        node.waiting.append(attempt)
+        self.at(min(end, self.now + self.limits.connect), lambda: self._not_connected(attempt))
+        if len(node.links) < self.limits.links:
+            self._open_link(node, flavour)
+        elif (other := next((links for links in node.idle.values() if links), None)) is not None:
+            self._close(other[-1])  # a link of another flavour makes room
+
+    def _write(self, link: Link, attempt: Attempt) -> None:
+        node, exchange = attempt.node, attempt.open.ask.exchange
+        full = link.fresh or node.doubt
+        link.fresh = False
+        link.attempt, attempt.link, attempt.asked = attempt, link, self.now
+        if attempt.open.ask.kind.need is Need.WRITE and node.unanswered is None:
+            node.unanswered = self.now
+        self.actions.append(ev.ToLink(link.id, exchange.payload(full)))
+
+    def _overdue(self, attempt: Attempt) -> None:
+        if not attempt.ended:
+            self._end(attempt, Status.TIMEOUT if attempt.link is not None else Status.CONNECT_FAILED)
+
+    def _not_connected(self, attempt: Attempt) -> None:
+        if not attempt.ended and attempt.link is None:
+            self._end(attempt, Status.CONNECT_FAILED)
+
+    def _cancel(self, request: int, number: int) -> None:
+        attempt = self.flying.get((request, number))  # the request may be over already
+        if attempt is not None:
+            self._end(attempt, Status.CANCELLED if attempt.link is not None else Status.MOOT)
+
+    def _end(self, attempt: Attempt, status: Status, fact: Fact | None = None, load: float | None = None,
+             served: Served | None = None) -> None:
+        """An attempt ended; without an answer its link is closed."""
+        attempt.ended = True
+        self.flying.pop((attempt.open.id, attempt.number), None)
+        node, link, open_ = attempt.node, attempt.link, attempt.open
+        if link is None:
+            if attempt in node.waiting:
+                node.waiting.remove(attempt)
+        else:
+            link.attempt = None
+            if status in (Status.TIMEOUT, Status.CANCELLED) and link.id in self.links:
+                self._close(link)
+        finished = open_.final or served is not None
+        if served is not None:
+            self._finish(open_.id, served)
+        fact = fact or Fact()
+        report = io.Report(position=fact.position, in_flight=load)
+        self._decide(io.Outcome(open_.id, attempt.number, attempt.alias, status, finished,
+                                self.now - attempt.sent, fact.primary, None, report))
+
+    def _answered(self, link: Link, attempt: Attempt) -> None:
+        """Every frame that was needed has come, or one that says nothing ran."""
+        ask, node = attempt.open.ask, attempt.node
+        result = ask.exchange.read(attempt.frames)
+        if result is None:
+            return
+        status, fact = result.status, Fact()
+        writes = ask.kind.need is Need.WRITE
+        if writes:
+            node.unanswered = None
+        if result.standing is not None:
+            fact = self._learn(node, result.standing, attempt.asked, None)
+        if status is Status.MISS and writes and fact.primary is None:
+            fact = Fact(primary=False)  # READONLY says so itself
+        served = None
+        if status is Status.OK:
+            if not writes and not self._proves(attempt, fact):
+                status = Status.MISS
+            elif not attempt.open.final:
+                seen = None
+                if writes:
+                    seen = self.tracks[node.group].seen(node.name, fact.offset, self.now)
+                served = Served(result.answer, seen)
+        complete = len(attempt.frames) >= ask.exchange.frames()
+        load = result.standing.load if result.standing is not None else None
+        self._end(attempt, status, fact, load, served)
+        if link.id in self.links:
+            if complete:
+                self._ready(link)
+            else:
+                self._close(link)
+
+    def _proves(self, attempt: Attempt, fact: Fact) -> bool:
+        """Whether what the member proved on the same link allows this read."""
+        ask, open_ = attempt.open.ask, attempt.open
+        match ask.kind.need:
+            case Need.ANY:
+                return True
+            case Need.BOUNDED:
+                floor = attempt.sent - ask.kind.bound
+            case Need.SESSION if not ask.current:
+                return ask.seen is None or self.tracks[ask.group].covers(fact, ask.seen)
+            case _:
+                floor = open_.arrived
+        return fact.position is not None and fact.position >= floor
+
+    def _learn(self, node: Node, standing: Standing, asked: float, waiting: float | None) -> Fact:
+        fact = self.tracks[node.group].learn(node.name, standing, asked, self.now, waiting)
+        if fact.unsure:
+            node.doubt = True
+        elif standing.replid is not None:
+            node.doubt = False
+        if fact.reborn:
+            self._reborn(node)
+        return fact
+
+    # ---- probes
+
+    def _probe(self, node: Node, report: bool) -> None:
+        track = self.tracks[node.group]
+        owner = self.nodes.get(track.owner) if track.owner is not None else None
+        if report and owner is not None and owner is not node and not owner.probes:
+            self._probe(owner, False)
+        link = node.prober
+        if link is None:
+            link = node.prober = self._open_link(node, PROBES)
+        asked = self.now
+        node.probes.append(asked)
+        node.reports.append((asked, report))
+        if link.up and not link.greeting:
+            self.actions.append(ev.ToLink(link.id, self.wire.probe()))
+        self.at(asked + self.limits.probe, lambda: self._probe_overdue(node, link, asked))
+
+    def _probe_overdue(self, node: Node, link: Link, asked: float) -> None:
+        if node.prober is link and node.probes and node.probes[0] <= asked:
+            self._probes_failed(node)
+            self._close(link)
+
+    def _probes_failed(self, node: Node) -> None:
+        reports = list(node.reports)
+        node.probes.clear()
+        node.reports.clear()
+        node.prober = None
+        for asked, _ in reports:
+            self._decide(io.Probed(node.alias, False, self.now - asked))
+        self._release(node.group)
+
+    def _probed(self, node: Node, frame: bytes) -> None:
+        if not node.probes:
+            return
+        asked = node.probes.popleft()
+        node.reports.popleft()
+        standing = self.wire.standing(frame)
+        if standing is None:  # it speaks, but doesn't say what it is: loading, or no permission
+            self._decide(io.Probed(node.alias, False, self.now - asked))
+            return
+        waiting = node.unanswered
+        if waiting is None:
+            waiting = min((link.attempt.asked for link in node.links if link.attempt is not None
+                           and link.attempt.open.ask.kind.need is Need.WRITE), default=None)
+        fact = self._learn(node, standing, asked, waiting)
+        track = self.tracks[node.group]
+        owner = self.nodes.get(track.owner) if track.owner is not None else None
+        if fact.primary is not True and owner is not None and owner.probes and owner.probes[0] <= asked:
+            self.delayed.setdefault(node.group, []).append((node, asked, standing.load or 0.0))
+            self.at(self.now + SAMPLE_WAIT, lambda: self._release(node.group))
+            return
+        self._report(node, asked, fact.primary, fact.position, standing.load)
+        if fact.primary:
+            self._release(node.group)
+
+    def _release(self, group: int) -> None:
+        """The sample is here, or isn't coming: tell what waited for it."""
+        for node, asked, load in self.delayed.pop(group, ()):
+            position, _ = self.tracks[group].place(node.name)
+            self._report(node, asked, False, position, load)
+
+    def _report(self, node: Node, asked: float, primary: bool | None, position: float | None,
+                load: float | None) -> None:
+        report = io.Report(position, primary, load, None, asked)
+        self._decide(io.Probed(node.alias, True, self.now - asked, report))
+
+    # ---- links
+
+    def _open_link(self, node: Node, flavour: int) -> Link:
+        self.link_ids += 1
+        link = Link(self.link_ids, node, flavour, self.wire.reader())
+        self.links[link.id] = link
+        if flavour != PROBES:
+            node.links.add(link)
+            node.opening += 1
+        self.actions.append(ev.OpenLink(link.id, node.address))
+        if not self.sweeping:
+            self.sweeping = True
+            self.at(self.now + self.limits.idle / 2, self._sweep)
+        return link
+
+    def _link_up(self, link: Link) -> None:
+        link.up = True
+        greeting, link.greeting = self.wire.greeting(link.flavour)
+        if greeting:
+            self.actions.append(ev.ToLink(link.id, greeting))
+        if not link.greeting:
+            self._greeted(link)
+
+    def _greeted(self, link: Link) -> None:
+        if link.flavour == PROBES:
+            if link.node.probes:
+                self.actions.append(ev.ToLink(link.id, self.wire.probe() * len(link.node.probes)))
+            return
+        link.node.opening -= 1
+        self._ready(link)
+
+    def _ready(self, link: Link) -> None:
+        """A link has nothing to do: the first attempt that waits for one of its flavour takes it."""
+        node = link.node
+        if node.state is State.GONE or link.flavour != PROBES and link.node.address == "":
+            self._close(link)
+            return
+        for attempt in node.waiting:
+            if attempt.open.ask.exchange.flavour == link.flavour:
+                node.waiting.remove(attempt)
+                self._write(link, attempt)
+                return
+        link.since = self.now
+        node.idle.setdefault(link.flavour, []).append(link)
+
+    def _link_data(self, link: Link, data: bytes) -> None:
+        try:
+            frames = link.reader.feed(data)
+        except BrokenFrame as error:
+            self._link_lost(link, f"protocol: {error}")
+            return
+        for frame in frames:
+            if link.id not in self.links:
+                return
+            if self.wire.aside(frame):
+                continue
+            if link.greeting:
+                link.greeting -= 1
+                if not self.wire.greeted(frame):
+                    self.note("link refused", member=link.node.name, answer=frame[:200].decode("latin-1").strip())
+                    self._link_lost(link, "greeting refused")
+                    return
+                if not link.greeting:
+                    self._greeted(link)
+            elif link.flavour == PROBES:
+                self._probed(link.node, frame)
+            elif link.attempt is not None:
+                link.attempt.frames.append(frame)
+                self._answered(link, link.attempt)
+            else:  # an answer that nobody asked for: nothing on this link can be trusted
+                self._close(link)
+
+    def _link_lost(self, link: Link, reason: str) -> None:
+        was_up = link.up and not link.greeting
+        attempt = link.attempt
+        if link.up:
+            self._close(link)
+        else:
+            self._drop(link)
+        node = link.node
+        if link.flavour == PROBES:
+            self._probes_failed(node)
+        elif attempt is not None:
+            result = attempt.open.ask.exchange.cut(attempt.frames)
+            if result is None or attempt.open.final:
+                self._end(attempt, Status.RESET)
+            else:
+                self._end(attempt, result.status, served=Served(result.answer, Seen(self.now)))
+        elif not was_up:
+            self.note("connect failed", member=node.name, reason=reason)
+            for waiting in [other for other in node.waiting if other.open.ask.exchange.flavour == link.flavour]:
+                if not waiting.ended:
+                    self._end(waiting, Status.CONNECT_FAILED)
+                    break  # one attempt for each link that failed
+        # others that wait have a link of their own on the way, or wait for one that is busy
+        self._feed(node)
+
+    def _feed(self, node: Node) -> None:
+        """Attempts may wait although no link is on its way: open one."""
+        if node.waiting and not node.opening and len(node.links) < self.limits.links:
+            self._open_link(node, node.waiting[0].open.ask.exchange.flavour)
+
+    def _close(self, link: Link) -> None:
+        if link.id in self.links:
+            self._drop(link)
+            self.actions.append(ev.CloseLink(link.id))
+            self._feed(link.node)
+
+    def _drop(self, link: Link) -> None:
+        """It is no more."""
+        node = link.node
+        del self.links[link.id]
+        if link.flavour == PROBES:
+            if node.prober is link:
+                node.prober = None
+            return
+        node.links.discard(link)
+        if not link.up or link.greeting:
+            node.opening -= 1
+        if link in (idle := node.idle.get(link.flavour, [])):
+            idle.remove(link)
+
+    def _sweep(self) -> None:
+        """Close links that were not used for long."""
+        old = self.now - self.limits.idle
+        for node in self.nodes.values():
+            for idle in node.idle.values():
+                for link in [link for link in idle if link.since <= old]:
+                    self._close(link)
+        self.sweeping = bool(self.links)
+        if self.sweeping:
+            self.at(self.now + self.limits.idle / 2, self._sweep)
+
+    # ---- members
+
+    def _roster(self, members: tuple[ev.Listed, ...]) -> None:
+        named = {listed.name for listed in members}
+        for node in [node for node in self.nodes.values() if node.name not in named]:
+            self._remove(node)
+        for listed in members:
+            node = self.nodes.get(listed.name)
+            if node is not None and (node.address != listed.address or node.group != listed.group):
+                self._remove(node)  # another process under the same name
+                node = None
+            if node is None:
+                node = Node(listed.name, listed.group, listed.address, listed.state, listed.started, listed.name)
+                births = 0
+                while node.alias in self.balancer.members:  # the old one still has attempts out there
+                    births += 1
+                    node.alias, node.births = f"{listed.name}~{births}", births
+                self.nodes[node.name] = self.aliases[node.alias] = node
+            if node.state is not listed.state:
+                self.note("member", member=node.name, state=listed.state.name.lower())
+            node.state, node.started = listed.state, listed.started
+            if node.state is not State.READY:
+                for idle in node.idle.values():
+                    for link in list(idle):
+                        self._close(link)
+        roles = {listed.name: listed.primary for listed in members}
+        self._decide(io.Listing(io.ListKind.FULL, tuple(
+            io.Entry(node.alias, node.group, node.state, node.started, roles[node.name])
+            for node in self.nodes.values())))
+
+    def _remove(self, node: Node) -> None:
+        """It is listed no more, or no longer the same: nothing new goes there."""
+        self.note("member", member=node.name, state="gone")
+        node.state = State.GONE
+        del self.nodes[node.name]
+        self.aliases.pop(node.alias, None)
+        self.tracks[node.group].forget(node.name)
+        for attempt in list(node.waiting):
+            self._end(attempt, Status.MOOT)
+        for link in list(node.links):
+            if link.attempt is None:
+                self._close(link)
+        if node.prober is not None:
+            self._close(node.prober)
+
+    def _reborn(self, node: Node) -> None:
+        """Its data began anew: the module knows it under a new name, so that no old proof holds on."""
+        old = node.alias
+        node.births += 1
+        node.alias = f"{node.name}~{node.births}"
+        del self.aliases[old]
+        self.aliases[node.alias] = node
+        self.note("member's data began anew", member=node.name)
+        entries = (io.Entry(old, node.group, State.GONE), io.Entry(node.alias, node.group, node.state, node.started))
+        self._decide(io.Listing(io.ListKind.CHANGES, entries))
--- /dev/null
+++ b/banklift/resp/front.py
@@ -0,0 +1,437 @@
+"""A RESP client's connection: commands in, answers out in the client's order.
+
+Theory of operation. Each command takes a place in the connection's line; its answer fills the place, whenever it comes,
+and answers leave from the front of the line only. What the connection itself means (HELLO, AUTH, MULTI ...) is
+answered here at once; the rest becomes a request of the core. A line that grows too long is no longer read. A client
+that closes its side gets what is under way; what still waits is refused at once, as it may be gone.
+
+The router's own words: `-TRYAGAIN refused: nothing ran; retry_after_ms=N` and `-UNCERTAIN failed: it may have run`.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+from banklift.decide.offsets import Seen
+from banklift.interface import Need, RequestClass
+from banklift.proxy import events as ev
+from banklift.proxy.machine import Machine
+from banklift.proxy.plan import Config
+from banklift.resp.routes import CrossGroup, Routes, Unowned, strongest
+from banklift.proxy.wire import Ask, Failed, Final, Refused, Served
+from banklift.resp.commands import COMMANDS, Command, Kind, lookup
+from banklift.resp.frames import CommandReader, Error, ProtocolError, Simple, command, encode
+from banklift.resp.wire import Single, Unit
+
+VERSION = "7.2.0"  # of the protocol's commands that clients may expect
+SESSIONS = 10_000  # named sessions whose marks are kept
+OK = Simple("OK")
+
+
+@dataclass(slots=True, eq=False)
+class Place:
+    """One command in the line."""
+
+    answer: bytes | None = None
+    request: int | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    id: int
+    reader: CommandReader
+    line: deque[Place] = field(default_factory=deque)
+    proto: int = 2
+    user: str | None = None
+    name: str = ""
+    units: list[tuple[Command, list[bytes], RequestClass, int]] | None = None  # of a MULTI
+    spoilt: bool = False  # a command of the MULTI was refused
+    seen: dict[int, Seen] = field(default_factory=dict)
+    shown: bool = False  # it shows its marks itself when it changes router
+    paused: bool = False
+    closing: bool = False  # nothing more is read; closed once the line is empty
+
+
+class RespFront:
+    def __init__(self, config: Config, core: Machine) -> None:
+        self.config = config
+        self.core = core
+        self.routes = Routes(config)
+        self.clients: dict[int, Client] = {}
+        self.places: dict[int, tuple[Client, Place]] = {}  # by request
+        self.sessions: OrderedDict[tuple[str, str], dict[int, Seen]] = OrderedDict()
+        self.dropped = False  # marks of a named session were dropped, so an unknown one may have some
+        self.passwords = {user.name: user.password for user in config.users}
+        self.group_names = [group.name for group in config.groups]
+
+    # ---- events of the core
+
+    def opened(self, client: int) -> None:
+        if len(self.clients) >= self.config.limits.clients:
+            self.core.actions.append(ev.ToClient(client, b"-ERR max number of clients reached\r\n"))
+            self.core.actions.append(ev.CloseClient(client))
+            return
+        self.clients[client] = Client(client, CommandReader(self.config.limits.frame))
+
+    def data(self, client: int, data: bytes) -> None:
+        state = self.clients.get(client)
+        if state is not None and not state.closing:
+            state.reader.feed(data)
+            self._read(state)
+
+    def eof(self, client: int) -> None:
+        state = self.clients.get(client)
+        if state is None:
+            return
+        state.closing = True
+        for place in list(state.line):
+            if place.request is not None and place.answer is None and not self.core.under_way(place.request):
+                self.core.abandon(place.request)
+                self.places.pop(place.request, None)
+                place.answer = encode(Error("TRYAGAIN refused: nothing ran; the client closed its side"))
+        self._flush(state)
+
+    def lost(self, client: int) -> None:
+        state = self.clients.pop(client, None)
+        if state is None:
+            return
+        state.closing = True
+        for place in state.line:
+            if place.request is not None and place.answer is None:
+                self.places.pop(place.request, None)
+                self.core.abandon(place.request)
+
+    def done(self, ask: Ask, final: Final) -> None:
+        found = self.places.pop(ask.ids[0], None) if ask.ids else None
+        if found is None:
+            return
+        state, place = found
+        match final:
+            case Served(answer, seen):
+                place.answer = answer
+                if seen is not None:
+                    self._marks(state)[ask.group] = seen
+            case Refused(wait):
+                place.answer = encode(Error(f"TRYAGAIN refused: nothing ran; retry_after_ms={round(wait * 1000)}"))
+            case Failed():
+                place.answer = encode(Error("UNCERTAIN failed: it may have run"))
+        self._flush(state)
+
+    # ---- the line
+
+    def _read(self, state: Client) -> None:
+        limit = self.config.limits.pipeline
+        try:
+            while not state.closing:
+                if len(state.line) >= limit:
+                    if not state.paused:
+                        state.paused = True
+                        self.core.actions.append(ev.PauseClient(state.id))
+                    break
+                args = state.reader.next()
+                if args is None:
+                    break
+                place = Place()
+                state.line.append(place)
+                self._command(state, place, args)
+        except ProtocolError as error:
+            state.line.append(Place(encode(Error(f"ERR Protocol error: {error}"))))
+            state.closing = True
+        self._flush(state)
+
+    def _flush(self, state: Client) -> None:
+        line, out = state.line, []
+        while line and line[0].answer is not None:
+            answer = line.popleft().answer
+            assert answer is not None
+            out.append(answer)
+        if state.id not in self.clients:
+            return
+        if out:
+            self.core.actions.append(ev.ToClient(state.id, out[0] if len(out) == 1 else b"".join(out)))
+        if state.closing and not line:
+            del self.clients[state.id]
+            self.core.actions.append(ev.CloseClient(state.id))
+        elif state.paused and len(line) <= self.config.limits.pipeline // 2:
+            state.paused = False
+            self.core.actions.append(ev.ResumeClient(state.id))
+            self._read(state)
+
+    # ---- commands
+
+    def _command(self, state: Client, place: Place, args: list[bytes]) -> None:
+        name = args[0].upper()
+        known = lookup(name)
+        if self.passwords and state.user is None and name not in (b"AUTH", b"HELLO", b"QUIT", b"RESET"):
+            return self._say(state, place, Error("NOAUTH Authentication required."))
+        if known is None:
+            shown = args[0][:128].decode("utf-8", "replace")
+            rest = " ".join(f"'{arg[:128].decode('utf-8', 'replace')}'" for arg in args[1:4])
+            state.spoilt = True
+            return self._say(state, place, Error(f"ERR unknown command '{shown}', with args beginning with: {rest}"))
+        if len(args) < known.arity:
+            state.spoilt = True
+            return self._say(state, place, Error(f"ERR wrong number of arguments for '{known.name.lower()}' command"))
+        if known.kind is Kind.ALONE:
+            state.spoilt = True
+            return self._say(state, place, Error(f"ERR {known.name} needs a connection of its own, "
+                                                 "which this router doesn't give"))
+        if known.kind is Kind.LOCAL:
+            if state.units is not None and name not in (b"EXEC", b"DISCARD", b"MULTI", b"QUIT", b"RESET"):
+                state.spoilt = True
+                return self._say(state, place, Error(f"ERR {known.name} can't stand in a MULTI of this router"))
+            return self._local(state, place, name, args)
+        try:
+            keys = known.keys(args)
+            if not keys:
+                raise ValueError("no key")
+            group = self.routes.group(keys)
+        except ValueError as error:
+            state.spoilt = True
+            return self._say(state, place, Error(f"ERR {known.name}: keys can't be told: {error}"))
+        except CrossGroup:
+            state.spoilt = True
+            return self._say(state, place, Error("CROSSSLOT Keys in request belong to different groups"))
+        except Unowned as error:
+            state.spoilt = True
+            key = error.args[0][:64].decode("utf-8", "replace")
+            return self._say(state, place, Error(f"CLUSTERDOWN no group owns the key '{key}'"))
+        writes = known.kind is Kind.WRITE
+        kind = self.routes.kind(name, keys, writes, state.user or "default")
+        if state.units is not None:
+            if any(other != group for _, _, _, other in state.units):
+                state.spoilt = True
+                return self._say(state, place, Error("CROSSSLOT Keys of one MULTI belong to different groups"))
+            state.units.append((known, args, kind, group))
+            return self._say(state, place, Simple("QUEUED"))
+        self._submit(state, place, kind, group, Single(state.proto, command(*args), writes))
+
+    def _submit(self, state: Client, place: Place, kind: RequestClass, group: int, exchange: Single | Unit) -> None:
+        ask = Ask(state.id, kind, group, exchange, tenant=state.user)
+        if kind.need is Need.SESSION:
+            marks = self._marks(state)
+            ask.seen = marks.get(group)
+            roams = self.config.sessions == "roaming" and not state.shown
+            ask.current = roams or (self.dropped and bool(state.name) and not marks)
+        # the id is known only once the core took it, and the core may be done by then
+        core_id = self.core.ids + 1
+        place.request = core_id
+        self.places[core_id] = state, place
+        taken = self.core.submit(ask)
+        assert taken == core_id
+
+    def _marks(self, state: Client) -> dict[int, Seen]:
+        """The session's marks: the connection's own, or those of the name it gave itself."""
+        if not state.name:
+            return state.seen
+        key = (state.user or "", state.name)
+        marks = self.sessions.get(key)
+        if marks is None:
+            marks = self.sessions[key] = state.seen
+            if len(self.sessions) > SESSIONS:
+                self.dropped = bool(self.sessions.popitem(last=False)[1]) or self.dropped
+        self.sessions.move_to_end(key)
+        return marks
+
+    def _say(self, state: Client, place: Place, value: object) -> None:
+        place.answer = encode(value, state.proto)
+
+    def _local(self, state: Client, place: Place, name: bytes, args: list[bytes]) -> None:
+        match name:
+            case b"PING":
+                if len(args) > 2:
+                    return self._say(state, place, Error("ERR wrong number of arguments for 'ping' command"))
+                self._say(state, place, args[1] if len(args) > 1 else Simple("PONG"))
+            case b"ECHO":
+                self._say(state, place, args[1])
+            case b"QUIT":
+                self._say(state, place, OK)
+                state.closing = True
+            case b"SELECT":
+                self._say(state, place, OK if args[1] == b"0" else Error("ERR DB index is out of range"))
+            case b"AUTH":
+                user = args[1].decode("utf-8", "replace") if len(args) > 2 else "default"
+                self._say(state, place, self._login(state, user, args[-1]) or OK)
+            case b"HELLO":
+                self._hello(state, place, args)
+            case b"RESET":
+                state.units, state.spoilt, state.proto, state.name, state.seen = None, False, 2, "", {}
+                state.user, state.shown = None, False
+                self._say(state, place, Simple("RESET"))
+            case b"CLIENT":
+                self._client(state, place, args)
+            case b"COMMAND":
+                self._commands(state, place, args)
+            case b"INFO":
+                place.answer = encode(self._info(args[1:]), state.proto)
+            case b"ROLE":
+                self._say(state, place, ["master", 0, []])
+            case b"WAIT":
+                self._wait(state, place, args)
+            case b"MULTI":
+                if state.units is not None:
+                    return self._say(state, place, Error("ERR MULTI calls can not be nested"))
+                state.units, state.spoilt = [], False
+                self._say(state, place, OK)
+            case b"DISCARD":
+                was, state.units = state.units, None
+                self._say(state, place, OK if was is not None else Error("ERR DISCARD without MULTI"))
+            case b"EXEC":
+                self._exec(state, place)
+            case b"BANKLIFT.TOKEN":
+                self._say(state, place, self._token(state))
+            case b"BANKLIFT.SEEN":
+                self._seen(state, place, args[1])
+
+    def _login(self, state: Client, user: str, password: bytes) -> Error | None:
+        if not self.passwords:
+            return Error("ERR AUTH <password> called without any password configured for the default user. "
+                         "Are you sure your configuration is correct?")
+        if self.passwords.get(user, "").encode() != password or user not in self.passwords:
+            return Error("WRONGPASS invalid username-password pair or user is disabled.")
+        state.user = user
+        return None
+
+    def _hello(self, state: Client, place: Place, args: list[bytes]) -> None:
+        proto, rest = state.proto, args[1:]
+        if rest:
+            if rest[0] not in (b"2", b"3"):
+                return self._say(state, place, Error("NOPROTO unsupported protocol version"))
+            proto, rest = int(rest[0]), rest[1:]
+        name = None
+        while rest:
+            option = rest[0].upper()
+            if option == b"AUTH" and len(rest) >= 3:
+                if (error := self._login(state, rest[1].decode("utf-8", "replace"), rest[2])) is not None:
+                    return self._say(state, place, error)
+                rest = rest[3:]
+            elif option == b"SETNAME" and len(rest) >= 2:
+                name, rest = rest[1], rest[2:]
+            else:
+                return self._say(state, place, Error("ERR Syntax error in HELLO"))
+        if self.passwords and state.user is None:
+            return self._say(state, place, Error(
+                "NOAUTH HELLO must be called with the client already authenticated, otherwise the HELLO <proto> AUTH "
+                "<user> <pass> option can be used to authenticate the client and select the RESP protocol version at "
+                "the same time"))
+        if name is not None and (error := self._rename(state, name)) is not None:
+            return self._say(state, place, error)
+        state.proto = proto
+        self._say(state, place, {"server": "banklift", "version": VERSION, "proto": proto, "id": state.id,
+                                 "mode": "standalone", "role": "master", "modules": []})
+
+    def _rename(self, state: Client, name: bytes) -> Error | None:
+        if any(byte < 33 or byte > 126 for byte in name):
+            return Error("ERR Client names cannot contain spaces, newlines or special characters.")
+        state.name = name.decode()
+        return None
+
+    def _client(self, state: Client, place: Place, args: list[bytes]) -> None:
+        sub = args[1].upper()
+        if sub == b"ID":
+            self._say(state, place, state.id)
+        elif sub == b"GETNAME":
+            self._say(state, place, state.name or None)
+        elif sub == b"SETNAME" and len(args) == 3:
+            self._say(state, place, self._rename(state, args[2]) or OK)
+        elif sub in (b"SETINFO", b"NO-EVICT", b"NO-TOUCH"):
+            self._say(state, place, OK)
+        elif sub == b"INFO":
+            self._say(state, place, f"id={state.id} name={state.name} resp={state.proto} "
+                                    f"user={state.user or 'default'}\n")
+        else:
+            self._say(state, place, Error(f"ERR unknown subcommand '{args[1][:128].decode('utf-8', 'replace')}'"))
+
+    def _commands(self, state: Client, place: Place, args: list[bytes]) -> None:
+        sub = args[1].upper() if len(args) > 1 else b"INFO"
+        carried = {name: known for name, known in COMMANDS.items() if known.kind is not Kind.ALONE}
+        if sub == b"COUNT":
+            return self._say(state, place, len(carried))
+        if sub == b"LIST":
+            return self._say(state, place, [name.lower() for name in carried])
+        if sub == b"GETKEYS" and len(args) > 2:
+            known = lookup(args[2])
+            try:
+                keys = known.keys(args[2:]) if known is not None else []
+            except (ValueError, IndexError):
+                keys = []
+            return self._say(state, place, keys or Error("ERR The command has no key arguments"))
+        if sub == b"DOCS":
+            names = [name.upper() for name in args[2:]] or list(carried)
+            return self._say(state, place, {name.lower().decode(): {"summary": "carried by banklift"}
+                                            for name in names if name in carried})
+        if sub == b"INFO":
+            names = [name.upper() for name in args[2:]] or list(carried)
+            return self._say(state, place, [_describe(carried[name]) if name in carried else None
+                                            for name in names])
+        self._say(state, place, Error(f"ERR unknown subcommand '{args[1][:128].decode('utf-8', 'replace')}'"))
+
+    def _info(self, sections: list[bytes]) -> str:
+        wanted = {section.lower() for section in sections} or {b"default"}
+        parts = {
+            b"server": f"# Server\r\nredis_version:{VERSION}\r\nredis_mode:standalone\r\n"
+                       f"banklift_router:{self.config.name}\r\n",
+            b"clients": f"# Clients\r\nconnected_clients:{len(self.clients)}\r\n",
+            b"replication": "# Replication\r\nrole:master\r\nconnected_slaves:0\r\n",
+        }
+        every = wanted & {b"default", b"all", b"everything"}
+        return "\r\n".join(text for name, text in parts.items() if every or name in wanted)
+
+    def _exec(self, state: Client, place: Place) -> None:
+        units, state.units = state.units, None
+        if units is None:
+            return self._say(state, place, Error("ERR EXEC without MULTI"))
+        if state.spoilt:
+            state.spoilt = False
+            return self._say(state, place, Error("EXECABORT Transaction discarded because of previous errors."))
+        if not units:
+            return self._say(state, place, [])
+        kind = strongest([kind for _, _, kind, _ in units])
+        writes = kind.need is Need.WRITE
+        data = tuple(command(*args) for _, args, _, _ in units)
+        self._submit(state, place, kind, units[0][3], Unit(state.proto, data, writes))
+
+    # ---- marks of sessions
+
+    def _token(self, state: Client) -> str:
+        """Where the session's writes stand: `group=history:offset`, or `group=?` where that is not known."""
+        return ",".join(f"{self.group_names[group]}=" + (f"{seen.replid}:{seen.offset}" if seen.replid else "?")
+                        for group, seen in sorted(self._marks(state).items())) or "-"
+
+    def _seen(self, state: Client, place: Place, token: bytes) -> None:
+        marks: dict[int, Seen] = {}
+        try:
+            for part in token.decode().split(",") if token != b"-" else []:
+                name, _, mark = part.partition("=")
+                replid, _, offset = mark.partition(":")
+                group = self.group_names.index(name)
+                marks[group] = Seen(self.core.now) if mark == "?" else Seen(self.core.now, replid, int(offset))
+        except ValueError:
+            return self._say(state, place, Error("ERR not a token of BANKLIFT.TOKEN"))
+        state.shown = True
+        own = self._marks(state)
+        for group, seen in marks.items():
+            mine = own.get(group)
+            if mine is None or mine.replid != seen.replid or mine.offset < seen.offset:
+                own[group] = seen if mine is None or mine.replid == seen.replid else Seen(self.core.now)
+        self._say(state, place, OK)
+
+    def _wait(self, state: Client, place: Place, args: list[bytes]) -> None:
+        """How many replicas are known to have the session's writes. It does not wait: the connection is shared."""
+        counts = []
+        for group, seen in self._marks(state).items():
+            track = self.core.tracks[group]
+            offsets = [track.place(name)[1] for name in track.places if name != track.owner]
+            counts.append(sum(offset is not None and seen.replid == track.replid and offset >= seen.offset
+                              for offset in offsets))
+        self._say(state, place, min(counts, default=0))
+
+
+def _describe(known: Command) -> list[object]:
+    """A command in the form of `COMMAND INFO`."""
+    flags = [Simple("write" if known.kind is Kind.WRITE else "readonly" if known.kind is Kind.READ else "fast")]
+    if known.counted:
+        flags.append(Simple("movablekeys"))
+    return [known.name.lower(), -known.arity, flags, known.first, known.last if known.first else 0,
+            known.step if known.first else 0, [], [], [], []]
--- /dev/null
+++ b/banklift/resp/wire.py
@@ -0,0 +1,143 @@
+"""RESP towards members: `Wire` and `Exchange` of proxy/wire.py.
+
+A read is sent as `ROLE` and the command, a write as the command and `ROLE`, in one piece; on a link's first exchange
+`INFO replication` stands in for `ROLE`, as it tells the history too.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from banklift.decide.offsets import Standing
+from banklift.interface import Status
+from banklift.proxy.wire import BrokenFrame, Result
+from banklift.resp.frames import ProtocolError, Scanner, command
+from banklift.resp.replies import standing_of_info, standing_of_role, status
+
+ROLE = command("ROLE")
+INFO = command("INFO", "replication")
+MULTI = command("MULTI")
+EXEC = command("EXEC")
+
+
+class FrameReader:
+    """A `Scanner` whose error is the core's."""
+
+    def __init__(self, limit: int) -> None:
+        self._scanner = Scanner(limit)
+
+    def feed(self, data: bytes) -> list[bytes]:
+        try:
+            return self._scanner.feed(data)
+        except ProtocolError as error:
+            raise BrokenFrame(str(error)) from None
+
+
+@dataclass(frozen=True, slots=True)
+class RespWire:
+    """`limit`: bytes of one answer; `name`, `user` and `password`: what links tell members."""
+
+    limit: int
+    name: str
+    user: str | None = None
+    password: str | None = None
+
+    def reader(self) -> FrameReader:
+        return FrameReader(self.limit)
+
+    def greeting(self, flavour: int) -> tuple[bytes, int]:
+        if flavour == 3:
+            auth = ("AUTH", self.user or "default", self.password) if self.password is not None else ()
+            return command("HELLO", 3, *auth), 1
+        if self.password is not None:
+            user = (self.user,) if self.user is not None else ()
+            return command("AUTH", *user, self.password), 1
+        return b"", 0
+
+    def greeted(self, frame: bytes) -> bool:
+        return frame[:1] != b"-"
+
+    def aside(self, frame: bytes) -> bool:
+        return frame[:1] == b">"
+
+    def probe(self) -> bytes:
+        return INFO
+
+    def standing(self, frame: bytes) -> Standing | None:
+        return None if frame[:1] == b"-" else _standing(frame)
+
+
+def _standing(frame: bytes) -> Standing | None:
+    try:
+        return standing_of_role(frame) if frame[:1] == b"*" else standing_of_info(frame)
+    except (ProtocolError, ValueError):
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class Single:
+    """One command."""
+
+    flavour: int
+    data: bytes
+    writes: bool
+
+    def payload(self, full: bool) -> bytes:
+        ask = INFO if full else ROLE
+        return self.data + ask if self.writes else ask + self.data
+
+    def frames(self) -> int:
+        return 2
+
+    def read(self, frames: list[bytes]) -> Result | None:
+        if len(frames) == 1:
+            verdict = status(frames[0])
+            if verdict is Status.FULL and not self.writes:  # to the question in front: the command fares no better
+                return Result(verdict)
+            return None
+        answer, told = (frames[0], frames[1]) if self.writes else (frames[1], frames[0])
+        return Result(status(answer), answer, _standing(told))
+
+    def cut(self, frames: list[bytes]) -> Result | None:
+        if not frames or not self.writes:
+            return Result(status(frames[0])) if frames and status(frames[0]) is Status.FULL else None
+        return Result(status(frames[0]), frames[0])
+
+
+@dataclass(frozen=True, slots=True)
+class Unit:
+    """The commands of a MULTI, sent as one atomic unit with the client's EXEC."""
+
+    flavour: int
+    data: tuple[bytes, ...]
+    writes: bool
+
+    def payload(self, full: bool) -> bytes:
+        ask = INFO if full else ROLE
+        body = MULTI + b"".join(self.data) + EXEC
+        return body + ask if self.writes else ask + body
+
+    def frames(self) -> int:
+        return len(self.data) + 3
+
+    def read(self, frames: list[bytes]) -> Result | None:
+        if len(frames) == 1 and status(frames[0]) is Status.FULL:
+            return Result(Status.FULL)
+        if len(frames) < self.frames():
+            return None
+        told = frames[-1] if self.writes else frames[0]
+        body = frames[:-1] if self.writes else frames[1:]
+        return self._verdict(body, _standing(told))
+
+    def _verdict(self, body: list[bytes], standing: Standing | None) -> Result:
+        answer = body[-1]
+        if answer.startswith(b"-EXECABORT"):  # one was not queued, so nothing ran: its error tells why
+            errors = [frame for frame in body[:-1] if frame[:1] == b"-"]
+            verdict = next((status(frame) for frame in errors if status(frame) is not Status.OK), Status.OK)
+            return Result(verdict, answer, standing)
+        return Result(status(answer), answer, standing)
+
+    def cut(self, frames: list[bytes]) -> Result | None:
+        if self.writes and len(frames) == len(self.data) + 2:
+            return self._verdict(frames, None)
+        return None
