--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# `make demo` sets up and plays a bad day; `make test` sets up and passes the tests.
+PY := .venv/bin/python
+
+.PHONY: setup demo test lint
+
+setup: .venv/.ready
+
+.venv/.ready: requirements.txt pyproject.toml
+	test -x $(PY) || python3 -m venv .venv
+	.venv/bin/pip install --quiet --disable-pip-version-check -r requirements.txt
+	.venv/bin/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: setup
+	.venv/bin/banklift play short
+
+lint: setup
+	.venv/bin/ruff check .
+	.venv/bin/mypy
+	.venv/bin/lint-imports --no-cache
+
+test: lint
+	.venv/bin/pytest -q
--- a/banklift/config/load.py
+++ b/banklift/config/load.py
@@ -7,8 +7,8 @@
 import msgspec
 import rjsonnet
 
-from banklift.proxy.plan import Config, Group
 from banklift.interface import Effect, Need
+from banklift.proxy.plan import Config, Group
 from banklift.resp.slots import SLOTS
 
 EXAMPLE = Path(__file__).with_name("example.jsonnet")
--- a/banklift/emulator/node.py
+++ b/banklift/emulator/node.py
@@ -4,8 +4,8 @@
 (seconds at speed 1); role questions take none, as they are answered from memory, but keep their place in their
 connection. The log is the replication stream itself: each write is appended as a command, and the offset counts its
 bytes. A replica connects to its primary, asks `PSYNC` with its history and offset, gets the part it lacks from the
-backlog or a whole copy, and from then on the stream, which it applies on one thread; it tells `REPLCONF ACK` what it has
-applied. A promoted replica begins a new history and names the old one and its fork.
+backlog or a whole copy, and from then on the stream, which it applies on one thread; it tells by `REPLCONF ACK` what
+it has applied. A promoted replica begins a new history and names the old one and its fork.
 
 Faults are set from outside (`Faults`): a hang that takes requests and answers none, running them or not; slowness, for
 all or towards some sources; a cap on connections; a share of requests cut off; slow applying; reports that understate.
@@ -411,9 +411,8 @@
                 value = data.get(key, b"")
                 return len(value) if isinstance(value, bytes) else 0
             case b"TYPE":
-                value = data.get(key)
-                kind = {bytes: "string", list: "list", dict: "hash"}.get(type(value), "none")
-                return Simple(kind)
+                kinds: dict[type, str] = {bytes: "string", list: "list", dict: "hash"}
+                return Simple(kinds.get(type(data.get(key)), "none"))
             case b"APPEND":
                 value = data.get(key, b"")
                 data[key] = (value if isinstance(value, bytes) else b"") + args[2]
--- a/banklift/emulator/stand.py
+++ b/banklift/emulator/stand.py
@@ -1,4 +1,4 @@
-"""A stand: the groups of a configuration as stand-in members, and routers in front of them as processes of their own."""
+"""A stand: the groups of a configuration as stand-in members, and routers in front of them, each its own process."""
 
 from __future__ import annotations
 
--- a/banklift/net/daemon.py
+++ b/banklift/net/daemon.py
@@ -23,8 +23,8 @@
 async def serve(config: Config, folder: Path) -> None:
     """Run until SIGTERM or SIGINT. `folder`: where the configuration's relative paths start.
 
-    Once it listens, one line of JSON with its name and address goes to standard output. Errors: `OSError` if the address
-    can't be had, `ConfigError` if the roster file is bad at the start; later, a bad one leaves the old in place.
+    Once it listens, one line of JSON with its name and address goes to standard output. Errors: `OSError` if the
+    address can't be had, `ConfigError` if the roster file is bad at the start; later, a bad one is left aside.
     """
     log = structlog.get_logger().bind(router=config.name)
     host, port = split_address(config.listen)
--- a/banklift/net/pipes.py
+++ b/banklift/net/pipes.py
@@ -8,7 +8,8 @@
 
 import errno
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -72,7 +73,7 @@
             self.close()
 
     async def receive(self) -> bytes:
-        """What has come; empty at the end. Errors: `OSError` or `anyio.ClosedResourceError` if it broke or is closed."""
+        """What has come; empty at the end. Errors: `OSError`, `anyio.ClosedResourceError` if it broke or is closed."""
         while True:
             if self.closed:
                 raise anyio.ClosedResourceError
@@ -132,7 +133,7 @@
     return f"{host}:{port}"
 
 
-async def accept(sock: socket.socket, tasks: TaskGroup, handle: Callable[[Pipe], Awaitable[None]]) -> None:
+async def accept(sock: socket.socket, tasks: TaskGroup, handle: Callable[[Pipe], Coroutine[Any, Any, None]]) -> None:
     """Accept until the listener is closed; each connection is handled in a task of its own."""
     while True:
         try:
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -463,7 +463,7 @@
     def _ready(self, link: Link) -> None:
         """A link has nothing to do: the first attempt that waits for one of its flavour takes it."""
         node = link.node
-        if node.state is State.GONE or link.flavour != PROBES and link.node.address == "":
+        if node.state is State.GONE or (link.flavour != PROBES and link.node.address == ""):
             self._close(link)
             return
         for attempt in node.waiting:
@@ -569,11 +569,13 @@
         for node in [node for node in self.nodes.values() if node.name not in named]:
             self._remove(node)
         for listed in members:
-            node = self.nodes.get(listed.name)
-            if node is not None and (node.address != listed.address or node.group != listed.group):
-                self._remove(node)  # another process under the same name
-                node = None
-            if node is None:
+            known = self.nodes.get(listed.name)
+            if known is not None and (known.address != listed.address or known.group != listed.group):
+                self._remove(known)  # another process under the same name
+                known = None
+            if known is not None:
+                node = known
+            else:
                 node = Node(listed.name, listed.group, listed.address, listed.state, listed.started, listed.name)
                 births = 0
                 while node.alias in self.balancer.members:  # the old one still has attempts out there
--- a/banklift/proxy/wire.py
+++ b/banklift/proxy/wire.py
@@ -35,7 +35,9 @@
 class Exchange(Protocol):
     """One request as a member gets it."""
 
-    flavour: int  # only links of the same flavour carry it
+    @property
+    def flavour(self) -> int:
+        """Only links of the same flavour carry it."""
 
     def payload(self, full: bool) -> bytes:
         """The bytes to send; `full`: ask the member for its history too."""
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -18,10 +18,10 @@
 from banklift.proxy import events as ev
 from banklift.proxy.machine import Machine
 from banklift.proxy.plan import Config
-from banklift.resp.routes import CrossGroup, Routes, Unowned, strongest
 from banklift.proxy.wire import Ask, Failed, Final, Refused, Served
 from banklift.resp.commands import COMMANDS, Command, Kind, lookup
 from banklift.resp.frames import CommandReader, Error, ProtocolError, Simple, command, encode
+from banklift.resp.routes import CrossGroup, Routes, Unowned, strongest
 from banklift.resp.wire import Single, Unit
 
 VERSION = "7.2.0"  # of the protocol's commands that clients may expect
--- a/banklift/resp/routes.py
+++ b/banklift/resp/routes.py
@@ -4,8 +4,8 @@
 
 from fnmatch import fnmatchcase
 
-from banklift.proxy.plan import Config
 from banklift.interface import Effect, Need, RequestClass
+from banklift.proxy.plan import Config
 from banklift.resp.slots import slot
 
 STRENGTH = {Need.ANY: 0, Need.BOUNDED: 1, Need.SESSION: 2, Need.FRESH: 3, Need.WRITE: 4}
@@ -54,7 +54,7 @@
         and one that writes never to a class that replicas may serve."""
         names: list[str] | None = None
         for commands, pattern, wanted, kind in self.routes:
-            if commands and name not in commands or (wanted is not None and wanted != user):
+            if (commands and name not in commands) or (wanted is not None and wanted != user):
                 continue
             if writes != (kind.need is Need.WRITE):
                 continue
--- /dev/null
+++ b/tests/test_offsets.py
@@ -0,0 +1,126 @@
+"""Offsets to positions: never a position that the log does not bear out, whatever the order of answers."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from banklift.decide.offsets import OWNER_SILENT, Seen, Standing, Track
+
+A, B, C = "a" * 40, "b" * 40, "c" * 40
+
+
+def primary(offset: int, replid: str | None = A, replid2: str | None = None, second: int = -1) -> Standing:
+    return Standing(True, offset, "", True, replid, replid2, second)
+
+
+def replica(offset: int, replid: str | None = A, source: str = "p:1") -> Standing:
+    return Standing(False, offset, source, True, replid)
+
+
+@given(st.lists(st.tuples(st.floats(0, 10), st.floats(0, 1), st.floats(0, 1)), min_size=1, max_size=30),
+       st.lists(st.integers(1, 50), min_size=1, max_size=40), st.integers(0, 400))
+@settings(max_examples=300)
+def test_a_position_is_borne_out_by_the_log(samples: list[tuple[float, float, float]], writes: list[int],
+                                            applied: int) -> None:
+    """Samples are asked at t and read by the primary somewhat later, and their answers arrive in any order."""
+    commits, offset = [], 0
+    for place, size in enumerate(writes):
+        offset += size
+        commits.append((place * 10 / len(writes), offset))
+
+    def log(at: float) -> int:
+        return max((end for when, end in commits if when <= at), default=0)
+
+    track = Track()
+    track.learn("p", primary(0), 0.0, 0.0)
+    for asked, out, back in sorted(samples, key=lambda s: s[0] + s[1] + s[2]):
+        track.learn("p", primary(log(asked + out)), asked, asked + out + back)
+    position = track.position(A, applied)
+    if position is not None:
+        assert applied >= log(position - 1e-9)  # all commits before that time
+    assert track.times == sorted(set(track.times)) and track.offsets == sorted(set(track.offsets))
+
+
+def test_an_idle_primary_keeps_replicas_current() -> None:
+    track = Track()
+    track.learn("p", primary(100), 1.0, 1.0)
+    track.learn("p", primary(100), 9.0, 9.0)
+    assert track.learn("r", replica(100), 9.0, 9.0).position == 9.0
+
+
+def test_a_hung_primary_is_told_from_an_idle_one() -> None:
+    track = Track()
+    track.learn("p", primary(100), 1.0, 1.0)
+    assert track.learn("p", primary(100), 5.0, 5.0).position == 5.0
+    assert track.learn("p", primary(100), 6.0, 6.0, waiting=5.1).position == 5.1  # a write went in, nothing came out
+    assert track.learn("p", primary(120), 7.0, 7.0, waiting=5.1).position == 7.0  # it moves: busy, not hung
+
+
+def test_a_promotion_cuts_the_old_line_at_the_fork() -> None:
+    track = Track()
+    track.learn("p", primary(100), 1.0, 1.0)
+    track.learn("p", primary(200), 2.0, 2.0)
+    track.learn("r", replica(150), 2.0, 2.0)
+    fact = track.learn("r", primary(160, B, A, 151), 3.0, 3.0)
+    assert fact.primary and fact.position == 3.0 and not fact.reborn
+    stray = track.learn("q", replica(190), 3.1, 3.1)  # follows the old primary, beyond the fork
+    assert stray.offset == 150 and stray.position == 2.0
+    late = track.learn("p", primary(250), 3.2, 3.2)  # the old primary does not know yet
+    assert late.primary is False and late.offset == 150
+    assert track.learn("q", replica(160, B, "r:1"), 4.0, 4.0).position == 3.0
+
+
+def test_a_diverged_history_proves_nothing() -> None:
+    track = Track()
+    track.learn("p", primary(100), 1.0, 1.0)
+    assert track.learn("x", replica(1000, C), 1.0, 1.0).position is None
+    second = track.learn("y", primary(1000, C), 1.1, 1.1)
+    assert second.primary is False  # two lines at once: the one known first stays while its primary is heard
+    after = 1.1 + OWNER_SILENT + 1
+    assert track.learn("y", primary(1000, C), after, after).primary is True
+    assert track.learn("p", primary(100), after, after).primary is False
+
+
+def test_offsets_that_fall_mean_other_data() -> None:
+    track = Track()
+    track.learn("p", primary(100), 1.0, 1.0)
+    track.learn("r", replica(100), 1.0, 1.1)
+    assert track.learn("r", replica(100), 1.2, 1.3).reborn is False
+    assert track.learn("r", replica(90), 1.05, 1.4).reborn is False  # asked before: an answer out of order
+    assert track.learn("r", replica(50), 2.0, 2.1).reborn is True
+
+
+def test_role_alone_is_read_in_the_history_told_before() -> None:
+    track = Track()
+    track.learn("p", primary(100), 1.0, 1.0)
+    assert track.learn("r", replica(100, None), 1.0, 1.0).unsure
+    track.learn("r", replica(80), 1.1, 1.1)
+    assert track.learn("r", replica(100, None), 1.2, 1.2).position == 1.0
+    assert track.learn("r", replica(100, None, "other:1"), 1.3, 1.3).unsure
+    assert track.learn("r", replica(20, None), 1.4, 1.4).unsure
+    assert track.learn("r", primary(100, None), 1.5, 1.5).unsure
+
+
+def test_marks_of_sessions() -> None:
+    track = Track()
+    track.learn("p", primary(100), 1.0, 1.0)
+    fact = track.learn("p", primary(140), 2.0, 2.2)
+    seen = track.seen("p", fact.offset, 2.2)
+    assert seen == Seen(2.2, A, 140) and track.floor(seen, 5.0) == 2.0
+    assert track.covers(track.learn("r", replica(140), 3.0, 3.0), seen)
+    assert not track.covers(track.learn("r2", replica(139), 3.0, 3.0), seen)
+    unknown = Seen(4.0, C, 7)
+    assert track.floor(unknown, 4.5) == 4.0 and not track.covers(track.learn("r", replica(140), 4.1, 4.1), unknown)
+    track.learn("p", primary(140), 4.2, 4.2)
+    assert track.covers(track.learn("r", replica(140), 4.3, 4.3), unknown)  # all commits before 4.2
+
+
+def test_a_mark_that_a_fail_over_lost_is_covered_by_time_alone() -> None:
+    track = Track()
+    track.learn("p", primary(200), 1.0, 1.0)
+    seen = track.seen("p", 200, 1.1)
+    track.learn("r", primary(300, B, A, 151), 2.0, 2.0)
+    behind = track.learn("q", replica(200, B, "r:1"), 2.1, 2.1)
+    assert not track.covers(behind, seen)  # its byte 200 is another one
+    assert track.covers(track.learn("q", replica(300, B, "r:1"), 2.2, 2.2), seen)
--- /dev/null
+++ b/tests/test_resp_frames.py
@@ -0,0 +1,94 @@
+"""The codec: frames keep their bytes however they are cut, and broken ones are refused with Redis's words."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from banklift.resp.frames import CommandReader, ProtocolError, Scanner, command, encode, split_inline
+from banklift.resp.slots import slot
+
+FRAMES = [
+    b"+OK\r\n", b"-ERR no\r\n", b":12\r\n", b"$5\r\nhe\r\no\r\n", b"$0\r\n\r\n", b"$-1\r\n", b"*0\r\n", b"*-1\r\n", b"_\r\n",
+    b",3.14\r\n", b",inf\r\n", b"#t\r\n", b"(3492890328409238509324850943850943825024385\r\n", b"!5\r\nERR x\r\n",
+    b"=7\r\ntxt:abc\r\n", b"%2\r\n+a\r\n:1\r\n+b\r\n*2\r\n:2\r\n:3\r\n", b"~2\r\n+a\r\n+b\r\n", b">2\r\n+message\r\n+x\r\n",
+    b"|1\r\n+ttl\r\n:3600\r\n*2\r\n:1\r\n:2\r\n", b"*2\r\n*1\r\n$1\r\na\r\n|1\r\n+k\r\n+v\r\n:7\r\n",
+    b"$?\r\n;4\r\nHell\r\n;1\r\no\r\n;0\r\n", b"*?\r\n:1\r\n:2\r\n.\r\n", b"*3\r\n$?\r\n;0\r\n*?\r\n.\r\n+x\r\n", b"%0\r\n",
+]
+
+
+@given(st.lists(st.sampled_from(FRAMES), max_size=8), st.lists(st.integers(1, 40), max_size=40))
+@settings(max_examples=200)
+def test_frames_are_found_whatever_the_cuts(frames: list[bytes], cuts: list[int]) -> None:
+    stream, scanner, found = b"".join(frames), Scanner(1000), []
+    for size in [*cuts, len(stream) + 1]:
+        found += scanner.feed(stream[:size])
+        stream = stream[size:]
+    assert found == frames
+
+
+@pytest.mark.parametrize("bad", [b"?\r\n", b"$x\r\n", b"*-2\r\n", b"$3\r\nabcde\r\n", b"hello\r\n", b"$2000\r\n"])
+def test_broken_frames_are_refused(bad: bytes) -> None:
+    with pytest.raises(ProtocolError):
+        Scanner(1000).feed(bad)
+
+
+def test_an_oversized_answer_is_refused_at_its_header() -> None:
+    scanner = Scanner(100)
+    with pytest.raises(ProtocolError, match="too large"):
+        scanner.feed(b"$101\r\n")
+
+
+def test_nesting_has_a_bound() -> None:
+    with pytest.raises(ProtocolError, match="deep"):
+        Scanner(1 << 20).feed(b"*1\r\n" * 600)
+
+
+@given(st.lists(st.lists(st.binary(max_size=30), min_size=1, max_size=4), max_size=5),
+       st.lists(st.integers(1, 30), max_size=40))
+@settings(max_examples=200)
+def test_commands_are_read_whatever_the_cuts(commands: list[list[bytes]], cuts: list[int]) -> None:
+    stream = b"".join(command(*args) for args in commands)
+    reader, found = CommandReader(1000), []
+    for size in [*cuts, len(stream) + 1]:
+        reader.feed(stream[:size])
+        stream = stream[size:]
+        while (args := reader.next()) is not None:
+            found.append(args)
+    assert found == commands
+    assert not reader.buffer
+
+
+@pytest.mark.parametrize(("sent", "text"), [
+    (b"*1\r\n:1\r\n", "expected '$', got ':'"), (b"*x\r\n", "invalid multibulk length"),
+    (b"*1\r\n$-1\r\n", "invalid bulk length"), (b"*1\r\n$1001\r\n", "invalid bulk length"),
+    (b"*2\r\n$600\r\n" + b"x" * 600 + b"\r\n$600\r\n", "invalid bulk length"),
+    (b"x" * 70_000, "too big inline request"), (b"*99999999\r\n", "invalid multibulk length"),
+    (b'GET "a\r\n', "unbalanced quotes in request"),
+])
+def test_broken_commands_are_refused_as_redis_does(sent: bytes, text: str) -> None:
+    reader = CommandReader(1000)
+    reader.feed(sent)
+    with pytest.raises(ProtocolError) as caught:
+        reader.next()
+    assert str(caught.value) == text
+
+
+def test_inline_commands() -> None:
+    reader = CommandReader(1000)
+    reader.feed(b"\r\nPING\r\nSET a \"b \\x41\\n\"\n*1\r\n$4\r\nPING\r\n")
+    assert [reader.next() for _ in range(4)] == [[b"PING"], [b"SET", b"a", b"b A\n"], [b"PING"], None]
+    assert split_inline(b"a 'b c' \"\"") == [b"a", b"b c", b""]
+
+
+def test_answers_differ_by_protocol() -> None:
+    value = {"a": None, "b": [True, 1]}
+    assert encode(value, 3) == b"%2\r\n$1\r\na\r\n_\r\n$1\r\nb\r\n*2\r\n#t\r\n:1\r\n"
+    assert encode(value, 2) == b"*4\r\n$1\r\na\r\n$-1\r\n$1\r\nb\r\n*2\r\n:1\r\n:1\r\n"
+
+
+def test_slots_of_the_cluster_specification() -> None:
+    assert slot(b"123456789") == 0x31C3  # the specification's own example
+    assert slot(b"{user1000}.following") == slot(b"{user1000}.followers")
+    assert slot(b"foo{}{bar}") == slot(b"foo{}{bar}") != slot(b"bar")
