--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -254,7 +254,7 @@
             self.pace_load += LATENCY_WEIGHT * (load - self.pace_load)
             self.pace_time += LATENCY_WEIGHT * (event.latency - self.pace_time)
             usual = self.usual[kind.name] + LATENCY_WEIGHT * (event.latency - self.usual[kind.name])
-            self.usual[kind.name] = max(usual, STEP * self.shortest)  # a hiccup of ours is no member's silence
+            self.usual[kind.name] = max(usual, STEP * self.shortest)  # a hiccup of ours is no silence of its
             if kind.need is Need.WRITE and session is not None and event.position is not None:
                 self.sessions[session] = max(event.position, self.sessions.pop(session, event.position))
                 if len(self.sessions) > SESSIONS:
--- a/banklift/cli/main.py
+++ b/banklift/cli/main.py
@@ -11,9 +11,15 @@
 import anyio
 import structlog
 import typer
+from rich.console import Console
 
 from banklift.config.load import EXAMPLE, ConfigError, load
 from banklift.emulator.stand import Stand
+from banklift.judge.day import Player, load_day
+from banklift.judge.rules import judge as judge_trace
+from banklift.judge.show import show
+from banklift.judge.trace import TraceError
+from banklift.judge.trace import read as read_trace
 from banklift.net import daemon
 from banklift.proxy.plan import Config
 
@@ -77,6 +83,53 @@
         raise typer.Exit(1) from None
 
 
+@app.command()
+def play(day: Annotated[str, typer.Argument(help="A day of ours by name, or a file (Jsonnet).")],
+         routers: Annotated[int, typer.Option(min=1, max=200, help="How many routers.")] = 2,
+         seed: Annotated[int, typer.Option(help="Of clients and stand-ins.")] = 1,
+         out: Annotated[Path, typer.Option(help="Folder for the trace and the verdict.")] = Path("found"),
+         ) -> None:
+    """Play a scripted day against routers in processes of their own, and judge it. Exit 1 if a rule breaks."""
+    set_up_logs()
+    try:
+        script, config = load_day(day)
+    except ConfigError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from None
+    out.mkdir(parents=True, exist_ok=True)
+    trace = out / f"{Path(day).stem}-{seed}.trace"
+    console = Console(stderr=True)
+    console.print(f"[bold]{script.title}[/]: {script.seconds:g} s, {script.rate:g} requests a second, seed {seed}")
+
+    def progress(at: float, text: str) -> None:
+        console.print(f"{at:6.2f} s  {text}", highlight=False)
+
+    player = Player(script, config, routers, seed, trace, progress)
+    try:
+        run(player.play)
+    except* (OSError, RuntimeError) as group:
+        typer.echo(f"banklift play: {group.exceptions[0]}", err=True)
+        raise typer.Exit(1) from None
+    raise typer.Exit(_judge(trace))
+
+
+@app.command()
+def judge(trace: Path) -> None:
+    """Judge a recorded trace again. Exit 1 if a rule breaks."""
+    raise typer.Exit(_judge(trace))
+
+
+def _judge(trace: Path) -> int:
+    try:
+        head, entries = read_trace(trace)
+    except TraceError as error:
+        typer.echo(str(error), err=True)
+        return 2
+    verdict = judge_trace(head, entries)
+    show(verdict, trace)
+    return 1 if verdict.breaks else 0
+
+
 async def _stand(config: Config, routers: int, port: int) -> None:
     place = Stand(config)
     async with anyio.create_task_group() as tasks:
--- a/banklift/decide/offsets.py
+++ b/banklift/decide/offsets.py
@@ -166,6 +166,8 @@
         while place and offsets[place - 1] >= offset:
             place -= 1
             del times[place], offsets[place]
+        if place and times[place - 1] == asked:
+            return  # the lower offset of the same moment says more
         if place == len(times) and place > 1 and asked - times[-2] < SPACING:
             times[-1], offsets[-1] = asked, offset
             return
--- a/banklift/emulator/node.py
+++ b/banklift/emulator/node.py
@@ -95,6 +95,7 @@
         self.backlog = bytearray()  # the log up to `offset`
         self.primary: str | None = None  # address followed; None: it is a primary
         self.linked = False
+        self.readonly = False  # a primary that hands over takes no writes
         self.conns: dict[int, Conn] = {}
         self.running = 0
         self.waiting: deque[Conn] = deque()
@@ -267,7 +268,7 @@
                 continue
             if conn.units is not None:
                 conn.units.append(conn.queue.popleft())
-                refused = known.kind is Kind.WRITE and self.primary is not None
+                refused = known.kind is Kind.WRITE and (self.primary is not None or self.readonly)
                 conn.spoilt = conn.spoilt or refused
                 self._send(conn, encode(self._readonly() if refused else Simple("QUEUED")))
                 continue
@@ -315,7 +316,7 @@
         if known is None or known.kind not in (Kind.READ, Kind.WRITE):
             return b""
         if known.kind is Kind.WRITE:
-            if self.primary is not None:
+            if self.primary is not None or self.readonly:
                 return encode(self._readonly(), conn.proto)
             answer = self._apply(args)
             if not isinstance(answer, Error):
--- a/banklift/emulator/shell.py
+++ b/banklift/emulator/shell.py
@@ -116,6 +116,8 @@
         pipe.close()
         if self.pipes.get(number) is pipe:
             del self.pipes[number]
+            if self.tap is not None and number != UPSTREAM:
+                self.tap(self.clock(), self.node.name, Act("cut", number))
             self.do(self.node.lost(self.clock(), number))
 
     async def _upstream(self, address: str, wanted: int) -> None:
--- /dev/null
+++ b/banklift/judge/days/short.jsonnet
@@ -0,0 +1,26 @@
+// The demonstration: a lagging replica, a primary that hangs, one that dies, a drain, a router killed.
+{
+  title: 'a short bad day',
+  seconds: 14,
+  rate: 250,
+  sessions: 60,
+  requests: [
+    { kind: 'pick-save', share: 23, key: 'pick:{{s{s}}}', writes: true },
+    { kind: 'own-picks', share: 19, key: 'pick:{{s{s}}}' },
+    { kind: 'trace-view', share: 33, key: 'trace:{{k{k}}}', keys: 20 },
+    { kind: 'note', share: 6, key: 'note:{{k{k}}}', keys: 20, writes: true },
+    { kind: 'final', share: 5, key: 'final:{{k{k}}}', keys: 5 },
+    { kind: 'alert-check', share: 14, key: 'alert:{{k{k}}}', keys: 10 },
+  ],
+  troubles: [
+    { at: 1, do: 'lag', member: 'replica:west:0', value: 4000 },
+    { at: 2, do: 'hang', member: 'primary:east', value: 0.5 },
+    { at: 4, do: 'lag', member: 'replica:west:0', value: 1 },
+    { at: 5, do: 'thaw', member: 'east-0' },
+    { at: 6, do: 'kill', member: 'west-0' },
+    { at: 8, do: 'restart', member: 'west-0' },
+    { at: 9, do: 'kill_router', router: 1 },
+    { at: 10, do: 'start_router', router: 1 },
+    { at: 11, do: 'drain', member: 'primary:east' },
+  ],
+}
