--- a/banklift/cli/main.py
+++ b/banklift/cli/main.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import sys
+import time
 from pathlib import Path
 from typing import Annotated
 
@@ -13,14 +14,16 @@
 import typer
 from rich.console import Console
 
-from banklift.config.load import EXAMPLE, ConfigError, load
-from banklift.emulator.stand import Stand
-from banklift.judge.day import Player, load_day
+from banklift.config.load import EXAMPLE, ConfigError, load, split_address
+from banklift.emulator.stand import RouterProcesses, Stand
+from banklift.judge.day import load_day
+from banklift.judge.day import play as play_day
 from banklift.judge.rules import judge as judge_trace
 from banklift.judge.show import show
 from banklift.judge.trace import TraceError
 from banklift.judge.trace import read as read_trace
 from banklift.net import daemon
+from banklift.net.sockets import SocketEnv
 from banklift.proxy.plan import Config
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
@@ -104,9 +107,8 @@
     def progress(at: float, text: str) -> None:
         console.print(f"{at:6.2f} s  {text}", highlight=False)
 
-    player = Player(script, config, routers, seed, trace, progress)
     try:
-        run(player.play)
+        run(play_day, script, config, routers, seed, trace, progress)
     except* (OSError, RuntimeError) as group:
         typer.echo(f"banklift play: {group.exceptions[0]}", err=True)
         raise typer.Exit(1) from None
@@ -131,17 +133,19 @@
 
 
 async def _stand(config: Config, routers: int, port: int) -> None:
-    place = Stand(config)
+    host = split_address(config.listen)[0]
     async with anyio.create_task_group() as tasks:
-        place.start(tasks)
+        place = Stand(config, SocketEnv(tasks))
+        processes = RouterProcesses(place, tasks, time.monotonic() - time.time())
         try:
             for number in range(routers):
-                await place.start_router(number, port + number if port else 0)
-            typer.echo(json.dumps(place.describe()))
+                address = f"{host}:{port + number if port else 0}"
+                processes.addresses.append(await processes.start(number, address))
+            typer.echo(json.dumps({"routers": processes.addresses, "nodes": place.describe()}))
             await daemon.stop_signal()
         finally:
             with anyio.CancelScope(shield=True):
-                await place.stop_routers()
+                await processes.stop()
         tasks.cancel_scope.cancel()
 
 
--- a/banklift/emulator/stand.py
+++ b/banklift/emulator/stand.py
@@ -1,4 +1,4 @@
-"""A stand: the groups of a configuration as stand-in members, and routers in front of them, each its own process."""
+"""A stand: the groups of a configuration as stand-in members, and routers in front of them."""
 
 from __future__ import annotations
 
@@ -8,118 +8,178 @@
 import subprocess
 import sys
 import tempfile
-import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 import msgspec
 from anyio.abc import Process, TaskGroup
 
-from banklift.config.load import split_address
+from banklift.config import build
 from banklift.emulator.node import Node
-from banklift.emulator.shell import NodeShell, Tap
+from banklift.emulator.shell import NodeHost, Tap
+from banklift.net.env import Env
+from banklift.net.router import RouterHost
+from banklift.proxy.machine import Machine
 from banklift.proxy.plan import Config, Group
 
+ROSTER_DELAY = 0.1  # seconds until routers in this process are told of a new roster
+
 
 class Stand:
-    """Members in this process, routers in theirs. `folder` holds what routers read; None: a temporary one."""
+    """The members of a configuration in these surroundings; replicas follow the primary that it marks.
+
+    `work` and `apply`: seconds that a command, and applying one write, take.
+    """
 
-    def __init__(self, config: Config, seed: int = 1, tap: Tap | None = None,
-                 clock: Callable[[], float] = time.monotonic, work: float = 0.0005) -> None:
+    def __init__(self, config: Config, env: Env, seed: int = 1, tap: Tap | None = None, work: float = 0.0005,
+                 apply: float = 0.0001) -> None:
         self.config = config
-        self.clock = clock
-        self.folder = Path(tempfile.mkdtemp(prefix="banklift-"))
-        self.nodes: dict[str, NodeShell] = {}
+        self.env = env
+        self.nodes: dict[str, NodeHost] = {}
         self.states: dict[str, str] = {}
-        self.started: dict[str, float] = {}
-        self.roles: dict[str, str] = {}  # the primary of each group, as the stand means it
-        self.routers: list[Process] = []
-        self.addresses: list[str] = []
-        self.tasks: TaskGroup | None = None
+        self.started: dict[str, float] = {}  # seconds on the clock of the surroundings
+        self.roles: dict[str, str] = {}  # the primary of each group
         for place, group in enumerate(config.groups):
             for spot, member in enumerate(group.members):
-                host, port = split_address(member.address)
-                node = Node(member.name, seed * 1000 + place * 100 + spot, work=work)
-                self.nodes[member.name] = NodeShell(node, host, port, clock, tap)
+                node = Node(member.name, seed * 1000 + place * 100 + spot, work=work, apply=apply)
+                self.nodes[member.name] = NodeHost(env, node, member.address, tap)
                 self.states[member.name] = "ready"
+            self.roles[group.name] = self.first_primary(group)
+        for group in config.groups:
+            for member in group.members:
+                if member.name != self.roles[group.name]:
+                    self.follow(member.name, self.roles[group.name])
 
-    def primary_of(self, group: Group) -> str:
-        marked = [member.name for member in group.members if member.primary]
-        return marked[0] if marked else group.members[0].name
+    @staticmethod
+    def first_primary(group: Group) -> str:
+        return next((member.name for member in group.members if member.primary), group.members[0].name)
 
-    def start(self, tasks: TaskGroup) -> None:
-        """Start the members; replicas follow their primary."""
-        self.tasks = tasks
-        for shell in self.nodes.values():
-            shell.start(tasks)
+    def follow(self, name: str, primary: str) -> None:
+        host = self.nodes[name]
+        host.do(host.node.follow(self.env.now(), self.nodes[primary].address))
+
+    def groups(self, epoch: float = 0.0) -> list[Group]:
+        """The groups as a roster tells them: roles as of the start. `epoch`: the clock at the Unix epoch."""
+        found = []
         for group in self.config.groups:
-            primary = self.primary_of(group)
-            self.roles[group.name] = primary
-            for member in group.members:
-                if member.name != primary:
-                    shell = self.nodes[member.name]
-                    shell.do(shell.node.follow(self.clock(), self.nodes[primary].address))
-        self.write_roster()
-
-    def groups(self) -> list[dict[str, Any]]:
-        """The groups as a roster tells them now: the roles are those of the start."""
-        return [{**msgspec.to_builtins(group), "members": [
-            {"name": member.name, "address": self.nodes[member.name].address,
-             "primary": member.name == self.primary_of(group), "state": self.states[member.name],
-             "started": self.started.get(member.name)}
-            for member in group.members if self.states[member.name] != "gone"]} for group in self.config.groups]
-
-    def write_roster(self) -> None:
+            members = [{"name": member.name, "address": self.nodes[member.name].address,
+                        "primary": member.name == self.first_primary(group), "state": self.states[member.name],
+                        "started": None if member.name not in self.started else self.started[member.name] - epoch}
+                       for member in group.members if self.states[member.name] != "gone"]
+            found.append(msgspec.convert({**msgspec.to_builtins(group), "members": members}, Group))
+        return found
+
+    def describe(self) -> list[dict[str, Any]]:
+        return [{"member": member.name, "address": self.nodes[member.name].address, "group": group.name,
+                 "role": "primary" if member.name == self.roles[group.name] else "replica"}
+                for group in self.config.groups for member in group.members]
+
+
+class Routers(Protocol):
+    """Routers in front of a stand."""
+
+    addresses: list[str]
+
+    def roster(self, stand: Stand) -> None:
+        """The roster changed."""
+
+    def kill(self, number: int) -> None: ...
+
+    def restart(self, number: int) -> None:
+        """Start a killed one again at its address."""
+
+
+def source(number: int) -> str:
+    """The address from which a router connects to members, by which the members' taps know it."""
+    return f"127.0.1.{number + 1}"
+
+
+class RoutersHere:
+    """Routers in the surroundings of the stand. `make` builds the machine of one; tests plant faults there."""
+
+    def __init__(self, stand: Stand, count: int, seed: int,
+                 make: Callable[[Config, int], Machine] = build.machine,
+                 log: Callable[[int, str, dict[str, object]], None] = lambda number, event, fields: None) -> None:
+        self.stand, self.make, self.log, self.seed = stand, make, log, seed
+        self.starts = 0
+        self.hosts: list[RouterHost] = []
+        for number in range(count):
+            self.hosts.append(self._host(number, "127.0.0.1:0"))
+        self.addresses = [host.address for host in self.hosts]
+
+    def _host(self, number: int, address: str) -> RouterHost:
+        self.starts += 1
+        machine = self.make(self.stand.config, self.seed * 1000 + self.starts)
+        host = RouterHost(self.stand.env, machine, address, lambda event, fields: self.log(number, event, fields),
+                          source(number))
+        host.tell(build.roster(self.stand.config, self.stand.groups(), 0.0))
+        return host
+
+    def roster(self, stand: Stand) -> None:
+        event = build.roster(stand.config, stand.groups(), 0.0)
+        for host in self.hosts:
+            stand.env.at(stand.env.now() + ROSTER_DELAY, lambda host=host: host.tell(event))  # type: ignore[misc]
+
+    def kill(self, number: int) -> None:
+        self.hosts[number].kill()
+
+    def restart(self, number: int) -> None:
+        self.hosts[number] = self._host(number, self.addresses[number])
+
+
+class RouterProcesses:
+    """Routers as processes of their own. `folder` holds what they read; `epoch`: the clock at the Unix epoch."""
+
+    def __init__(self, stand: Stand, tasks: TaskGroup, epoch: float) -> None:
+        self.stand, self.tasks, self.epoch = stand, tasks, epoch
+        self.folder = Path(tempfile.mkdtemp(prefix="banklift-"))
+        self.processes: dict[int, Process] = {}
+        self.addresses: list[str] = []
+        self.roster(stand)
+
+    def roster(self, stand: Stand) -> None:
         """Replace the roster file in one step."""
         path = self.folder / "roster.json"
         draft = path.with_suffix(".new")
-        draft.write_text(json.dumps(self.groups()))
+        draft.write_bytes(msgspec.json.encode(stand.groups(self.epoch)))
         draft.replace(path)
 
-    async def start_router(self, number: int, port: int = 0) -> str:
-        """Start one router as a process and wait until it listens; returns its address."""
-        host = split_address(self.config.listen)[0]
-        settings = msgspec.to_builtins(self.config) | {
-            "name": f"router-{number}", "listen": f"{host}:{port}", "source": f"127.0.1.{number + 1}",
-            "groups": self.groups(), "roster": "roster.json"}
-        path = self.folder / f"router-{number}.json"
+    async def start(self, number: int, address: str) -> str:
+        """Start one and wait until it listens; returns its address. Errors: `RuntimeError` with its log."""
+        settings = msgspec.to_builtins(self.stand.config) | {
+            "name": f"router-{number}", "listen": address, "source": source(number), "roster": "roster.json",
+            "groups": msgspec.to_builtins(self.stand.groups(self.epoch))}
+        path, log = self.folder / f"router-{number}.json", self.folder / f"router-{number}.log"
         path.write_text(json.dumps(settings))
-        process = await anyio.open_process([sys.executable, "-m", "banklift", "router", "--config", str(path)],
-                                           stderr=(self.folder / f"router-{number}.log").open("ab"),
-                                           stdout=subprocess.PIPE)
+        with log.open("ab") as errors:
+            process = await anyio.open_process([sys.executable, "-m", "banklift", "router", "--config", str(path)],
+                                               stderr=errors, stdout=subprocess.PIPE)
+        self.processes[number] = process
         assert process.stdout is not None
         line = b""
         while not line.endswith(b"\n"):
             try:
                 line += await process.stdout.receive()
             except anyio.EndOfStream:
-                log = (self.folder / f"router-{number}.log").read_text()[-2000:]
-                raise RuntimeError(f"router {number} did not start:\n{log}") from None
-        address = str(json.loads(line)["listening"])
-        while len(self.routers) <= number:
-            self.routers.append(process)
-            self.addresses.append(address)
-        self.routers[number], self.addresses[number] = process, address
-        return address
-
-    async def stop_routers(self) -> None:
-        for process in self.routers:
+                raise RuntimeError(f"router {number} did not start:\n{log.read_text()[-2000:]}") from None
+        return str(json.loads(line)["listening"])
+
+    def kill(self, number: int) -> None:
+        os.kill(self.processes[number].pid, signal.SIGKILL)
+
+    def restart(self, number: int) -> None:
+        self.tasks.start_soon(self.start, number, self.addresses[number])
+
+    async def stop(self) -> None:
+        """Stop them, politely first."""
+        for process in self.processes.values():
             if process.returncode is None:
                 process.terminate()
-        for process in self.routers:
+        for process in self.processes.values():
             with anyio.move_on_after(5):
                 await process.wait()
             if process.returncode is None:
                 process.kill()
-
-    def kill_router(self, number: int) -> None:
-        os.kill(self.routers[number].pid, signal.SIGKILL)
-
-    def describe(self) -> dict[str, Any]:
-        """What the stand prints once all listen."""
-        return {"routers": self.addresses, "nodes": [
-            {"member": member.name, "address": self.nodes[member.name].address, "group": group.name,
-             "role": "primary" if member.name == self.primary_of(group) else "replica"}
-            for group in self.config.groups for member in group.members]}
+                await process.wait()
--- a/banklift/judge/day.py
+++ b/banklift/judge/day.py
@@ -1,24 +1,32 @@
-"""A scripted bad day: stand-ins, routers as processes, clients, faults by the clock, and a trace of all of it."""
+"""A scripted bad day: stand-ins, routers, clients, faults by the clock, and a trace of all of it.
+
+The same day plays on sockets, with routers as processes of their own, and in virtual time, where one seed gives one
+trace.
+"""
 
 from __future__ import annotations
 
 import time
 from collections.abc import Callable
-from contextlib import suppress
 from pathlib import Path
 from typing import Annotated, Any
 
 import anyio
 import msgspec
-from anyio.abc import TaskGroup
 from msgspec import Meta
 
+from banklift.config import build
 from banklift.config.load import EXAMPLE, ConfigError, evaluate, load
 from banklift.emulator.node import Act
-from banklift.emulator.shell import NodeShell
-from banklift.emulator.stand import Stand
-from banklift.judge.load import Clients, Mix
+from banklift.emulator.shell import NodeHost
+from banklift.emulator.stand import RouterProcesses, Routers, RoutersHere, Stand, source
+from banklift.emulator.world import World
+from banklift.interface import Status
+from banklift.judge.load import Clients, Habits, Mix, shown
 from banklift.judge.trace import Entry, Head, Writer
+from banklift.net.env import Env
+from banklift.net.sockets import SocketEnv
+from banklift.proxy.machine import Machine
 from banklift.proxy.plan import Config, Group, Positive, Seconds, Strict
 from banklift.resp.commands import Kind, lookup
 from banklift.resp.replies import status
@@ -26,6 +34,7 @@
 DAYS = Path(__file__).with_name("days")
 TOLD_WITHIN = 0.5  # seconds until a router has read a new roster file
 ELECT_LOOK = 0.05
+HAND_OVER = 2.0  # seconds that a hand-over waits for the log
 
 
 class Request(Strict, kw_only=True, frozen=True):
@@ -87,46 +96,74 @@
     except msgspec.ValidationError as error:
         reason, _, place = str(error).partition(" - at ")
         raise ConfigError(f"{path}: {place.strip('`') or '$'}: {reason}") from None
-    for place, trouble in enumerate(day.troubles):
+    for number, trouble in enumerate(day.troubles):
         if trouble.do not in ORDERS:
-            raise ConfigError(f"{path}: $.troubles[{place}].do: {trouble.do!r} is none of {', '.join(ORDERS)}")
+            raise ConfigError(f"{path}: $.troubles[{number}].do: {trouble.do!r} is none of {', '.join(ORDERS)}")
     config = load(EXAMPLE)
     if day.config is not None:
         config = msgspec.convert({**msgspec.to_builtins(config), **day.config}, type=Config)
     names = {kind.name for kind in config.classes}
-    for place, request in enumerate(day.requests):
+    for number, request in enumerate(day.requests):
         if request.kind not in names:
-            raise ConfigError(f"{path}: $.requests[{place}].kind: no class is named {request.kind!r}")
+            raise ConfigError(f"{path}: $.requests[{number}].kind: no class is named {request.kind!r}")
     return day, config
 
 
-class Player:
-    """Plays one day. `progress` is told what happens, as it happens."""
-
-    def __init__(self, day: Day, config: Config, routers: int, seed: int, trace: Path,
-                 progress: Callable[[float, str], None], clock: Callable[[], float] = time.monotonic) -> None:
-        self.day, self.config, self.router_count, self.seed = day, config, routers, seed
-        self.clock = clock
-        self.progress = progress
-        self.start = clock()
-        groups = {member.name: group.name for group in config.groups for member in group.members}
-        rules = config.rules
-        self.sources = {f"127.0.1.{number + 1}": number for number in range(routers)}
-        self.record = Writer(trace, Head(
-            classes={kind.name: {"effect": kind.effect.value, "need": kind.need.value, "aim": kind.aim,
-                                 "deadline": kind.deadline, "bound": kind.bound, "worth": kind.worth}
-                     for kind in config.classes},
-            groups=groups, sources=list(self.sources), drain_grace=rules.drain_grace, told_within=TOLD_WITHIN,
-            cold_share=rules.cold_share, cold_time=rules.cold_time, fall_multiple=rules.fall_multiple,
-            fall_time=rules.fall_time, work=day.work, cores=4, start=self.start, seed=seed))
-        self.stand = Stand(config, seed, self._tap, clock, day.work)
-        for shell in self.stand.nodes.values():
-            shell.node.apply_work = day.apply
+class Director:
+    """Runs the script of one day in its surroundings, and records what both ends of the sockets see."""
+
+    def __init__(self, env: Env, day: Day, config: Config, routers: int, seed: int,
+                 record: Callable[[Entry], None], progress: Callable[[float, str], None]) -> None:
+        self.env, self.day, self.config, self.seed = env, day, config, seed
+        self.record, self.progress = record, progress
+        self.begin = env.now()
+        self.sources = {source(number): number for number in range(routers)}
         self.sick: dict[str, float] = {}  # members that can't be primary, since when
+        self.electing: set[str] = set()
+        self.stand = Stand(config, env, seed, self._tap, day.work, day.apply)
+        self.routers: Routers | None = None
+        self.clients: Clients | None = None
+        for group in config.groups:
+            self._role(self.stand.roles[group.name])
+
+    def start(self, routers: Routers) -> None:
+        """All routers listen: let clients and troubles begin."""
+        self.routers = routers
+        day = self.day
+        self.begin = self.env.now()
+        self.say(f"{len(routers.addresses)} routers and {len(self.stand.nodes)} members are up")
+        habits = Habits(day.sessions, day.retries, day.roam, day.helped, day.leavers, day.reread)
+        self.clients = Clients(
+            self.env, routers.addresses, {kind.name: kind.deadline for kind in self.config.classes},
+            [Mix(one.kind, one.share, one.key, one.writes, one.keys) for one in day.requests], habits, self.seed,
+            self.record)
+        self.clients.run(day.rate, day.seconds)
+        for trouble in day.troubles:
+            self.env.at(self.begin + trouble.at, lambda trouble=trouble: self._do(trouble))  # type: ignore[misc]
+        self._elect()
+
+    @property
+    def over(self) -> bool:
+        return self.clients is not None and not self.clients.sending and not self.clients.open
+
+    def finish(self) -> None:
+        """Put down what the primaries hold in the end."""
+        assert self.clients is not None
+        self.say(f"all {self.clients.numbers} requests are over")
+        self.clients.close()
+        now = self.env.now()
+        for name in self.stand.roles.values():
+            for key, value in self.stand.nodes[name].node.data.items():
+                if isinstance(value, bytes):
+                    self.record(Entry(t=now, k="end", member=name, key=key.decode("latin-1"), value=shown(value)))
+        self.record(Entry(t=now, k="end"))
+
+    def say(self, text: str) -> None:
+        self.progress(self.env.now() - self.begin, text)
 
     def _tap(self, now: float, member: str, act: Act) -> None:
         """At a member's end of the sockets."""
-        if act.what == "cut":
+        if act.what == "close":
             self.record(Entry(t=now, k="cut", member=member, conn=act.conn))
             return
         known = lookup(act.args[0])
@@ -140,63 +177,12 @@
         kind: Any = {"command": "command", "ran": "ran", "answer": "reply"}[act.what]
         verdict = ""
         if act.what == "answer":
-            verdict = "answered" if status(act.data).name == "OK" else "turned away"
+            verdict = "answered" if status(act.data) is Status.OK else "turned away"
         self.record(Entry(t=now, k=kind, member=member, conn=act.conn, rid=rid, verdict=verdict,
                           key=act.args[1].decode("latin-1"), router=self.sources.get(act.source, -1)))
 
-    async def play(self) -> None:
-        day, stand = self.day, self.stand
-        async with anyio.create_task_group() as tasks:
-            stand.start(tasks)
-            for group in self.config.groups:
-                self._role(stand.roles[group.name])
-            try:
-                async with anyio.create_task_group() as starting:
-                    for number in range(self.router_count):
-                        starting.start_soon(stand.start_router, number)
-                self.start = self.clock()
-                self.say(f"{self.router_count} routers and {len(stand.nodes)} members are up")
-                clients = Clients(stand.addresses, {kind.name: kind.deadline for kind in self.config.classes},
-                                  [Mix(r.kind, r.share, r.key, r.writes, r.keys) for r in day.requests], day.sessions,
-                                  self.seed, self.record, day.retries, day.roam, day.helped, day.leavers, day.reread,
-                                  self.clock)
-                tasks.start_soon(self._elect)
-                async with anyio.create_task_group() as load:
-                    load.start_soon(self._troubles, tasks)
-                    await clients.run(day.rate, day.seconds, load)
-                    self.say(f"all {clients.numbers} requests are sent, {clients.open} are open")
-                clients.close()
-                await self._settle()
-            finally:
-                with anyio.CancelScope(shield=True):
-                    await stand.stop_routers()
-                self.record.close()
-            tasks.cancel_scope.cancel()
-
-    async def _settle(self) -> None:
-        """At the end: let replicas catch up, and put down what the primaries hold."""
-        for group in self.config.groups:
-            primary = self.stand.nodes[self.stand.roles[group.name]]
-            now = self.clock()
-            for key, value in primary.node.data.items():
-                if isinstance(value, bytes):
-                    parts = [part.partition(".")[0] for part in value.decode("latin-1").split(";") if part]
-                    self.record(Entry(t=now, k="end", member=primary.node.name, key=key.decode("latin-1"),
-                                      value=";".join(parts)))
-        self.record(Entry(t=self.clock(), k="end"))
-
-    def say(self, text: str) -> None:
-        self.progress(self.clock() - self.start, text)
-
     # ---- troubles
 
-    async def _troubles(self, tasks: TaskGroup) -> None:
-        for trouble in sorted(self.day.troubles, key=lambda one: one.at):
-            wait = self.start + trouble.at - self.clock()
-            if wait > 0:
-                await anyio.sleep(wait)
-            await self._do(trouble, tasks)
-
     def member(self, name: str) -> str:
         """`primary:GROUP` and `replica:GROUP:N` by the roles of this moment."""
         role, _, rest = name.partition(":")
@@ -209,46 +195,46 @@
             return replicas[int(number or 0) % len(replicas)]
         return name
 
-    async def _do(self, trouble: Trouble, tasks: TaskGroup) -> None:
-        stand = self.stand
+    def _do(self, trouble: Trouble) -> None:
+        stand, now = self.stand, self.env.now()
+        assert self.routers is not None
         if trouble.do == "kill_router":
             self.say(f"router {trouble.router} is killed")
-            self.record(Entry(t=self.clock(), k="killed", router=trouble.router))
-            stand.kill_router(trouble.router)
+            self.record(Entry(t=now, k="killed", router=trouble.router))
+            self.routers.kill(trouble.router)
             return
         if trouble.do == "start_router":
-            port = int(stand.addresses[trouble.router].rpartition(":")[2])
-            await stand.start_router(trouble.router, port)
-            self.say(f"router {trouble.router} is back")
+            self.say(f"router {trouble.router} starts again")
+            self.routers.restart(trouble.router)
             return
         name = self.member(trouble.member)
-        shell = stand.nodes[name]
-        faults = shell.node.faults
+        host = stand.nodes[name]
+        faults = host.node.faults
         self.say(f"{trouble.do} {name}" + (f" {trouble.value:g}" if trouble.value else ""))
         match trouble.do:
             case "hang":
-                faults.hang, faults.hang_probes = True, not trouble.probes
-                faults.hang_runs = trouble.value
-                self.sick[name] = self.clock()
+                faults.hang, faults.hang_probes, faults.hang_runs = True, not trouble.probes, trouble.value
+                self.sick[name] = now
             case "thaw":
-                shell.do(shell.node.thaw(self.clock()))
+                host.do(host.node.thaw(now))
                 self.sick.pop(name, None)
-                tasks.start_soon(self._follow_later, name)
+                # it believes in its role until the control plane tells it otherwise
+                self.env.at(now + self.day.election.takes, lambda: self._follow(name))
             case "kill":
-                shell.kill()
-                self.sick[name] = self.clock()
+                host.kill()
+                self.sick[name] = now
             case "restart":
                 rules = self.config.rules
-                shell.restart(rules.cold_share, rules.cold_time)
-                stand.started[name] = time.time()
-                self.record(Entry(t=self.clock(), k="cold", member=name))
-                stand.write_roster()
+                host.restart(rules.cold_share, rules.cold_time)
+                stand.started[name] = now
+                self.record(Entry(t=now, k="cold", member=name))
+                self.routers.roster(stand)
                 self.sick.pop(name, None)
                 self._follow(name)
             case "drain":
                 self._told(name, "draining")
                 if name in stand.roles.values():
-                    tasks.start_soon(self._hand_over, name)
+                    self._hand_over(name)
             case "undrain":
                 self._told(name, "ready")
             case "lag":
@@ -256,7 +242,7 @@
             case "slow":
                 faults.slow = trouble.value
             case "slow_for":
-                faults.slow_for = {f"127.0.1.{trouble.router + 1}": trouble.value}
+                faults.slow_for = {source(trouble.router): trouble.value}
             case "cut":
                 faults.cut = trouble.value
             case "cap":
@@ -267,9 +253,10 @@
                 faults.understate = trouble.value
 
     def _told(self, name: str, state: str) -> None:
+        assert self.routers is not None
         self.stand.states[name] = state
-        self.stand.write_roster()
-        self.record(Entry(t=self.clock(), k="told", member=name, value=state))
+        self.routers.roster(self.stand)
+        self.record(Entry(t=self.env.now(), k="told", member=name, value=state))
 
     # ---- elections, as the store's own control plane does them
 
@@ -277,59 +264,115 @@
         return next(group for group in self.config.groups if any(m.name == name for m in group.members))
 
     def _role(self, name: str) -> None:
-        self.record(Entry(t=self.clock(), k="role", member=name))
-
-    async def _elect(self) -> None:
-        while True:
-            await anyio.sleep(ELECT_LOOK)
-            for group in self.config.groups:
-                primary = self.stand.roles[group.name]
-                since = self.sick.get(primary)
-                if since is not None and self.clock() - since >= self.day.election.notice:
-                    await anyio.sleep(self.day.election.takes)
-                    if primary in self.sick:
-                        self._promote(group, primary)
-
-    def _promote(self, group: Group, old: str) -> None:
-        alive = [self.stand.nodes[m.name] for m in group.members if m.name != old and m.name not in self.sick]
-        if not alive:
+        self.record(Entry(t=self.env.now(), k="role", member=name))
+
+    def _elect(self) -> None:
+        now = self.env.now()
+        for group in self.config.groups:
+            primary = self.stand.roles[group.name]
+            since = self.sick.get(primary)
+            if since is not None and now - since >= self.day.election.notice and group.name not in self.electing:
+                self.electing.add(group.name)
+                self.env.at(now + self.day.election.takes,
+                            lambda group=group, primary=primary: self._replace(group, primary))  # type: ignore[misc]
+        self.env.at(now + ELECT_LOOK, self._elect)
+
+    def _replace(self, group: Group, old: str) -> None:
+        self.electing.discard(group.name)
+        if old not in self.sick or self.stand.roles[group.name] != old:
             return
-        best = max(alive, key=lambda shell: shell.node.offset)
-        self._crown(group, best)
+        able = self._able(group, old)
+        if able:
+            self._crown(group, max(able, key=lambda host: host.node.offset))
+
+    def _able(self, group: Group, old: str) -> list[NodeHost]:
+        return [self.stand.nodes[m.name] for m in group.members
+                if m.name != old and m.name not in self.sick and self.stand.states[m.name] == "ready"]
 
-    def _crown(self, group: Group, best: NodeShell) -> None:
-        now = self.clock()
-        best.do(best.node.promote(now))
+    def _crown(self, group: Group, best: NodeHost) -> None:
+        best.do(best.node.promote(self.env.now()))
         self.stand.roles[group.name] = best.node.name
         self._role(best.node.name)
         self.say(f"{best.node.name} is primary of {group.name}")
         for member in group.members:
-            if member.name != best.node.name and member.name not in self.sick:
+            if member.name not in self.sick:
                 self._follow(member.name)
 
     def _follow(self, name: str) -> None:
         primary = self.stand.roles[self._group(name).name]
         if primary != name:
-            shell = self.stand.nodes[name]
-            shell.do(shell.node.follow(self.clock(), self.stand.nodes[primary].address))
-
-    async def _follow_later(self, name: str) -> None:
-        """A primary that comes back believes in its role until the control plane tells it otherwise."""
-        await anyio.sleep(self.day.election.takes)
-        self._follow(name)
-
-    async def _hand_over(self, name: str) -> None:
-        """A primary that drains stops taking writes, and the replica that has all of them takes over."""
-        group = self._group(name)
-        old = self.stand.nodes[name]
-        others = [self.stand.nodes[m.name] for m in group.members if m.name != name and m.name not in self.sick
-                  and self.stand.states[m.name] == "ready"]
-        if not others:
+            self.stand.follow(name, primary)
+
+    def _hand_over(self, name: str) -> None:
+        """A primary that drains takes no more writes, and the replica that has all of them takes over."""
+        group, old = self._group(name), self.stand.nodes[name]
+        able = self._able(group, name)
+        if not able:
             return
-        best = max(others, key=lambda shell: shell.node.offset)
         old.node.readonly = True
-        with suppress(TimeoutError), anyio.fail_after(2.0):
-            while best.node.offset < old.node.offset:
-                await anyio.sleep(0.005)
-        self._crown(group, best)
-        old.node.readonly = False
+        best = max(able, key=lambda host: host.node.offset)
+        deadline = self.env.now() + HAND_OVER
+
+        def look() -> None:
+            if best.node.offset < old.node.offset and self.env.now() < deadline:
+                self.env.at(self.env.now() + 0.005, look)
+                return
+            self._crown(group, best)
+            old.node.readonly = False
+
+        look()
+
+
+def head(day: Day, config: Config, routers: int, seed: int, start: float) -> Head:
+    rules = config.rules
+    return Head(
+        classes={kind.name: {"effect": kind.effect.value, "need": kind.need.value, "aim": kind.aim,
+                             "deadline": kind.deadline, "bound": kind.bound, "worth": kind.worth}
+                 for kind in config.classes},
+        groups={member.name: group.name for group in config.groups for member in group.members},
+        sources=[source(number) for number in range(routers)], drain_grace=rules.drain_grace,
+        told_within=TOLD_WITHIN, cold_share=rules.cold_share, cold_time=rules.cold_time,
+        fall_multiple=rules.fall_multiple, fall_time=rules.fall_time, work=day.work, cores=4, start=start, seed=seed)
+
+
+async def play(day: Day, config: Config, routers: int, seed: int, trace: Path,
+               progress: Callable[[float, str], None]) -> None:
+    """On sockets, with routers as processes. Errors: `OSError`, `RuntimeError` if a router does not start."""
+    async with anyio.create_task_group() as tasks:
+        env = SocketEnv(tasks)
+        record = Writer(trace, head(day, config, routers, seed, env.now()))
+        director = Director(env, day, config, routers, seed, record, progress)
+        processes = RouterProcesses(director.stand, tasks, time.monotonic() - time.time())
+        processes.addresses = ["127.0.0.1:0"] * routers
+        try:
+            async with anyio.create_task_group() as starting:
+                async def start(number: int) -> None:
+                    processes.addresses[number] = await processes.start(number, "127.0.0.1:0")
+
+                for number in range(routers):
+                    starting.start_soon(start, number)
+            director.start(processes)
+            while not director.over:
+                await anyio.sleep(ELECT_LOOK)
+            director.finish()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await processes.stop()
+            record.close()
+        tasks.cancel_scope.cancel()
+
+
+def play_virtual(day: Day, config: Config, routers: int, seed: int, record: Callable[[Entry], None],
+                 progress: Callable[[float, str], None] = lambda at, text: None,
+                 make: Callable[[Config, int], Machine] = build.machine) -> Head:
+    """In virtual time, in this process; the same seed gives the same trace. `make` builds a router's machine."""
+    world = World(seed)
+    director = Director(world, day, config, routers, seed, record, progress)
+    begin = world.now()
+    director.start(RoutersHere(director.stand, routers, seed, make))
+    until = begin + day.seconds
+    while not director.over:
+        world.run(until)
+        until += 0.5
+    director.finish()
+    return head(day, config, routers, seed, begin)
--- a/banklift/judge/load.py
+++ b/banklift/judge/load.py
@@ -1,19 +1,19 @@
-"""Clients on sockets: open-loop arrivals, sessions that roam over routers, patience and real retries."""
+"""Clients: open-loop arrivals, sessions that roam over routers, patience and real retries."""
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
-import anyio
-from anyio.abc import TaskGroup
-
 from banklift.judge.trace import Entry
-from banklift.net.pipes import Pipe, connect
+from banklift.net.env import Env, Handle
 from banklift.resp.frames import ProtocolError, Scanner, command, decode
 
+SLACK = 0.1  # seconds beyond the class's deadline that a patient client waits
+UNREACHABLE = 0.1  # seconds until it tries again where no router took the connection
+BROKEN = 0.2  # ... or where the connection broke
+
 
 @dataclass(frozen=True, slots=True)
 class Mix:
@@ -26,6 +26,19 @@
     keys: int = 1
 
 
+@dataclass(frozen=True, slots=True)
+class Habits:
+    """How clients behave. Shares are of requests; times are seconds."""
+
+    sessions: int
+    retries: int = 2
+    roam: float = 0.5  # go to any router, not to the session's own
+    helped: bool = False  # sessions show the mark of their last write
+    leavers: float = 0.2  # leave after 42 to 100 per cent of the class's deadline
+    reread: float = 0.6  # of writes: read again soon after
+    reread_within: float = 0.3
+
+
 @dataclass(slots=True, eq=False)
 class Session:
     number: int
@@ -35,141 +48,207 @@
     idle: dict[int, list[Line]] = field(default_factory=dict)
 
 
-@dataclass(slots=True, eq=False)
-class Line:
-    """One connection of a client to a router."""
-
-    pipe: Pipe
-    scanner: Scanner
-    number: int
-
-
 class Clients:
-    """Sends a day's requests to the routers and records what it saw.
+    """All clients of a day. `record` gets what they see; `deadlines`: seconds, of each class."""
 
-    `roam`: share of requests that go to any router, not to the session's own. `helped`: sessions show their token.
-    """
-
-    def __init__(self, addresses: list[str], deadlines: dict[str, float], mix: list[Mix], sessions: int, seed: int,
-                 record: Callable[[Entry], None], retries: int = 2, roam: float = 0.5, helped: bool = False,
-                 leavers: float = 0.3, reread: float = 0.6, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, env: Env, addresses: list[str], deadlines: dict[str, float], mix: list[Mix], habits: Habits,
+                 seed: int, record: Callable[[Entry], None]) -> None:
+        self.env = env
         self.addresses = addresses
         self.deadlines = deadlines
-        self.mix = mix
+        self.mix, self.shares = mix, [kind.share for kind in mix]
+        self.habits = habits
         self.random = Random(seed)
         self.record = record
-        self.retries = retries
-        self.roam, self.helped, self.leavers, self.reread = roam, helped, leavers, reread
-        self.clock = clock
-        self.sessions = [Session(number, self.random.randrange(len(addresses))) for number in range(sessions)]
+        self.sessions = [Session(number, self.random.randrange(len(addresses)))
+                         for number in range(habits.sessions)]
         self.numbers = 0
         self.lines = 0
         self.open = 0
-        self.done = 0
-
-    async def run(self, rate: float, seconds: float, tasks: TaskGroup) -> None:
-        """Arrivals at `rate` a second, which wait for nothing."""
-        begin, at = self.clock(), 0.0
-        while at < seconds:
-            at += self.random.expovariate(rate)
-            if (wait := begin + at - self.clock()) > 0:
-                await anyio.sleep(wait)
-            session = self.random.choice(self.sessions)
-            mix = self.random.choices(self.mix, [kind.share for kind in self.mix])[0]
-            self.start(session, mix, tasks)
-
-    def start(self, session: Session, mix: Mix, tasks: TaskGroup) -> None:
-        self.numbers += 1
-        tasks.start_soon(self._request, session, mix, str(self.numbers), tasks)
+        self.sending = False
+
+    def run(self, rate: float, seconds: float) -> None:
+        """Arrivals at `rate` a second from now on, which wait for nothing."""
+        self.sending = True
+        self._arrive(self.env.now(), 0.0, rate, seconds)
 
-    async def _request(self, session: Session, mix: Mix, number: str, tasks: TaskGroup) -> None:
-        self.open += 1
+    def _arrive(self, begin: float, at: float, rate: float, seconds: float) -> None:
+        if at:
+            self.start(self.random.choice(self.sessions), self.random.choices(self.mix, self.shares)[0])
+        at += self.random.expovariate(rate)
+        if at >= seconds:
+            self.sending = False
+            return
+        self.env.at(begin + at, lambda: self._arrive(begin, at, rate, seconds))
+
+    def start(self, session: Session, mix: Mix) -> None:
+        self.numbers += 1
         key = mix.key.format(s=session.number, k=self.random.randrange(mix.keys))
-        for attempt in range(self.retries + 1):
-            rid = f"{number}.{attempt}"
-            verdict, wait = await self._try(session, mix, rid, key, number, tasks)
-            if verdict == "served":
-                if mix.writes and "{s}" in mix.key:
-                    session.saved.append(number)
-                    if self.random.random() < self.reread:
-                        reads = [kind for kind in self.mix if not kind.writes and kind.key == mix.key]
-                        if reads:
-                            await anyio.sleep(self.random.uniform(0.0, 0.3))
-                            self.start(session, reads[0], tasks)
-                break
-            if verdict not in ("refused", "unreachable") and mix.writes:
-                break  # it may have run
-            await anyio.sleep(wait * self.random.uniform(0.5, 1.0))
-        self.open -= 1
-        self.done += 1
-
-    async def _try(self, session: Session, mix: Mix, rid: str, key: str, effect: str,
-                   tasks: TaskGroup) -> tuple[str, float]:
-        roams = self.random.random() < self.roam
-        router = self.random.randrange(len(self.addresses)) if roams else session.home
-        deadline = self.deadlines[mix.kind]
-        patience = deadline * (self.random.uniform(0.42, 1.0) if self.random.random() < self.leavers else 1.0) + 0.1
-        line = await self._line(session, router, tasks)
-        if line is None:
-            return "unreachable", 0.1
-        sent = command("APPEND", key, f"{rid};") if mix.writes else command("MGET", key, f"{key}:rid:{rid}")
-        expects = 1
-        if self.helped and session.token is not None:
-            sent, expects = command("BANKLIFT.SEEN", session.token) + sent, 2
-        if self.helped and mix.writes:
-            sent, expects = sent + command("BANKLIFT.TOKEN"), expects + 1
-        asked = self.clock()
-        self.record(Entry(t=asked, k="ask", rid=rid, kind=mix.kind, router=router, patience=patience, key=key,
-                          conn=line.number, needs=list(session.saved) if not mix.writes else []))
-        frames: list[bytes] = []
-        line.pipe.send(sent)
-        try:
-            with anyio.fail_after(patience):
-                while len(frames) < expects:
-                    data = await line.pipe.receive()
-                    if not data:
-                        raise anyio.EndOfStream
-                    frames += line.scanner.feed(data)
-        except TimeoutError:
-            line.pipe.close()
-            self.record(Entry(t=self.clock(), k="left", rid=rid, router=router))
-            return "left", 0.0
-        except (OSError, ValueError, anyio.EndOfStream, anyio.ClosedResourceError, ProtocolError):
-            line.pipe.close()
-            self.record(Entry(t=self.clock(), k="broke", rid=rid, router=router))
-            return "broke", 0.2
-        for _ in frames[expects:]:
-            self.record(Entry(t=self.clock(), k="answer", rid=rid, router=router, verdict="surplus"))
-        place = 1 if self.helped and session.token is not None else 0
-        answer = frames[place]
-        if self.helped and mix.writes and frames[place + 1][:1] == b"$":
-            session.token = decode(frames[place + 1])
-        verdict, wait, value = read_answer(answer)
-        self.record(Entry(t=self.clock(), k="answer", rid=rid, router=router, verdict=verdict, value=value,
-                          kind=mix.kind))
-        session.idle.setdefault(router, []).append(line)
-        return verdict, wait
-
-    async def _line(self, session: Session, router: int, tasks: TaskGroup) -> Line | None:
-        idle = session.idle.get(router)
-        while idle:
-            line = idle.pop()
-            if not line.pipe.closed:
-                return line
-        host, _, port = self.addresses[router].rpartition(":")
-        try:
-            with anyio.fail_after(1.0):
-                pipe = await connect(host, int(port), tasks)
-        except (OSError, TimeoutError):
-            return None
-        self.lines += 1
-        return Line(pipe, Scanner(1 << 24), self.lines)
+        _Request(self, session, mix, str(self.numbers), key).begin()
+
+    def served(self, session: Session, mix: Mix, number: str) -> None:
+        """A write was acknowledged."""
+        if "{s}" not in mix.key:
+            return
+        session.saved.append(number)
+        reads = [kind for kind in self.mix if not kind.writes and kind.key == mix.key]
+        if reads and self.random.random() < self.habits.reread:
+            wait = self.random.uniform(0.0, self.habits.reread_within)
+            self.open += 1
+
+            def reread() -> None:
+                self.open -= 1
+                self.start(session, reads[0])
+
+            self.env.at(self.env.now() + wait, reread)
 
     def close(self) -> None:
         for session in self.sessions:
             for lines in session.idle.values():
                 for line in lines:
-                    line.pipe.close()
+                    if line.handle is not None:
+                        line.handle.close()
+            session.idle.clear()
+
+
+class _Request:
+    """One effect that a client wants, over all its tries."""
+
+    def __init__(self, clients: Clients, session: Session, mix: Mix, number: str, key: str) -> None:
+        self.clients, self.session, self.mix, self.number, self.key = clients, session, mix, number, key
+        self.tries = 0
+
+    def begin(self) -> None:
+        self.clients.open += 1
+        self._try()
+
+    def _try(self) -> None:
+        clients, habits = self.clients, self.clients.habits
+        random = clients.random
+        roams = random.random() < habits.roam
+        router = random.randrange(len(clients.addresses)) if roams else self.session.home
+        deadline = clients.deadlines[self.mix.kind]
+        patience = deadline * random.uniform(0.42, 1.0) if random.random() < habits.leavers else deadline + SLACK
+        idle = self.session.idle.get(router, [])
+        line = None
+        while idle and line is None:
+            line = idle.pop()
+            if line.over:
+                line = None
+        if line is None:
+            line = Line(clients, self.session, router)
+        line.take(self, patience)
+
+    def ended(self, verdict: str, wait: float) -> None:
+        """One try is over."""
+        clients = self.clients
+        rest = self.tries < clients.habits.retries
+        self.tries += 1
+        again = verdict in ("refused", "unreachable") or (not self.mix.writes and verdict != "served")
+        if verdict == "served" and self.mix.writes:
+            clients.served(self.session, self.mix, self.number)
+        if rest and again:
+            clients.env.at(clients.env.now() + wait * clients.random.uniform(0.5, 1.0), self._try)
+        else:
+            clients.open -= 1
+
+
+class Line:
+    """One connection of a session to a router; it carries one request at a time."""
+
+    def __init__(self, clients: Clients, session: Session, router: int) -> None:
+        self.clients, self.session, self.router = clients, session, router
+        clients.lines += 1
+        self.number = clients.lines
+        self.scanner = Scanner(1 << 24)
+        self.handle: Handle | None = None
+        self.over = False
+        self.request: _Request | None = None
+        self.rid = ""
+        self.patience = 0.0
+        self.frames: list[bytes] = []
+        self.expects, self.place = 1, 0
+        self.up_ = False
+        self.handle = clients.env.connect(clients.addresses[router], self)
+
+    def take(self, request: _Request, patience: float) -> None:
+        clients = self.clients
+        self.request, self.patience, self.frames = request, patience, []
+        self.rid = rid = f"{request.number}.{request.tries}"
+        clients.env.at(clients.env.now() + patience, lambda: self._impatient(request, rid))
+        if self.up_:
+            self._send()
+
+    def up(self, handle: Handle) -> None:
+        self.handle, self.up_ = handle, True
+        if self.request is not None:
+            self._send()
+
+    def _send(self) -> None:
+        request, clients, session = self.request, self.clients, self.session
+        assert request is not None and self.handle is not None
+        mix, key = request.mix, request.key
+        sent = (command("APPEND", key, f"{self.rid};") if mix.writes else
+                command("MGET", key, f"{key}:rid:{self.rid}"))
+        self.expects, self.place = 1, 0
+        if clients.habits.helped:
+            if session.token is not None:
+                sent, self.expects, self.place = command("BANKLIFT.SEEN", session.token) + sent, 2, 1
+            if mix.writes:
+                sent, self.expects = sent + command("BANKLIFT.TOKEN"), self.expects + 1
+        needs = [] if mix.writes else list(session.saved)
+        clients.record(Entry(t=clients.env.now(), k="ask", rid=self.rid, kind=mix.kind, router=self.router,
+                             patience=self.patience, key=key, conn=self.number, needs=needs))
+        self.handle.send(sent)
+
+    def data(self, data: bytes) -> None:
+        try:
+            self.frames += self.scanner.feed(data)
+        except ProtocolError as error:
+            self.lost(f"protocol: {error}")
+            return
+        request, clients = self.request, self.clients
+        if request is None or len(self.frames) > self.expects:  # more than was asked for
+            clients.record(Entry(t=clients.env.now(), k="answer", rid=self.rid, router=self.router,
+                                 verdict="surplus"))
+        if request is None or len(self.frames) < self.expects:
+            return
+        verdict, wait, value = read_answer(self.frames[self.place])
+        token = self.frames[self.place + 1] if self.expects > self.place + 1 else b""
+        if token[:1] == b"$":
+            self.session.token = decode(token)
+        clients.record(Entry(t=clients.env.now(), k="answer", rid=self.rid, router=self.router, verdict=verdict,
+                             value=value))
+        self.request = None
+        self.session.idle.setdefault(self.router, []).append(self)
+        request.ended(verdict, wait)
+
+    def eof(self) -> None:
+        self.lost("closed")
+
+    def lost(self, reason: str) -> None:
+        if self.over:
+            return
+        self.over = True
+        if self.handle is not None:
+            self.handle.close()
+        if (request := self.request) is not None:
+            self.request = None
+            if not self.up_:
+                request.ended("unreachable", UNREACHABLE)
+                return
+            self.clients.record(Entry(t=self.clients.env.now(), k="broke", rid=self.rid, router=self.router))
+            request.ended("broke", BROKEN)
+
+    def _impatient(self, request: _Request, rid: str) -> None:
+        if self.request is not request or self.rid != rid:
+            return
+        self.request, self.over = None, True
+        if self.handle is not None:
+            self.handle.close()
+        if self.up_:
+            self.clients.record(Entry(t=self.clients.env.now(), k="left", rid=rid, router=self.router))
+        request.ended("left" if self.up_ else "unreachable", 0.0)
 
 
 def read_answer(frame: bytes) -> tuple[str, float, str]:
@@ -182,8 +261,10 @@
     if frame[:1] == b"-":
         return "error", 0.0, frame[1:-2].decode("latin-1")
     if frame[:1] == b"*":
-        value = decode(frame)[0]
-        # each effect was appended as number.try; the effect is the number
-        parts = [part.partition(".")[0] for part in (value or b"").decode().split(";") if part]
-        return "served", 0.0, ";".join(parts)
+        return "served", 0.0, shown(decode(frame)[0] or b"")
     return "served", 0.0, ""
+
+
+def shown(value: bytes) -> str:
+    """The effects that a value holds: tries were appended as `effect.try;`."""
+    return ";".join(part.partition(".")[0] for part in value.decode("latin-1").split(";") if part)
--- a/banklift/judge/show.py
+++ b/banklift/judge/show.py
@@ -21,7 +21,7 @@
 
 def show(verdict: Verdict, trace: Path) -> None:
     console = Console()
-    table = Table("class", *(f"[right]{name}" for name in ()), title=None)
+    table = Table("class")
     for name in ("asked", "tries", "served", "in time", "refused", "failed", "errors", "left", "p50 ms", "p95 ms",
                  "p99 ms"):
         table.add_column(name, justify="right")
--- a/banklift/net/daemon.py
+++ b/banklift/net/daemon.py
@@ -12,9 +12,9 @@
 import structlog
 
 from banklift.config import build
-from banklift.config.load import ConfigError, load_roster, split_address
-from banklift.net.pipes import listen
-from banklift.net.router import RouterShell
+from banklift.config.load import ConfigError, load_roster
+from banklift.net.router import RouterHost
+from banklift.net.sockets import SocketEnv
 from banklift.proxy.plan import Config
 
 ROSTER_POLL = 0.1  # seconds between looks at the roster file
@@ -27,20 +27,17 @@
     address can't be had, `ConfigError` if the roster file is bad at the start; later, a bad one is left aside.
     """
     log = structlog.get_logger().bind(router=config.name)
-    host, port = split_address(config.listen)
     machine = build.machine(config, random.SystemRandom().randrange(2**63))
-    shell = RouterShell(machine, listen(host, port), time.monotonic,
-                        lambda event, fields: log.info(event, **fields), config.source)
     path = folder / config.roster if config.roster is not None else None
     groups = load_roster(path, config) if path is not None and path.exists() else config.groups
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(shell.run)
-        await anyio.wait_all_tasks_blocked()
-        shell.tell(build.roster(config, groups, time.monotonic() - time.time()))
+        host = RouterHost(SocketEnv(tasks), machine, config.listen,
+                          lambda event, fields: log.info(event, **fields), config.source)
+        host.tell(build.roster(config, groups, time.monotonic() - time.time()))
         if path is not None:
-            tasks.start_soon(_watch, shell, config, path, log)
-        log.info("listening", address=shell.address)
-        print(json.dumps({"router": config.name, "listening": shell.address}), flush=True)
+            tasks.start_soon(_watch, host, config, path, log)
+        log.info("listening", address=host.address)
+        print(json.dumps({"router": config.name, "listening": host.address}), flush=True)
         log.info("stopping", signal=await stop_signal())
         tasks.cancel_scope.cancel()
 
@@ -53,7 +50,7 @@
     raise AssertionError("signals never end")
 
 
-async def _watch(shell: RouterShell, config: Config, path: Path, log: structlog.stdlib.BoundLogger) -> None:
+async def _watch(host: RouterHost, config: Config, path: Path, log: structlog.stdlib.BoundLogger) -> None:
     """Tell the machine of each new content of the roster file, whole or not at all."""
     last: tuple[int, int, int] | None = None
     while True:
@@ -69,5 +66,5 @@
             except ConfigError as error:
                 log.warning("roster refused, the old one stays", reason=str(error))
             else:
-                shell.tell(build.roster(config, groups, time.monotonic() - time.time()))
+                host.tell(build.roster(config, groups, time.monotonic() - time.time()))
         await anyio.sleep(ROSTER_POLL)
--- a/banklift/net/router.py
+++ b/banklift/net/router.py
@@ -1,140 +1,116 @@
-"""The router on sockets: carries out what the machine says. Clock, seed and addresses are handed in."""
+"""A router in its surroundings: carries out what the machine says."""
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable
 
-import anyio
-from anyio.abc import TaskGroup
-
-from banklift.net.pipes import Pipe, accept, address_of, connect
+from banklift.net.env import Alarm, Env, Handle
 from banklift.proxy import events as ev
 from banklift.proxy.machine import Machine
 
 Log = Callable[[str, dict[str, object]], None]
 
 
-class RouterShell:
-    """Runs one machine. `listener` is open already; `clock` tells seconds; `log` gets the machine's notes."""
+class RouterHost:
+    """Runs one machine at `address`. `log` gets its notes; `source`: local address of links to members.
+
+    Errors: `OSError` if the address can't be had.
+    """
 
-    def __init__(self, machine: Machine, listener: socket.socket, clock: Callable[[], float], log: Log,
-                 source: str | None = None) -> None:
+    def __init__(self, env: Env, machine: Machine, address: str, log: Log, source: str | None = None) -> None:
+        self.env = env
         self.machine = machine
-        self.listener = listener
-        self.clock = clock
         self.log = log
         self.source = source
-        self.clients: dict[int, Pipe] = {}
-        self.links: dict[int, Pipe | None] = {}
-        self.paused: dict[int, anyio.Event] = {}
+        self.clients: dict[int, Handle] = {}
+        self.links: dict[int, Handle] = {}
         self.client_ids = 0
-        self.sleeping_until = 0.0
-        self.alarm = anyio.Event()
-        self.tasks: TaskGroup | None = None
+        self.alarm = Alarm(env, lambda: machine.wake, lambda: self.tell(ev.Wake()))
+        self.listener = env.listen(address, lambda: _ClientPeer(self))
 
     @property
     def address(self) -> str:
-        return address_of(self.listener)
-
-    async def run(self) -> None:
-        """Serve until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            self.tasks = tasks
-            tasks.start_soon(self._timer)
-            try:
-                await accept(self.listener, tasks, self._client)
-            finally:
-                anyio.notify_closing(self.listener)
-                self.listener.close()
-                for pipe in [*self.clients.values(), *self.links.values()]:
-                    if pipe is not None:
-                        pipe.close()
+        return self.listener.address
 
     def tell(self, event: ev.Event) -> None:
         """Tell the machine and do what it says."""
-        assert self.tasks is not None
-        for action in self.machine.handle(self.clock(), event):
+        clients, links = self.clients, self.links
+        for action in self.machine.handle(self.env.now(), event):
             match action:
                 case ev.ToClient(client, data):
-                    if (pipe := self.clients.get(client)) is not None:
-                        pipe.send(data)
+                    if client in clients:
+                        clients[client].send(data)
                 case ev.ToLink(link, data):
-                    if (pipe := self.links.get(link)) is not None:
-                        pipe.send(data)
+                    if link in links:
+                        links[link].send(data)
                 case ev.OpenLink(link, address):
-                    self.links[link] = None
-                    self.tasks.start_soon(self._link, link, address)
+                    links[link] = self.env.connect(address, _LinkPeer(self, link), self.source)
                 case ev.CloseLink(link):
-                    if (pipe := self.links.pop(link, None)) is not None:
-                        pipe.close()
+                    if (handle := links.pop(link, None)) is not None:
+                        handle.close()
                 case ev.CloseClient(client):
-                    if (pipe := self.clients.pop(client, None)) is not None:
-                        pipe.finish()
-                    if (event_ := self.paused.pop(client, None)) is not None:
-                        event_.set()
+                    if (handle := clients.pop(client, None)) is not None:
+                        handle.finish()
                 case ev.PauseClient(client):
-                    self.paused[client] = anyio.Event()
+                    if client in clients:
+                        clients[client].pause()
                 case ev.ResumeClient(client):
-                    if (event_ := self.paused.pop(client, None)) is not None:
-                        event_.set()
+                    if client in clients:
+                        clients[client].resume()
                 case ev.Note(text, fields):
                     self.log(text, fields)
-        if self.machine.wake < self.sleeping_until:
-            self.alarm.set()
-
-    async def _timer(self) -> None:
-        while True:
-            self.sleeping_until = self.machine.wake
-            self.alarm = anyio.Event()
-            with anyio.move_on_after(max(0.0, self.sleeping_until - self.clock())):
-                await self.alarm.wait()
-            self.sleeping_until = 0.0
-            if self.machine.wake <= self.clock():
-                self.tell(ev.Wake())
-
-    async def _client(self, pipe: Pipe) -> None:
-        self.client_ids += 1
-        client = self.client_ids
-        self.clients[client] = pipe
-        self.tell(ev.ClientOpened(client))
-        try:
-            while client in self.clients:
-                data = await pipe.receive()
-                if not data:
-                    self.tell(ev.ClientEof(client))
-                    return  # what is under way is still answered; a write that fails ends it
-                self.tell(ev.ClientData(client, data))
-                if (event := self.paused.get(client)) is not None:
-                    await event.wait()
-                if pipe.unsent:
-                    await pipe.drained()
-        except (OSError, ValueError, anyio.ClosedResourceError):
-            pass
-        finally:
-            if pipe.closed and self.clients.pop(client, None) is not None:
-                self.tell(ev.ClientLost(client))
-
-    async def _link(self, link: int, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        assert self.tasks is not None
-        try:
-            pipe = await connect(host, int(port), self.tasks, self.source)
-        except OSError as error:
-            if self.links.pop(link, self) is None:
-                self.tell(ev.LinkLost(link, str(error)))
-            return
-        if link not in self.links:  # no longer wanted
-            pipe.close()
-            return
-        self.links[link] = pipe
-        reason = "closed by the member"
-        self.tell(ev.LinkUp(link))
-        try:
-            while data := await pipe.receive():
-                self.tell(ev.LinkData(link, data))
-        except (OSError, ValueError, anyio.ClosedResourceError) as error:
-            reason = str(error) or "closed"
-        pipe.close()
-        if self.links.pop(link, None) is not None:
-            self.tell(ev.LinkLost(link, reason))
+        self.alarm.look()
+
+    def kill(self) -> None:
+        """As by SIGKILL, for routers that share a process with what watches them."""
+        self.listener.close()
+        for handle in [*self.clients.values(), *self.links.values()]:
+            handle.close()
+        self.clients.clear()
+        self.links.clear()
+        self.alarm.due = lambda: float("inf")
+
+
+class _ClientPeer:
+    __slots__ = ("host", "id")
+
+    def __init__(self, host: RouterHost) -> None:
+        self.host = host
+        self.id = 0
+
+    def up(self, handle: Handle) -> None:
+        self.host.client_ids += 1
+        self.id = self.host.client_ids
+        self.host.clients[self.id] = handle
+        self.host.tell(ev.ClientOpened(self.id))
+
+    def data(self, data: bytes) -> None:
+        self.host.tell(ev.ClientData(self.id, data))
+
+    def eof(self) -> None:
+        self.host.tell(ev.ClientEof(self.id))
+
+    def lost(self, reason: str) -> None:
+        if self.host.clients.pop(self.id, None) is not None:
+            self.host.tell(ev.ClientLost(self.id))
+
+
+class _LinkPeer:
+    __slots__ = ("host", "id")
+
+    def __init__(self, host: RouterHost, link: int) -> None:
+        self.host, self.id = host, link
+
+    def up(self, handle: Handle) -> None:
+        self.host.tell(ev.LinkUp(self.id))
+
+    def data(self, data: bytes) -> None:
+        self.host.tell(ev.LinkData(self.id, data))
+
+    def eof(self) -> None:
+        self.lost("closed by the member")
+
+    def lost(self, reason: str) -> None:
+        if (handle := self.host.links.pop(self.id, None)) is not None:
+            handle.close()
+            self.host.tell(ev.LinkLost(self.id, reason))
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -49,7 +49,7 @@
     started: float | None
     alias: str  # its name towards the module, new for new data
     births: int = 0
-    links: set[Link] = field(default_factory=set)
+    links: dict[int, Link] = field(default_factory=dict)
     idle: dict[int, list[Link]] = field(default_factory=dict)
     waiting: deque[Attempt] = field(default_factory=deque)
     opening: int = 0
@@ -405,7 +405,7 @@
             return
         waiting = node.unanswered
         if waiting is None:
-            waiting = min((link.attempt.asked for link in node.links if link.attempt is not None
+            waiting = min((link.attempt.asked for link in node.links.values() if link.attempt is not None
                            and link.attempt.open.ask.kind.need is Need.WRITE), default=None)
         fact = self._learn(node, standing, asked, waiting)
         track = self.tracks[node.group]
@@ -436,7 +436,7 @@
         link = Link(self.link_ids, node, flavour, self.wire.reader())
         self.links[link.id] = link
         if flavour != PROBES:
-            node.links.add(link)
+            node.links[link.id] = link
             node.opening += 1
         self.actions.append(ev.OpenLink(link.id, node.address))
         if not self.sweeping:
@@ -545,7 +545,7 @@
             if node.prober is link:
                 node.prober = None
             return
-        node.links.discard(link)
+        node.links.pop(link.id, None)
         if not link.up or link.greeting:
             node.opening -= 1
         if link in (idle := node.idle.get(link.flavour, [])):
@@ -603,7 +603,7 @@
         self.tracks[node.group].forget(node.name)
         for attempt in list(node.waiting):
             self._end(attempt, Status.MOOT)
-        for link in list(node.links):
+        for link in list(node.links.values()):
             if link.attempt is None:
                 self._close(link)
         if node.prober is not None:
--- a/tests/test_resp_frames.py
+++ b/tests/test_resp_frames.py
@@ -10,11 +10,12 @@
 from banklift.resp.slots import slot
 
 FRAMES = [
-    b"+OK\r\n", b"-ERR no\r\n", b":12\r\n", b"$5\r\nhe\r\no\r\n", b"$0\r\n\r\n", b"$-1\r\n", b"*0\r\n", b"*-1\r\n", b"_\r\n",
-    b",3.14\r\n", b",inf\r\n", b"#t\r\n", b"(349289032840923850932485094385\r\n", b"!5\r\nERR x\r\n",
-    b"=7\r\ntxt:abc\r\n", b"%2\r\n+a\r\n:1\r\n+b\r\n*2\r\n:2\r\n:3\r\n", b"~2\r\n+a\r\n+b\r\n", b">2\r\n+message\r\n+x\r\n",
-    b"|1\r\n+ttl\r\n:3600\r\n*2\r\n:1\r\n:2\r\n", b"*2\r\n*1\r\n$1\r\na\r\n|1\r\n+k\r\n+v\r\n:7\r\n",
-    b"$?\r\n;4\r\nHell\r\n;1\r\no\r\n;0\r\n", b"*?\r\n:1\r\n:2\r\n.\r\n", b"*3\r\n$?\r\n;0\r\n*?\r\n.\r\n+x\r\n", b"%0\r\n",
+    b"+OK\r\n", b"-ERR no\r\n", b":12\r\n", b"$5\r\nhe\r\no\r\n", b"$0\r\n\r\n", b"$-1\r\n", b"*0\r\n",
+    b"*-1\r\n", b"_\r\n", b",3.14\r\n", b",inf\r\n", b"#t\r\n", b"(349289032840923850932485094385\r\n",
+    b"!5\r\nERR x\r\n", b"=7\r\ntxt:abc\r\n", b"%2\r\n+a\r\n:1\r\n+b\r\n*2\r\n:2\r\n:3\r\n",
+    b"~2\r\n+a\r\n+b\r\n", b">2\r\n+message\r\n+x\r\n", b"|1\r\n+ttl\r\n:3600\r\n*2\r\n:1\r\n:2\r\n",
+    b"*2\r\n*1\r\n$1\r\na\r\n|1\r\n+k\r\n+v\r\n:7\r\n", b"$?\r\n;4\r\nHell\r\n;1\r\no\r\n;0\r\n",
+    b"*?\r\n:1\r\n:2\r\n.\r\n", b"*3\r\n$?\r\n;0\r\n*?\r\n.\r\n+x\r\n", b"%0\r\n",
 ]
 
 
