--- a/banklift/judge/load.py
+++ b/banklift/judge/load.py
@@ -44,7 +44,19 @@
     number: int
     home: int
     saved: list[str] = field(default_factory=list)  # effects acknowledged
-    token: bytes | None = None
+    marks: dict[tuple[str, str], int] = field(default_factory=dict)  # by group and history: newest offset
+
+    def keep(self, token: str) -> None:
+        """Writes of one session may cross: the newest mark of each history counts."""
+        for part in token.split(",") if token != "-" else []:
+            group, _, mark = part.partition("=")
+            replid, _, offset = mark.partition(":")
+            self.marks[group, replid] = max(self.marks.get((group, replid), 0), int(offset or 0))
+
+    @property
+    def token(self) -> str | None:
+        return ",".join(f"{group}={replid}:{offset}" if offset else f"{group}=?"
+                        for (group, replid), offset in self.marks.items()) or None
     idle: dict[int, list[Line]] = field(default_factory=dict)
 
 
@@ -192,8 +204,8 @@
                 command("MGET", key, f"{key}:rid:{self.rid}"))
         self.expects, self.place = 1, 0
         if clients.habits.helped:
-            if session.token is not None:
-                sent, self.expects, self.place = command("BANKLIFT.SEEN", session.token) + sent, 2, 1
+            if (token := session.token) is not None:
+                sent, self.expects, self.place = command("BANKLIFT.SEEN", token) + sent, 2, 1
             if mix.writes:
                 sent, self.expects = sent + command("BANKLIFT.TOKEN"), self.expects + 1
         needs = [] if mix.writes else list(session.saved)
@@ -216,7 +228,7 @@
         verdict, wait, value = read_answer(self.frames[self.place])
         token = self.frames[self.place + 1] if self.expects > self.place + 1 else b""
         if token[:1] == b"$":
-            self.session.token = decode(token)
+            self.session.keep(decode(token).decode())
         clients.record(Entry(t=clients.env.now(), k="answer", rid=self.rid, router=self.router, verdict=verdict,
                              value=value))
         self.request = None
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -173,7 +173,7 @@
         """Take a request; `front.done` will be called once, perhaps before this returns."""
         self.ids += 1
         kind, now = ask.kind, self.now
-        request = Open(self.ids, ask, now, now + max(kind.deadline - self.limits.margin, kind.deadline / 2))
+        request = Open(self.ids, ask, now, ask.arrived + self.patience(kind))
         self.open[request.id] = request
         ask.ids.append(request.id)
         since: float | None = None
@@ -185,6 +185,10 @@
         self._decide(io.Request(request.id, kind.name, ask.group, request.deadline, ask.tenant, since_write=since))
         return request.id
 
+    def patience(self, kind: io.RequestClass) -> float:
+        """Seconds from a request's arrival within which it is answered: the rest is for the way back."""
+        return max(kind.deadline - self.limits.margin, kind.deadline / 2)
+
     def abandon(self, request: int) -> None:
         """Its client has gone: no answer is owed."""
         if (open_ := self.open.pop(request, None)) is not None:
--- a/banklift/proxy/wire.py
+++ b/banklift/proxy/wire.py
@@ -83,6 +83,7 @@
     seen: Seen | None = None  # a session's read: what it must hold
     current: bool = False  # a session's read of which nothing is known: all commits before its arrival
     tenant: str | None = None
+    arrived: float = 0.0  # when it came in; its deadline counts from here
     ids: list[int] = field(default_factory=list)  # of the request, once it is taken
 
 
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -1,9 +1,11 @@
 """A RESP client's connection: commands in, answers out in the client's order.
 
 Theory of operation. Each command takes a place in the connection's line; its answer fills the place, whenever it comes,
-and answers leave from the front of the line only. What the connection itself means (HELLO, AUTH, MULTI ...) is
-answered here at once; the rest becomes a request of the core. A line that grows too long is no longer read. A client
-that closes its side gets what is under way; what still waits is refused at once, as it may be gone.
+and answers leave from the front of the line only. Commands of one connection and group keep their order towards members
+as far as it can be seen: a write waits for all before it, a session's or a fresh read for the writes before it. What
+the connection itself means (HELLO, AUTH, MULTI ...) is answered here at once; the rest becomes a request of the core. A
+line that grows too long is no longer read. A client that closes its side gets what is under way; what still waits is
+refused at once, as it may be gone.
 
 The router's own words: `-TRYAGAIN refused: nothing ran; retry_after_ms=N` and `-UNCERTAIN failed: it may have run`.
 """
@@ -11,6 +13,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from banklift.decide.offsets import Seen
@@ -35,6 +38,31 @@
 
     answer: bytes | None = None
     request: int | None = None
+    late: Callable[[], object] | None = None  # makes the answer once all before it are answered
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """A command that waits for those before it."""
+
+    place: Place
+    kind: RequestClass
+    exchange: Single | Unit
+    arrived: float
+
+
+@dataclass(slots=True, eq=False)
+class Gate:
+    """What one connection has under way in one group."""
+
+    reads: int = 0
+    writes: int = 0
+    waiting: deque[Waiting] = field(default_factory=deque)
+
+    def lets(self, kind: RequestClass) -> bool:
+        if kind.need is Need.WRITE:
+            return not self.reads and not self.writes
+        return not self.writes or kind.need in (Need.BOUNDED, Need.ANY)
 
 
 @dataclass(slots=True, eq=False)
@@ -48,6 +76,7 @@
     units: list[tuple[Command, list[bytes], RequestClass, int]] | None = None  # of a MULTI
     spoilt: bool = False  # a command of the MULTI was refused
     seen: dict[int, Seen] = field(default_factory=dict)
+    gates: dict[int, Gate] = field(default_factory=dict)  # by group
     shown: bool = False  # it shows its marks itself when it changes router
     paused: bool = False
     closing: bool = False  # nothing more is read; closed once the line is empty
@@ -85,11 +114,16 @@
         if state is None:
             return
         state.closing = True
+        gone = encode(Error("TRYAGAIN refused: nothing ran; the client closed its side"))
+        for gate in state.gates.values():
+            for waiting in gate.waiting:
+                waiting.place.answer = gone
+            gate.waiting.clear()
         for place in list(state.line):
             if place.request is not None and place.answer is None and not self.core.under_way(place.request):
                 self.core.abandon(place.request)
                 self.places.pop(place.request, None)
-                place.answer = encode(Error("TRYAGAIN refused: nothing ran; the client closed its side"))
+                place.answer = gone
         self._flush(state)
 
     def lost(self, client: int) -> None:
@@ -97,6 +131,7 @@
         if state is None:
             return
         state.closing = True
+        state.gates.clear()
         for place in state.line:
             if place.request is not None and place.answer is None:
                 self.places.pop(place.request, None)
@@ -111,11 +146,19 @@
             case Served(answer, seen):
                 place.answer = answer
                 if seen is not None:
-                    self._marks(state)[ask.group] = seen
+                    marks, now = self._marks(state), self.core.now
+                    marks[ask.group] = later(marks[ask.group], seen, now) if ask.group in marks else seen
             case Refused(wait):
                 place.answer = encode(Error(f"TRYAGAIN refused: nothing ran; retry_after_ms={round(wait * 1000)}"))
             case Failed():
                 place.answer = encode(Error("UNCERTAIN failed: it may have run"))
+        gate = state.gates.get(ask.group)
+        if gate is not None:
+            if ask.kind.need is Need.WRITE:
+                gate.writes -= 1
+            else:
+                gate.reads -= 1
+            self._let(state, ask.group, gate)
         self._flush(state)
 
     # ---- the line
@@ -142,10 +185,14 @@
 
     def _flush(self, state: Client) -> None:
         line, out = state.line, []
-        while line and line[0].answer is not None:
-            answer = line.popleft().answer
-            assert answer is not None
-            out.append(answer)
+        while line:
+            front = line[0]
+            if front.late is not None:
+                front.answer = encode(front.late(), state.proto)
+            if front.answer is None:
+                break
+            out.append(front.answer)
+            line.popleft()
         if state.id not in self.clients:
             return
         if out:
@@ -208,7 +255,35 @@
         self._submit(state, place, kind, group, Single(state.proto, command(*args), writes))
 
     def _submit(self, state: Client, place: Place, kind: RequestClass, group: int, exchange: Single | Unit) -> None:
-        ask = Ask(state.id, kind, group, exchange, tenant=state.user)
+        gate = state.gates.get(group)
+        if gate is None:
+            gate = state.gates[group] = Gate()
+        now = self.core.now
+        if not gate.waiting and gate.lets(kind):
+            return self._request(state, gate, Waiting(place, kind, exchange, now), group)
+        waiting = Waiting(place, kind, exchange, now)
+        gate.waiting.append(waiting)
+        self.core.at(now + self.core.patience(kind), lambda: self._waited(state, gate, waiting))
+
+    def _let(self, state: Client, group: int, gate: Gate) -> None:
+        """Something ended: what waited may go."""
+        while gate.waiting and gate.lets(gate.waiting[0].kind):
+            self._request(state, gate, gate.waiting.popleft(), group)
+
+    def _waited(self, state: Client, gate: Gate, waiting: Waiting) -> None:
+        """Its time is over, and it never began."""
+        if waiting in gate.waiting:
+            gate.waiting.remove(waiting)
+            waiting.place.answer = encode(Error("TRYAGAIN refused: nothing ran; retry_after_ms=0"))
+            self._flush(state)
+
+    def _request(self, state: Client, gate: Gate, waiting: Waiting, group: int) -> None:
+        place, kind = waiting.place, waiting.kind
+        if kind.need is Need.WRITE:
+            gate.writes += 1
+        else:
+            gate.reads += 1
+        ask = Ask(state.id, kind, group, waiting.exchange, tenant=state.user, arrived=waiting.arrived)
         if kind.need is Need.SESSION:
             marks = self._marks(state)
             ask.seen = marks.get(group)
@@ -268,7 +343,7 @@
             case b"ROLE":
                 self._say(state, place, ["master", 0, []])
             case b"WAIT":
-                self._wait(state, place, args)
+                place.late = lambda: self._wait(state)
             case b"MULTI":
                 if state.units is not None:
                     return self._say(state, place, Error("ERR MULTI calls can not be nested"))
@@ -280,7 +355,7 @@
             case b"EXEC":
                 self._exec(state, place)
             case b"BANKLIFT.TOKEN":
-                self._say(state, place, self._token(state))
+                place.late = lambda: self._token(state)
             case b"BANKLIFT.SEEN":
                 self._seen(state, place, args[1])
 
@@ -406,18 +481,17 @@
                 name, _, mark = part.partition("=")
                 replid, _, offset = mark.partition(":")
                 group = self.group_names.index(name)
-                marks[group] = Seen(self.core.now) if mark == "?" else Seen(self.core.now, replid, int(offset))
+                seen = Seen(self.core.now) if mark == "?" else Seen(self.core.now, replid, int(offset))
+                marks[group] = seen if group not in marks else later(marks[group], seen, self.core.now)
         except ValueError:
             return self._say(state, place, Error("ERR not a token of BANKLIFT.TOKEN"))
         state.shown = True
         own = self._marks(state)
         for group, seen in marks.items():
-            mine = own.get(group)
-            if mine is None or mine.replid != seen.replid or mine.offset < seen.offset:
-                own[group] = seen if mine is None or mine.replid == seen.replid else Seen(self.core.now)
+            own[group] = seen if group not in own else later(own[group], seen, self.core.now)
         self._say(state, place, OK)
 
-    def _wait(self, state: Client, place: Place, args: list[bytes]) -> None:
+    def _wait(self, state: Client) -> int:
         """How many replicas are known to have the session's writes. It does not wait: the connection is shared."""
         counts = []
         for group, seen in self._marks(state).items():
@@ -425,7 +499,14 @@
             offsets = [track.place(name)[1] for name in track.places if name != track.owner]
             counts.append(sum(offset is not None and seen.replid == track.replid and offset >= seen.offset
                               for offset in offsets))
-        self._say(state, place, min(counts, default=0))
+        return min(counts, default=0)
+
+
+def later(one: Seen, other: Seen, now: float) -> Seen:
+    """A mark that holds both: the later one of one history, else whatever was committed by now."""
+    if one.replid is None or one.replid != other.replid:
+        return Seen(now)
+    return one if one.offset >= other.offset else other
 
 
 def _describe(known: Command) -> list[object]:
