--- a/banklift/emulator/shell.py
+++ b/banklift/emulator/shell.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from banklift.emulator.node import UPSTREAM, Act, Node
-from banklift.net.env import Alarm, Env, Handle, Listener
+from banklift.net.env import Alarm, Env, Handle, Listener, Peer
 
 Tap = Callable[[float, str, Act], None]
 
@@ -74,7 +74,7 @@
             self.do(self.node.restarted(self.env.now(), share, time, keeps))
 
 
-class _ConnPeer:
+class _ConnPeer(Peer):
     """A connection that the node accepted."""
 
     __slots__ = ("host", "number")
@@ -108,7 +108,7 @@
             host.do(host.node.lost(host.env.now(), self.number))
 
 
-class _UpPeer:
+class _UpPeer(Peer):
     """The connection to the primary that a replica follows."""
 
     __slots__ = ("handle", "host")
--- a/banklift/judge/load.py
+++ b/banklift/judge/load.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from banklift.judge.trace import Entry
-from banklift.net.env import Env, Handle
+from banklift.net.env import Env, Handle, Peer
 from banklift.resp.frames import ProtocolError, Scanner, command, decode
 
 SLACK = 0.1  # seconds beyond the class's deadline that a patient client waits
@@ -165,7 +165,7 @@
             clients.open -= 1
 
 
-class Line:
+class Line(Peer):
     """One connection of a session to a router; it carries one request at a time."""
 
     def __init__(self, clients: Clients, session: Session, router: int) -> None:
--- a/banklift/net/env.py
+++ b/banklift/net/env.py
@@ -44,6 +44,12 @@
     def lost(self, reason: str) -> None:
         """It could not be opened, or broke."""
 
+    def full(self) -> None:
+        """The other end does not read, and what is unsent piles up here."""
+
+    def free(self) -> None:
+        """It has read enough for more to be worth making."""
+
 
 class Listener(Protocol):
     @property
--- a/banklift/net/router.py
+++ b/banklift/net/router.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from banklift.net.env import Alarm, Env, Handle
+from banklift.net.env import Alarm, Env, Handle, Peer
 from banklift.proxy import events as ev
 from banklift.proxy.machine import Machine
 
@@ -71,7 +71,7 @@
         self.alarm.due = lambda: float("inf")
 
 
-class _ClientPeer:
+class _ClientPeer(Peer):
     __slots__ = ("host", "id")
 
     def __init__(self, host: RouterHost) -> None:
@@ -90,12 +90,18 @@
     def eof(self) -> None:
         self.host.tell(ev.ClientEof(self.id))
 
+    def full(self) -> None:
+        self.host.tell(ev.ClientFull(self.id))
+
+    def free(self) -> None:
+        self.host.tell(ev.ClientFree(self.id))
+
     def lost(self, reason: str) -> None:
         if self.host.clients.pop(self.id, None) is not None:
             self.host.tell(ev.ClientLost(self.id))
 
 
-class _LinkPeer:
+class _LinkPeer(Peer):
     __slots__ = ("host", "id")
 
     def __init__(self, host: RouterHost, link: int) -> None:
--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -1,7 +1,7 @@
 """The surroundings on sockets, under anyio on any of its back ends.
 
 What is sent is written at once as far as the socket takes it; the rest is left to a task. So a decision is carried out
-where it is made, without a switch of tasks. A connection whose other end does not read is no longer read either.
+where it is made, without a switch of tasks. A peer is told when what is unsent piles up, and when it has gone down again.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 class SocketHandle:
     """A connected socket and its reading task."""
 
-    __slots__ = ("_env", "_finishing", "_resumed", "_sock", "_unsent", "_writing", "closed", "peer", "source")
+    __slots__ = ("_env", "_finishing", "_full", "_resumed", "_sock", "_unsent", "_writing", "closed", "peer", "source")
 
     def __init__(self, env: SocketEnv, peer: Peer) -> None:
         self._env = env
@@ -38,6 +38,7 @@
         self._unsent = bytearray()
         self._writing = False
         self._finishing = False
+        self._full = False
         self._resumed: anyio.Event | None = None
 
     def send(self, data: bytes) -> None:
@@ -58,6 +59,16 @@
             self._writing = True
             self._env.tasks.start_soon(self._drain)
         self._unsent += data
+        if len(self._unsent) > HIGH_WATER and not self._full:
+            self._full = True
+            self._env.at(0.0, self._tell)
+
+    def _tell(self) -> None:
+        if not self.closed:
+            if self._full:
+                self.peer.full()
+            else:
+                self.peer.free()
 
     def finish(self) -> None:
         self._finishing = True
@@ -97,8 +108,9 @@
                     del self._unsent[:self._sock.send(memoryview(self._unsent)[:CHUNK].tobytes())]
                 except (BlockingIOError, InterruptedError):
                     continue
-                if self._resumed is not None and len(self._unsent) <= HIGH_WATER // 2:
-                    self.resume()
+                if self._full and len(self._unsent) <= HIGH_WATER // 2:
+                    self._full = False
+                    self._env.at(0.0, self._tell)
         except (OSError, ValueError, anyio.ClosedResourceError) as error:
             self._break(str(error))
         finally:
@@ -132,8 +144,6 @@
                 self.peer.eof()
                 return
             self.peer.data(data)
-            if len(self._unsent) > HIGH_WATER and not self.closed:
-                self.pause()
             while self._resumed is not None and not self.closed:
                 await self._resumed.wait()
 
--- a/banklift/proxy/events.py
+++ b/banklift/proxy/events.py
@@ -31,6 +31,18 @@
     client: int
 
 
+class ClientFull(msgspec.Struct, frozen=True, gc=False):
+    """It does not read its answers."""
+
+    client: int
+
+
+class ClientFree(msgspec.Struct, frozen=True, gc=False):
+    """It has read them."""
+
+    client: int
+
+
 class LinkUp(msgspec.Struct, frozen=True, gc=False):
     link: int
 
@@ -68,7 +80,7 @@
     members: tuple[Listed, ...]
 
 
-Event = ClientOpened | ClientData | ClientEof | ClientLost | LinkUp | LinkData | LinkLost | Wake | Roster
+Event = ClientOpened | ClientData | ClientEof | ClientLost | ClientFull | ClientFree | LinkUp | LinkData | LinkLost | Wake | Roster
 
 
 class ToClient(msgspec.Struct, frozen=True, gc=False):
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -146,6 +146,10 @@
                 self.front.eof(client)
             case ev.ClientLost(client):
                 self.front.lost(client)
+            case ev.ClientFull(client):
+                self.front.full(client, True)
+            case ev.ClientFree(client):
+                self.front.full(client, False)
             case ev.LinkUp(link):
                 if link in self.links:
                     self._link_up(self.links[link])
--- a/banklift/proxy/plan.py
+++ b/banklift/proxy/plan.py
@@ -67,7 +67,7 @@
 class Limits(Strict, kw_only=True, frozen=True):
     clients: Count = 10_000
     frame: Count = 64 * 1024 * 1024
-    pipeline: Count = 1024  # commands of one client without an answer before it is no longer read
+    pipeline: Count = 256  # commands of one client without an answer before it is no longer read
     links: Count = 64  # to one member
     connect: Positive = 0.5
     probe: Positive = 1.0
--- a/banklift/proxy/wire.py
+++ b/banklift/proxy/wire.py
@@ -119,4 +119,7 @@
 
     def lost(self, client: int) -> None: ...
 
+    def full(self, client: int, is_full: bool) -> None:
+        """Its answers pile up, or do so no more: nothing new is begun for it in between."""
+
     def done(self, ask: Ask, final: Final) -> None: ...
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -79,6 +79,7 @@
     gates: dict[int, Gate] = field(default_factory=dict)  # by group
     shown: bool = False  # it shows its marks itself when it changes router
     paused: bool = False
+    full: bool = False  # it does not read its answers
     closing: bool = False  # nothing more is read; closed once the line is empty
 
 
@@ -137,6 +138,15 @@
                 self.places.pop(place.request, None)
                 self.core.abandon(place.request)
 
+    def full(self, client: int, is_full: bool) -> None:
+        state = self.clients.get(client)
+        if state is not None:
+            state.full = is_full
+            if is_full:
+                self._pause(state)
+            else:
+                self._flush(state)
+
     def done(self, ask: Ask, final: Final) -> None:
         found = self.places.pop(ask.ids[0], None) if ask.ids else None
         if found is None:
@@ -167,10 +177,8 @@
         limit = self.config.limits.pipeline
         try:
             while not state.closing:
-                if len(state.line) >= limit:
-                    if not state.paused:
-                        state.paused = True
-                        self.core.actions.append(ev.PauseClient(state.id))
+                if len(state.line) >= limit or state.full:
+                    self._pause(state)
                     break
                 args = state.reader.next()
                 if args is None:
@@ -183,6 +191,11 @@
             state.closing = True
         self._flush(state)
 
+    def _pause(self, state: Client) -> None:
+        if not state.paused:
+            state.paused = True
+            self.core.actions.append(ev.PauseClient(state.id))
+
     def _flush(self, state: Client) -> None:
         line, out = state.line, []
         while line:
@@ -200,7 +213,7 @@
         if state.closing and not line:
             del self.clients[state.id]
             self.core.actions.append(ev.CloseClient(state.id))
-        elif state.paused and len(line) <= self.config.limits.pipeline // 2:
+        elif state.paused and not state.full and len(line) <= self.config.limits.pipeline // 2:
             state.paused = False
             self.core.actions.append(ev.ResumeClient(state.id))
             self._read(state)
