--- a/banklift/config/load.py
+++ b/banklift/config/load.py
@@ -21,26 +21,21 @@
 
 def evaluate(path: Path) -> bytes:
     """The JSON that a template evaluates to; imports come from its own folder. Errors: `ConfigError`."""
-    try:
-        text = path.read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        raise ConfigError(f"{path}: can't be read: {error}") from None
-    try:
-        return rjsonnet.evaluate_snippet(str(path), text, import_callback=_importer(path)).encode()
-    except RuntimeError as error:
-        raise ConfigError(f"{path}: {str(error).strip()}") from None
-
+    folder = path.resolve().parent
 
-def _importer(path: Path):  # type: ignore[no-untyped-def]
-    folder = path.parent.resolve()
-
-    def find(base: str, name: str) -> tuple[str, bytes]:
+    def find(base: str, name: str) -> tuple[str, str]:
+        """What jsonnet asks for: the file itself first, then what it imports."""
         target = (Path(base) / name).resolve()
         if not target.is_relative_to(folder):
-            raise RuntimeError(f"import of {name}: outside the folder of the file")
-        return str(target), target.read_bytes()
+            raise RuntimeError(f"import of {name!r}: outside the folder of the file")
+        return str(target), target.read_text()
 
-    return find
+    if not path.is_file():
+        raise ConfigError(f"{path}: there is no such file")
+    try:
+        return str(rjsonnet.evaluate_file(str(path.resolve()), import_callback=find)).encode()
+    except RuntimeError as error:
+        raise ConfigError(f"{path}: {str(error).strip()}") from None
 
 
 def load(path: Path) -> Config:
--- a/banklift/emulator/node.py
+++ b/banklift/emulator/node.py
@@ -37,6 +37,8 @@
     hang_runs: float = 0.5  # share of the swallowed requests that run all the same
     slow: float = 1.0  # times its usual work
     slow_for: dict[str, float] = field(default_factory=dict)  # by source address, times the usual work
+    tail: float = 1.0  # times the usual work, for some requests ...
+    tail_share: float = 0.0  # ... by chance
     cut: float = 0.0  # share of requests cut off: the connection closes, run or not
     apply: float = 1.0  # times the usual work of applying
     cap: int = 10_000  # connections accepted
@@ -121,7 +123,8 @@
     def opened(self, now: float, conn: int, source: str) -> list[Act]:
         self._begin(now)
         if len(self.conns) >= self.faults.cap:
-            self.actions += [Act("send", conn, b"-ERR max number of clients reached\r\n"), Act("close", conn)]
+            self.actions += [Act("send", conn, b"-ERR max number of clients reached\r\n"),
+                             Act("close", conn, b"full")]
             return self.actions
         self.conns[conn] = Conn(conn, source, CommandReader(256 * 1024 * 1024), now,
                                 ready=now + self.faults.handshake)
@@ -285,6 +288,8 @@
             args = conn.queue.popleft()
             self.running += 1
             factor = self.faults.slow * self.faults.slow_for.get(conn.source, 1.0) / self.capacity()
+            if self.faults.tail_share and self.random.random() < self.faults.tail_share:
+                factor *= self.faults.tail
             work = self.work * factor * self.random.uniform(0.7, 1.3)
             self._at(self.now + work, lambda conn=conn, args=args: self._finished(conn, args))  # type: ignore[misc]
 
--- a/banklift/emulator/shell.py
+++ b/banklift/emulator/shell.py
@@ -104,7 +104,7 @@
         if (handle := host.handles.pop(self.number, None)) is not None:
             handle.close()
             if host.tap is not None:
-                host.tap(host.env.now(), host.node.name, Act("close", self.number))
+                host.tap(host.env.now(), host.node.name, Act("close", self.number, b"other end"))
             host.do(host.node.lost(host.env.now(), self.number))
 
 
--- a/banklift/emulator/stand.py
+++ b/banklift/emulator/stand.py
@@ -90,6 +90,9 @@
     def restart(self, number: int) -> None:
         """Start a killed one again at its address."""
 
+    def stall(self, number: int, seconds: float) -> None:
+        """It does nothing for a while, and then goes on."""
+
 
 def source(number: int) -> str:
     """The address from which a router connects to members, by which the members' taps know it."""
@@ -128,6 +131,9 @@
     def restart(self, number: int) -> None:
         self.hosts[number] = self._host(number, self.addresses[number])
 
+    def stall(self, number: int, seconds: float) -> None:
+        self.hosts[number].stall(seconds)
+
 
 class RouterProcesses:
     """Routers as processes of their own. `folder` holds what they read; `epoch`: the clock at the Unix epoch."""
@@ -172,6 +178,11 @@
     def restart(self, number: int) -> None:
         self.tasks.start_soon(self.start, number, self.addresses[number])
 
+    def stall(self, number: int, seconds: float) -> None:
+        process, env = self.processes[number], self.stand.env
+        os.kill(process.pid, signal.SIGSTOP)
+        env.at(env.now() + seconds, lambda: os.kill(process.pid, signal.SIGCONT))
+
     async def stop(self) -> None:
         """Stop them, politely first."""
         for process in self.processes.values():
--- a/banklift/judge/day.py
+++ b/banklift/judge/day.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -34,6 +35,7 @@
 DAYS = Path(__file__).with_name("days")
 TOLD_WITHIN = 0.5  # seconds until a router has read a new roster file
 ELECT_LOOK = 0.05
+TAIL_SHARE = 0.03  # of requests, of a heavy tail
 HAND_OVER = 2.0  # seconds that a hand-over waits for the log
 
 
@@ -46,7 +48,7 @@
 
 
 class Trouble(Strict, kw_only=True, frozen=True):
-    """One order to the stand, at `at` seconds. `member` may be `primary:GROUP` or `replica:GROUP:N`."""
+    """One order to the stand, at `at` seconds. `member` may be `primary:GROUP`, `replica:GROUP:N` or `*`."""
 
     at: Seconds
     do: str
@@ -75,12 +77,14 @@
     apply: Seconds = 0.0001
     requests: list[Request]
     troubles: list[Trouble] = msgspec.field(default_factory=list)
+    absent: tuple[str, ...] = ()  # members that join later
+    shows: dict[str, float] = msgspec.field(default_factory=dict)  # least figures of symptoms (symptoms.py)
     election: Election = msgspec.field(default_factory=Election)
     config: dict[str, Any] | None = None  # in place of the example's keys
 
 
 ORDERS = ("hang", "thaw", "kill", "restart", "drain", "undrain", "lag", "slow", "slow_for", "cut", "cap", "handshake",
-          "understate", "kill_router", "start_router")
+          "understate", "tail", "join", "leavers", "roster_delay", "kill_router", "start_router", "stall_router")
 
 
 def load_day(name: str) -> tuple[Day, Config]:
@@ -120,9 +124,13 @@
         self.sources = {source(number): number for number in range(routers)}
         self.sick: dict[str, float] = {}  # members that can't be primary, since when
         self.electing: set[str] = set()
+        self.roster_delay = 0.0
         self.stand = Stand(config, env, seed, self._tap, day.work, day.apply)
         self.routers: Routers | None = None
         self.clients: Clients | None = None
+        for name in day.absent:
+            self.stand.nodes[name].kill()
+            self.stand.states[name] = "gone"
         for group in config.groups:
             self._role(self.stand.roles[group.name])
 
@@ -164,7 +172,7 @@
     def _tap(self, now: float, member: str, act: Act) -> None:
         """At a member's end of the sockets."""
         if act.what == "close":
-            self.record(Entry(t=now, k="cut", member=member, conn=act.conn))
+            self.record(Entry(t=now, k="cut", member=member, conn=act.conn, verdict=act.data.decode() or "member"))
             return
         known = lookup(act.args[0])
         if known is None or known.kind not in (Kind.READ, Kind.WRITE):
@@ -207,6 +215,24 @@
             self.say(f"router {trouble.router} starts again")
             self.routers.restart(trouble.router)
             return
+        if trouble.do == "stall_router":
+            self.say(f"router {trouble.router} stalls for {trouble.value:g} s")
+            self.routers.stall(trouble.router, trouble.value)
+            self.record(Entry(t=now, k="stalled", router=trouble.router, patience=trouble.value))
+            return
+        if trouble.do == "leavers":
+            assert self.clients is not None
+            self.say(f"{trouble.value:.0%} of clients leave early")
+            self.clients.habits = dataclasses.replace(self.clients.habits, leavers=trouble.value)
+            return
+        if trouble.do == "roster_delay":
+            self.say(f"the roster runs {trouble.value:g} s late")
+            self.roster_delay = trouble.value
+            return
+        if trouble.member == "*":
+            for each in self.stand.nodes:
+                self._do(msgspec.structs.replace(trouble, member=each))
+            return
         name = self.member(trouble.member)
         host = stand.nodes[name]
         faults = host.node.faults
@@ -228,9 +254,17 @@
                 host.restart(rules.cold_share, rules.cold_time)
                 stand.started[name] = now
                 self.record(Entry(t=now, k="cold", member=name))
-                self.routers.roster(stand)
+                self._list()
                 self.sick.pop(name, None)
                 self._follow(name)
+            case "join":
+                rules = self.config.rules
+                stand.states[name] = "ready"
+                host.restart(rules.cold_share, rules.cold_time)
+                stand.started[name] = now
+                self.record(Entry(t=now, k="cold", member=name))
+                self._list()
+                self._follow(name)
             case "drain":
                 self._told(name, "draining")
                 if name in stand.roles.values():
@@ -243,6 +277,8 @@
                 faults.slow = trouble.value
             case "slow_for":
                 faults.slow_for = {source(trouble.router): trouble.value}
+            case "tail":
+                faults.tail, faults.tail_share = trouble.value, TAIL_SHARE if trouble.value > 1 else 0.0
             case "cut":
                 faults.cut = trouble.value
             case "cap":
@@ -253,10 +289,21 @@
                 faults.understate = trouble.value
 
     def _told(self, name: str, state: str) -> None:
-        assert self.routers is not None
         self.stand.states[name] = state
-        self.routers.roster(self.stand)
-        self.record(Entry(t=self.env.now(), k="told", member=name, value=state))
+        self._list(name, state)
+
+    def _list(self, name: str = "", state: str = "") -> None:
+        """The roster changed; it may run late."""
+        def tell() -> None:
+            assert self.routers is not None
+            self.routers.roster(self.stand)
+            if name:
+                self.record(Entry(t=self.env.now(), k="told", member=name, value=state))
+
+        if self.roster_delay:
+            self.env.at(self.env.now() + self.roster_delay, tell)
+        else:
+            tell()
 
     # ---- elections, as the store's own control plane does them
 
--- a/banklift/judge/trace.py
+++ b/banklift/judge/trace.py
@@ -2,7 +2,7 @@
 
 The first line is the head. Clients' end: `ask`, `answer`, `left`, `broke`. Members' end: `command`, `ran`, `reply`,
 `cut`. From whoever plays the day: `told` (the roster says a member drains or is gone), `cold` (a member starts),
-`killed` (a router), `role` (a member is primary from now on).
+`killed` and `stalled` (a router), `role` (a member is primary from now on).
 
 A request's number is written into its keys and values (`...:rid:17.0`), so both ends speak of the same one: before the
 dot the effect that the client wants, after it the client's try.
@@ -37,8 +37,8 @@
 
 class Entry(msgspec.Struct, kw_only=True, omit_defaults=True):
     t: float
-    k: Literal["ask", "answer", "left", "broke", "command", "ran", "reply", "cut", "told", "cold", "killed", "role",
-               "end"]
+    k: Literal["ask", "answer", "left", "broke", "command", "ran", "reply", "cut", "told", "cold", "killed",
+               "stalled", "role", "end"]
     rid: str = ""
     kind: str = ""  # class
     router: int = -1
--- a/banklift/net/env.py
+++ b/banklift/net/env.py
@@ -46,9 +46,11 @@
 
     def full(self) -> None:
         """The other end does not read, and what is unsent piles up here."""
+        return
 
     def free(self) -> None:
         """It has read enough for more to be worth making."""
+        return
 
 
 class Listener(Protocol):
--- a/banklift/net/router.py
+++ b/banklift/net/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from banklift.net.env import Alarm, Env, Handle, Peer
@@ -9,6 +10,9 @@
 from banklift.proxy.machine import Machine
 
 Log = Callable[[str, dict[str, object]], None]
+BEAT = 0.1  # seconds between looks at whether this process stood still
+STALL = 0.3  # seconds between two looks from which it did
+SETTLE = 0.01  # seconds after a stall until what came in meanwhile is begun: clients that left are known by then
 
 
 class RouterHost:
@@ -25,15 +29,26 @@
         self.clients: dict[int, Handle] = {}
         self.links: dict[int, Handle] = {}
         self.client_ids = 0
-        self.alarm = Alarm(env, lambda: machine.wake, lambda: self.tell(ev.Wake()))
+        self.dead = False
+        self.beat = env.now()
+        self.stood_from, self.stood_until = 0.0, -math.inf  # the last stall, and when it was noticed
+        self.stalled: list[Callable[[], None]] | None = None  # what has come in meanwhile
+        self._heartbeat()
+        self.alarm = Alarm(env, self._due, lambda: self.tell(ev.Wake()))
         self.listener = env.listen(address, lambda: _ClientPeer(self))
 
     @property
     def address(self) -> str:
         return self.listener.address
 
+    def _due(self) -> float:
+        return self.machine.wake if self.stalled is None and not self.dead else math.inf
+
     def tell(self, event: ev.Event) -> None:
         """Tell the machine and do what it says."""
+        if self.stalled is not None:
+            self.stalled.append(lambda: self.tell(event))
+            return
         clients, links = self.clients, self.links
         for action in self.machine.handle(self.env.now(), event):
             match action:
@@ -61,6 +76,36 @@
                     self.log(text, fields)
         self.alarm.look()
 
+    def _heartbeat(self) -> None:
+        """Notice that this process stood still: what then comes in may have been sent long ago."""
+        if self.dead:
+            return
+        now = self.env.now()
+        if self.stalled is None:
+            if now - self.beat > STALL:
+                self.stood_from, self.stood_until = self.beat, now
+                self.log("stood still", {"seconds": round(now - self.beat, 3)})
+            self.beat = now
+        self.env.at(now + BEAT, self._heartbeat)
+
+    def arrived(self) -> float | None:
+        """When what comes in now may have been sent at the earliest, after a stall; None without one."""
+        now = self.env.now()
+        if now - self.beat > STALL:
+            return self.beat
+        return self.stood_from if now < self.stood_until + BEAT else None
+
+    def stall(self, seconds: float) -> None:
+        """As by SIGSTOP, for routers that share a process with what watches them."""
+        self.stalled = []
+        self.env.at(self.env.now() + seconds, self._go_on)
+
+    def _go_on(self) -> None:
+        missed, self.stalled = self.stalled or [], None
+        for call in missed:
+            call()
+        self.alarm.look()
+
     def kill(self) -> None:
         """As by SIGKILL, for routers that share a process with what watches them."""
         self.listener.close()
@@ -68,15 +113,16 @@
             handle.close()
         self.clients.clear()
         self.links.clear()
-        self.alarm.due = lambda: float("inf")
+        self.dead = True
 
 
 class _ClientPeer(Peer):
-    __slots__ = ("host", "id")
+    __slots__ = ("host", "id", "late")
 
     def __init__(self, host: RouterHost) -> None:
         self.host = host
         self.id = 0
+        self.late: list[bytes] | None = None  # what came in while the process stood still
 
     def up(self, handle: Handle) -> None:
         self.host.client_ids += 1
@@ -85,10 +131,32 @@
         self.host.tell(ev.ClientOpened(self.id))
 
     def data(self, data: bytes) -> None:
-        self.host.tell(ev.ClientData(self.id, data))
+        host = self.host
+        if host.stalled is not None:
+            host.stalled.append(lambda: self.data(data))
+            return
+        if self.late is not None:
+            self.late.append(data)
+            return
+        since = host.arrived()
+        if since is None:
+            host.tell(ev.ClientData(self.id, data))
+            return
+        self.late = [data]
+        host.env.at(host.env.now() + SETTLE, lambda: self._begin(since))
+
+    def _begin(self, since: float) -> None:
+        late, self.late = self.late, None
+        if late:
+            self.host.tell(ev.ClientData(self.id, b"".join(late), since))
 
     def eof(self) -> None:
-        self.host.tell(ev.ClientEof(self.id))
+        if self.host.stalled is not None:
+            self.host.stalled.append(self.eof)
+        elif self.late is not None:  # it left while nobody looked
+            self.lost("closed")
+        else:
+            self.host.tell(ev.ClientEof(self.id))
 
     def full(self) -> None:
         self.host.tell(ev.ClientFull(self.id))
@@ -97,7 +165,12 @@
         self.host.tell(ev.ClientFree(self.id))
 
     def lost(self, reason: str) -> None:
-        if self.host.clients.pop(self.id, None) is not None:
+        if self.host.stalled is not None:
+            self.host.stalled.append(lambda: self.lost(reason))
+            return
+        self.late = None
+        if (handle := self.host.clients.pop(self.id, None)) is not None:
+            handle.close()
             self.host.tell(ev.ClientLost(self.id))
 
 
--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -1,7 +1,7 @@
 """The surroundings on sockets, under anyio on any of its back ends.
 
 What is sent is written at once as far as the socket takes it; the rest is left to a task. So a decision is carried out
-where it is made, without a switch of tasks. A peer is told when what is unsent piles up, and when it has gone down again.
+where it is made, without a switch of tasks. A peer is told when what is unsent piles up, and when it has gone down.
 """
 
 from __future__ import annotations
--- a/banklift/proxy/events.py
+++ b/banklift/proxy/events.py
@@ -19,6 +19,7 @@
 class ClientData(msgspec.Struct, frozen=True, gc=False):
     client: int
     data: bytes
+    since: float | None = None  # it may have been sent as long ago as this; None: just now
 
 
 class ClientEof(msgspec.Struct, frozen=True, gc=False):
@@ -80,7 +81,8 @@
     members: tuple[Listed, ...]
 
 
-Event = ClientOpened | ClientData | ClientEof | ClientLost | ClientFull | ClientFree | LinkUp | LinkData | LinkLost | Wake | Roster
+Event = (ClientOpened | ClientData | ClientEof | ClientLost | ClientFull | ClientFree | LinkUp | LinkData | LinkLost
+         | Wake | Roster)
 
 
 class ToClient(msgspec.Struct, frozen=True, gc=False):
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -116,6 +116,7 @@
         self.open: dict[int, Open] = {}
         self.flying: dict[tuple[int, int], Attempt] = {}
         self.now = 0.0
+        self.arrived: float | None = None  # of what is being read now, where that is not now
         self.ids = 0
         self.link_ids = 0
         self.timers: list[tuple[float, int, Callable[[], None]]] = []
@@ -132,8 +133,10 @@
     def handle(self, now: float, event: ev.Event) -> list[ev.Action]:
         self.now, self.actions = now, []
         match event:
-            case ev.ClientData(client, data):
+            case ev.ClientData(client, data, since):
+                self.arrived = now if since is None else since
                 self.front.data(client, data)
+                self.arrived = None
             case ev.LinkData(link, data):
                 if link in self.links:
                     self._link_data(self.links[link], data)
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -271,7 +271,7 @@
         gate = state.gates.get(group)
         if gate is None:
             gate = state.gates[group] = Gate()
-        now = self.core.now
+        now = self.core.now if self.core.arrived is None else self.core.arrived
         if not gate.waiting and gate.lets(kind):
             return self._request(state, gate, Waiting(place, kind, exchange, now), group)
         waiting = Waiting(place, kind, exchange, now)
