One task waits for all sockets, writes gathered; held requests tried in turn

Cause: 360 us a request, of which waiting for each socket in a task of its own took a third, and the sum of overdue answers, made for every choice, another part; with many held each answer tried them all again. Change: sockets registered with one epoll object, what is sent gathered for each socket; a bound in place of the sum where it decides alike; a fact tries 16 held requests of each class in turn; timers hold numbers, not requests.

--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import islice
 from random import Random
 
 from banklift import interface as io
@@ -27,6 +28,7 @@
 LAST_CALL = 1.6  # usual latencies before the end of worth, at most 0.6 of the time left: later is late
 TARGET = 0.5  # of the aim: work given to a crowded member, by the rate at which it answers this router
 PACE_TARGET = 0.75  # of the aim: the same by reported load, for the class with the best worth for its work
+TURN = 16  # held requests of a class that one fact tries: thousands may be held while answers are fast
 RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
 FIRST_PACE = 12.0  # requests at a member that answers within the usual latency, until there are answers
 COLD_PART = 0.4  # of what the falling rule allows a cold member; the rest is for uneven load and retries
@@ -62,7 +64,7 @@
     primary: Member | None = None
     lost: float = -math.inf  # when the last one was lost
     crowned: float = -math.inf  # when the newest fact on who is primary was true
-    held: dict[int, Pending] = field(default_factory=dict)
+    held: dict[str, dict[int, Pending]] = field(default_factory=dict)  # by class, in turn
     tending: bool = False
 
 
@@ -288,7 +290,7 @@
 
     def route(self, pending: Pending) -> None:
         """Send it, hold it, or give it its final answer."""
-        pending.group.held.pop(pending.ask.id, None)
+        pending.group.held.get(pending.kind.name, {}).pop(pending.ask.id, None)
         effect, ran = pending.kind.effect, pending.maybe_ran
         keyed = effect is Effect.KEYED and ran is not None and self.now < ran + pending.kind.window
         repeatable = ran is None or effect is Effect.SAFE or keyed  # rule 2
@@ -377,7 +379,7 @@
         self.forget(pending)
 
     def forget(self, pending: Pending, cancel: bool = True) -> None:
-        pending.group.held.pop(pending.ask.id, None)
+        pending.group.held.get(pending.kind.name, {}).pop(pending.ask.id, None)
         self.requests.pop(pending.ask.id, None)
         if cancel and self.settings.may_cancel:
             self.actions.extend(io.Cancel(pending.ask.id, attempt) for attempt in pending.flying)
@@ -387,7 +389,7 @@
         group, step = pending.group, STEP * self.shortest
         if self.now + step >= pending.last_call:
             return self.give_up(pending)
-        group.held[pending.ask.id] = pending
+        group.held.setdefault(pending.kind.name, {})[pending.ask.id] = pending
         if not group.tending:
             group.tending = True
             self.after(step, lambda: self.tend(group))
@@ -395,15 +397,18 @@
     def tend(self, group: Group) -> None:
         """While work is held: look for a primary, send what can go, answer what has run out of time."""
         group.tending = False
-        if group.held and (group.primary is None or not self.healthy(group.primary)):
+        if any(group.held.values()) and (group.primary is None or not self.healthy(group.primary)):
             self.probe_all(group, 4 * STEP * self.shortest)
-        self.release(group)
+        self.release(group, None)
 
-    def release(self, group: Group) -> None:
-        """Try what is held again, the best worth for its work first: what is worth least waits longest."""
-        for pending in sorted(group.held.values(), key=lambda p: -p.kind.worth / self.usual[p.kind.name]):
-            if pending.ask.id in group.held:
-                self.route(pending)
+    def release(self, group: Group, most: int | None = TURN) -> None:
+        """Try what is held again, the best worth for its work first: what is worth least waits longest. Of many
+        in a class each fact tries some, in turn; what is held on goes to the end, and `tend` tries all."""
+        for name in sorted(group.held, key=lambda name: -self.kinds[name].worth / self.usual[name]):
+            waiting = group.held[name]
+            for number in tuple(islice(waiting, most)):
+                if number in waiting:
+                    self.route(waiting[number])
 
     def warm(self, member: Member) -> float:
         """The part of its capacity that a member has at the least, by the time since its start."""
@@ -444,6 +449,8 @@
         """No connection, answers overdue over all that is out there, or a primary whose position stands
         still, though it may answer probes: a hang, a dead host, a cut link."""
         down = self.now - member.refused < LOOK * self.shortest
+        if len(member.flying) * (self.now - member.alive) < SILENCE * STEP * self.shortest:
+            return down or (member.group.primary is member and member.behind > 0)  # the sum can't reach it
         late = ((self.now - max(sent, member.alive)) / usual for sent, usual, _ in member.flying.values())
         return down or sum(late) >= SILENCE or (member.group.primary is member and member.behind > 0)
 
--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -1,7 +1,12 @@
 """The surroundings on sockets, under anyio on any of its back ends.
 
-What is sent is written at once as far as the socket takes it; the rest is left to a task. So a decision is carried out
-where it is made, without a switch of tasks. A peer is told when what is unsent piles up, and when it has gone down.
+Theory of operation. One task waits for all sockets at once: they are registered with an epoll object, and anyio waits
+until that is readable. What is ready is read and told to its peer, a few sockets at a time; what is sent meanwhile is
+gathered and written once for each socket when the few are done. So a request costs no task and no switch of tasks, and
+what many answers say to one client goes out in one piece. A second task keeps the timers. (Weighed and measured:
+docs/router.md.)
+
+A peer is told when what is unsent piles up, and when it has gone down again. Everything belongs to the task group.
 """
 
 from __future__ import annotations
@@ -9,6 +14,7 @@
 import errno
 import heapq
 import math
+import select
 import socket
 import time
 from collections.abc import Callable
@@ -21,157 +27,248 @@
 CHUNK = 256 * 1024  # bytes read at once
 HIGH_WATER = 1024 * 1024  # bytes unsent beyond which the other end is a slow reader
 BACKLOG = 1024
+AT_ONCE = 16  # sockets served before what they caused is written
+TICK = 0.001  # seconds that timers may be late, so that many ring together
 BIND_ADDRESS_NO_PORT = 24  # of IP: the port is chosen at connect, so many connections share a source
+IN, OUT = select.EPOLLIN, select.EPOLLOUT
+EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+PAUSE = 0.1  # seconds without accepting when descriptors run out
 
 
 class SocketHandle:
-    """A connected socket and its reading task."""
+    """One connection."""
 
-    __slots__ = ("_env", "_finishing", "_full", "_resumed", "_sock", "_unsent", "_writing", "closed", "peer", "source")
+    __slots__ = ("_connecting", "_env", "_events", "_finishing", "_full", "_gathered", "_sock", "_unsent", "closed",
+                 "peer", "source")
 
-    def __init__(self, env: SocketEnv, peer: Peer) -> None:
+    def __init__(self, env: SocketEnv, peer: Peer, sock: socket.socket, connecting: bool) -> None:
         self._env = env
         self.peer = peer
-        self.source = ""
-        self.closed = False
-        self._sock: socket.socket | None = None
+        self._sock = sock
+        self._connecting = connecting
+        self._events = 0
         self._unsent = bytearray()
-        self._writing = False
+        self._gathered: list[bytes] = []
         self._finishing = False
         self._full = False
-        self._resumed: anyio.Event | None = None
+        self.closed = False
+        self.source = ""
+        if not connecting:
+            self._open()
+
+    def _open(self) -> None:
+        try:
+            self.source = str(self._sock.getpeername()[0])
+        except OSError:
+            self.source = ""  # gone already; reading will tell
+
+    def _want(self, events: int) -> None:
+        """Hear of these from now on; of nothing at all while it is 0, not even of its end."""
+        env, had = self._env, self._events
+        if events == had:
+            return
+        fd = self._sock.fileno()
+        if not had:
+            env.by_fd[fd] = self
+            env.epoll.register(fd, events)
+        elif not events:
+            del env.by_fd[fd]
+            env.epoll.unregister(fd)
+        else:
+            env.epoll.modify(fd, events)
+        self._events = events
 
     def send(self, data: bytes) -> None:
-        sock = self._sock
-        if self.closed or self._finishing or sock is None:
+        if self.closed or self._finishing:
             return
-        if not self._writing:
+        if not self._gathered:
+            self._env.gather(self)
+        self._gathered.append(data)
+
+    def flush(self) -> None:
+        """Write what was gathered, as far as the socket takes it."""
+        data = self._gathered[0] if len(self._gathered) == 1 else b"".join(self._gathered)
+        self._gathered.clear()
+        if self.closed:
+            return
+        if not self._unsent and not self._connecting:
             try:
-                sent = sock.send(data)
+                sent = self._sock.send(data)
             except (BlockingIOError, InterruptedError):
                 sent = 0
             except OSError as error:
                 self._break(str(error))
                 return
             if sent == len(data):
+                if self._finishing:
+                    self.close()
                 return
             data = data[sent:]
-            self._writing = True
-            self._env.tasks.start_soon(self._drain)
+            self._want(self._events | OUT)
         self._unsent += data
         if len(self._unsent) > HIGH_WATER and not self._full:
             self._full = True
-            self._env.at(0.0, self._tell)
-
-    def _tell(self) -> None:
-        if not self.closed:
-            if self._full:
-                self.peer.full()
-            else:
-                self.peer.free()
+            self.peer.full()
 
     def finish(self) -> None:
         self._finishing = True
-        if not self._writing:
+        if not self._unsent and not self._gathered:
             self.close()
 
     def close(self) -> None:
         if not self.closed:
             self.closed = True
-            if self._sock is not None:
-                anyio.notify_closing(self._sock)
-                self._sock.close()
-            self.resume()
+            self._want(0)
+            self._sock.close()
+            self._env.handles.discard(self)
 
     def pause(self) -> None:
-        self._resumed = self._resumed or anyio.Event()
+        if not self.closed:
+            self._want(self._events & ~IN)
 
     def resume(self) -> None:
-        if self._resumed is not None:
-            self._resumed.set()
-            self._resumed = None
+        if not self.closed and not self._connecting:
+            self._want(self._events | IN)
 
     def _break(self, reason: str) -> None:
-        """It broke while something was being done with it: the peer is told afterwards."""
         if not self.closed:
             self.close()
-            self._env.at(0.0, lambda: self.peer.lost(reason))
+            self.peer.lost(reason)
 
-    async def _drain(self) -> None:
-        assert self._sock is not None
+    def ready(self, events: int) -> None:
+        if self._connecting:
+            code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self._break(errno.errorcode.get(code, "connect failed"))
+                return
+            self._connecting = False
+            self._want(IN | (OUT if self._unsent else 0))
+            self._open()
+            self.peer.up(self)
+            return
+        if events & OUT:
+            self._drain()
+        if events & ~OUT and not self.closed:
+            self._read()
+
+    def _read(self) -> None:
         try:
-            while self._unsent and not self.closed:
-                await anyio.wait_writable(self._sock)
-                if self.closed:
-                    return
-                try:
-                    del self._unsent[:self._sock.send(memoryview(self._unsent)[:CHUNK].tobytes())]
-                except (BlockingIOError, InterruptedError):
-                    continue
-                if self._full and len(self._unsent) <= HIGH_WATER // 2:
-                    self._full = False
-                    self._env.at(0.0, self._tell)
-        except (OSError, ValueError, anyio.ClosedResourceError) as error:
+            data = self._sock.recv(CHUNK)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
             self._break(str(error))
-        finally:
-            self._writing = False
-        if self._finishing:
-            self.close()
-
-    async def run(self, sock: socket.socket) -> None:
-        """Read until the end."""
-        self._sock = sock
-        if self.closed:
-            sock.close()
             return
-        try:
-            self.source = str(sock.getpeername()[0])
-        except OSError:
-            self.source = ""  # gone already; reading will tell
-        self.peer.up(self)
-        while not self.closed:
-            try:
-                await anyio.wait_readable(sock)
-                if self.closed:
-                    return
-                data = sock.recv(CHUNK)
-            except (BlockingIOError, InterruptedError):
-                continue
-            except (OSError, ValueError, anyio.ClosedResourceError) as error:
-                self._break(str(error))
-                return
-            if not data:
-                self.peer.eof()
-                return
+        if data:
             self.peer.data(data)
-            while self._resumed is not None and not self.closed:
-                await self._resumed.wait()
+            return
+        self._want(self._events & ~IN)
+        self.peer.eof()
+
+    def _drain(self) -> None:
+        try:
+            with memoryview(self._unsent) as view, view[:CHUNK] as part:
+                sent = self._sock.send(part)
+            del self._unsent[:sent]
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self._break(str(error))
+            return
+        if self._full and len(self._unsent) <= HIGH_WATER // 2:
+            self._full = False
+            self.peer.free()
+        if not self._unsent and not self.closed:
+            self._want(self._events & ~OUT)
+            if self._finishing and not self._gathered:
+                self.close()
 
 
 class SocketListener:
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock = sock
+    def __init__(self, env: SocketEnv, sock: socket.socket, accept: Callable[[], Peer]) -> None:
+        self._env, self._sock, self._accept = env, sock, accept
         host, port = sock.getsockname()[:2]
         self.address = f"{host}:{port}"
+        self._fd = sock.fileno()
+        self._register()
+
+    def _register(self) -> None:
+        if self._sock.fileno() >= 0:
+            self._env.by_fd[self._fd] = self
+            self._env.epoll.register(self._fd, IN)
+
+    def ready(self, events: int) -> None:
+        for _ in range(AT_ONCE):
+            try:
+                sock, _ = self._sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                if error.errno in EXHAUSTED:  # the open ones go on, new ones wait in the backlog
+                    self._env.epoll.unregister(self._fd)
+                    del self._env.by_fd[self._fd]
+                    self._env.at(self._env.now() + PAUSE, self._register)
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            handle = SocketHandle(self._env, self._accept(), sock, False)
+            self._env.handles.add(handle)
+            handle._want(IN)
+            handle.peer.up(handle)
 
     def close(self) -> None:
-        anyio.notify_closing(self.sock)
-        self.sock.close()
+        if self._sock.fileno() >= 0:
+            if self._env.by_fd.pop(self._fd, None) is not None:
+                self._env.epoll.unregister(self._fd)
+            self._sock.close()
 
 
 class SocketEnv:
     """`tasks` owns every connection and timer; cancelling it closes them all. `clock` tells seconds."""
 
     def __init__(self, tasks: TaskGroup, clock: Callable[[], float] = time.monotonic) -> None:
-        self.tasks = tasks
         self.now = clock
+        self.epoll = select.epoll()
+        self.by_fd: dict[int, SocketHandle | SocketListener] = {}
+        self.handles: set[SocketHandle] = set()
+        self._gathered: list[SocketHandle] = []
+        self._flush_due = False
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = 0
         self._sleeping_until = -math.inf
         self._alarm = anyio.Event()
-        self._open: set[SocketHandle] = set()
+        tasks.start_soon(self._serve)
         tasks.start_soon(self._timing)
 
+    async def _serve(self) -> None:
+        try:
+            while True:
+                await anyio.wait_readable(self.epoll)
+                for fd, events in self.epoll.poll(0, AT_ONCE):
+                    if (found := self.by_fd.get(fd)) is not None:
+                        found.ready(events)
+                self._flush()
+        finally:
+            for listener in [one for one in self.by_fd.values() if isinstance(one, SocketListener)]:
+                listener.close()
+            for handle in list(self.handles):
+                handle.close()
+            self.epoll.close()
+
+    def gather(self, handle: SocketHandle) -> None:
+        """It has something to send."""
+        self._gathered.append(handle)
+        if not self._flush_due:  # sent from outside a round: a timer flushes it at once
+            self._flush_due = True
+            self.at(0.0, self._flush)
+
+    def _flush(self) -> None:
+        while self._gathered:
+            gathered, self._gathered = self._gathered, []
+            for handle in gathered:
+                handle.flush()
+        self._flush_due = False
+
     def at(self, when: float, callback: Callable[[], None]) -> None:
         self._numbers += 1
         heapq.heappush(self._timers, (when, self._numbers, callback))
@@ -181,11 +278,13 @@
     async def _timing(self) -> None:
         timers = self._timers
         while True:
-            while timers and timers[0][0] <= self.now():
+            now = self.now()
+            while timers and timers[0][0] <= now:
                 heapq.heappop(timers)[2]()
+            self._flush()
             self._sleeping_until = timers[0][0] if timers else math.inf
             self._alarm = anyio.Event()
-            with anyio.move_on_after(max(0.0, self._sleeping_until - self.now())):
+            with anyio.move_on_after(max(TICK, self._sleeping_until - self.now())):
                 await self._alarm.wait()
             self._sleeping_until = -math.inf
 
@@ -200,71 +299,25 @@
         except OSError:
             sock.close()
             raise
-        listener = SocketListener(sock)
-        self.tasks.start_soon(self._accept, listener, accept)
-        return listener
-
-    async def _accept(self, listener: SocketListener, accept: Callable[[], Peer]) -> None:
-        try:
-            while True:
-                try:
-                    await anyio.wait_readable(listener.sock)
-                    for _ in range(64):
-                        sock, _ = listener.sock.accept()
-                        sock.setblocking(False)
-                        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                        self.tasks.start_soon(self._run, SocketHandle(self, accept()), sock)
-                except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                    continue
-                except anyio.ClosedResourceError:
-                    return
-                except (OSError, ValueError) as error:
-                    code = getattr(error, "errno", None)
-                    if code not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                        return
-                    await anyio.sleep(0.1)  # out of descriptors: the open ones go on, new ones wait in the backlog
-        finally:
-            listener.sock.close()
+        return SocketListener(self, sock, accept)
 
     def connect(self, address: str, peer: Peer, source: str | None = None) -> SocketHandle:
-        handle = SocketHandle(self, peer)
-        self.tasks.start_soon(self._connect, handle, address, source)
-        return handle
-
-    async def _connect(self, handle: SocketHandle, address: str, source: str | None) -> None:
-        if handle.closed:
-            return
         host, _, port = address.rpartition(":")
         sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        handle = SocketHandle(self, peer, sock, True)
+        self.handles.add(handle)
         try:
-            sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if source is not None:
                 sock.setsockopt(socket.IPPROTO_IP, BIND_ADDRESS_NO_PORT, 1)
                 sock.bind((source, 0))
             code = sock.connect_ex((host, int(port)))
-            if code in (0, errno.EINPROGRESS):
-                await anyio.wait_writable(sock)
-                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if code:
+            if code not in (0, errno.EINPROGRESS):
                 raise OSError(code, errno.errorcode.get(code, "connect failed"))
         except OSError as error:
-            sock.close()
-            if not handle.closed:
-                handle.closed = True
-                handle.peer.lost(str(error))
-            return
-        except BaseException:
-            sock.close()
-            raise
-        await self._run(handle, sock)
-
-    async def _run(self, handle: SocketHandle, sock: socket.socket) -> None:
-        self._open.add(handle)
-        try:
-            await handle.run(sock)
-        except anyio.get_cancelled_exc_class():
-            handle.close()
-            raise
-        finally:
-            self._open.discard(handle)
+            reason = str(error)
+            self.at(0.0, lambda: handle._break(reason))
+            return handle
+        handle._want(OUT)
+        return handle
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -262,14 +262,15 @@
         open_.attempts.append(attempt)
         self.flying[request, number] = attempt
         end = min(self.now + timeout, open_.deadline)
-        self.at(end, lambda: self._overdue(attempt))
+        # timers outlive attempts, so they hold numbers, not what was sent and answered
+        self.at(end, lambda: self._overdue(request, number))
         flavour = open_.ask.exchange.flavour
         idle = node.idle.get(flavour)
         if idle:
             self._write(idle.pop(), attempt)
             return
         node.waiting.append(attempt)
-        self.at(min(end, self.now + self.limits.connect), lambda: self._not_connected(attempt))
+        self.at(min(end, self.now + self.limits.connect), lambda: self._not_connected(request, number))
         if len(node.links) < self.limits.links:
             self._open_link(node, flavour)
         elif (other := next((links for links in node.idle.values() if links), None)) is not None:
@@ -284,12 +285,13 @@
             node.unanswered = self.now
         self.actions.append(ev.ToLink(link.id, exchange.payload(full)))
 
-    def _overdue(self, attempt: Attempt) -> None:
-        if not attempt.ended:
+    def _overdue(self, request: int, number: int) -> None:
+        if (attempt := self.flying.get((request, number))) is not None:
             self._end(attempt, Status.TIMEOUT if attempt.link is not None else Status.CONNECT_FAILED)
 
-    def _not_connected(self, attempt: Attempt) -> None:
-        if not attempt.ended and attempt.link is None:
+    def _not_connected(self, request: int, number: int) -> None:
+        attempt = self.flying.get((request, number))
+        if attempt is not None and attempt.link is None:
             self._end(attempt, Status.CONNECT_FAILED)
 
     def _cancel(self, request: int, number: int) -> None:
