--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -28,7 +28,7 @@
 LAST_CALL = 1.6  # usual latencies before the end of worth, at most 0.6 of the time left: later is late
 TARGET = 0.5  # of the aim: work given to a crowded member, by the rate at which it answers this router
 PACE_TARGET = 0.75  # of the aim: the same by reported load, for the class with the best worth for its work
-TURN = 16  # held requests of a class that one fact tries: thousands may be held while answers are fast
+TURN = 4  # held requests of a class that may be tried in vain for one fact: thousands may be held
 RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
 FIRST_PACE = 12.0  # requests at a member that answers within the usual latency, until there are answers
 COLD_PART = 0.4  # of what the falling rule allows a cold member; the rest is for uneven load and retries
@@ -56,6 +56,8 @@
     probed: float = -math.inf
     # attempts out there: time sent, usual latency, load of the member then
     flying: dict[tuple[int, int], tuple[float, float, float]] = field(default_factory=dict)
+    work: float = 0.0  # of these, the usual latencies together ...
+    haste: float = 0.0  # ... and their inverses
 
 
 @dataclass(slots=True, eq=False)
@@ -233,7 +235,11 @@
         self.release(member.group)
 
     def learn(self, member: Member, event: io.Outcome, pending: Pending | None) -> float:
-        sent, _, load = member.flying.pop((event.request, event.attempt), (self.now - event.latency, 0, 1))
+        known = member.flying.pop((event.request, event.attempt), None)
+        sent, usual, load = known or (self.now - event.latency, math.inf, 1.0)
+        member.work, member.haste = member.work - (usual if known else 0.0), member.haste - 1 / usual
+        if not member.flying:
+            member.work = member.haste = 0.0
         status = event.status
         if status is Status.CONNECT_FAILED:
             member.refused = self.now
@@ -356,6 +362,7 @@
         pending.flying[len(pending.tried)] = member
         member.load = max(member.load, len(member.flying)) + 1
         member.flying[pending.ask.id, len(pending.tried)] = self.now, usual, member.load
+        member.work, member.haste = member.work + usual, member.haste + 1 / usual
         pending.tried.append(member)
         self.actions.append(io.Send(pending.ask.id, member.name, pending.ask.deadline - self.now))
         if pending.kind.effect is Effect.SAFE:
@@ -402,13 +409,15 @@
         self.release(group, None)
 
     def release(self, group: Group, most: int | None = TURN) -> None:
-        """Try what is held again, the best worth for its work first: what is worth least waits longest. Of many
-        in a class each fact tries some, in turn; what is held on goes to the end, and `tend` tries all."""
+        """Try what is held again, the best worth for its work first: what is worth least waits longest. Each
+        fact tries some of many, in turn; what is held on goes to the end, and `tend` tries all."""
         for name in sorted(group.held, key=lambda name: -self.kinds[name].worth / self.usual[name]):
             waiting = group.held[name]
-            for number in tuple(islice(waiting, most)):
-                if number in waiting:
+            missed = 0
+            for number in tuple(islice(waiting, most and 4 * most)):
+                if number in waiting and missed != most:
                     self.route(waiting[number])
+                    missed += number in waiting
 
     def warm(self, member: Member) -> float:
         """The part of its capacity that a member has at the least, by the time since its start."""
@@ -442,17 +451,18 @@
             best = max(kind.worth / self.usual[kind.name] for kind in self.settings.classes)
             rank = pending.kind.worth / self.usual[pending.kind.name] / best if best else 1.0
             return expected <= (TARGET + (PACE_TARGET - TARGET) * rank) * pending.kind.aim
-        work = self.usual[pending.kind.name] + sum(usual for _, usual, _ in member.flying.values())
+        work = self.usual[pending.kind.name] + member.work
         return work <= TARGET * pending.kind.aim * self.answered(member)
 
     def sick(self, member: Member) -> bool:
         """No connection, answers overdue over all that is out there, or a primary whose position stands
         still, though it may answer probes: a hang, a dead host, a cut link."""
         down = self.now - member.refused < LOOK * self.shortest
-        if len(member.flying) * (self.now - member.alive) < SILENCE * STEP * self.shortest:
-            return down or (member.group.primary is member and member.behind > 0)  # the sum can't reach it
-        late = ((self.now - max(sent, member.alive)) / usual for sent, usual, _ in member.flying.values())
-        return down or sum(late) >= SILENCE or (member.group.primary is member and member.behind > 0)
+        late, silent = 0.0, self.now - member.alive
+        if silent >= STEP * self.shortest and silent * member.haste >= SILENCE:  # less is but a hiccup
+            since = ((max(sent, member.alive), usual) for sent, usual, _ in member.flying.values())
+            late = sum((self.now - sent) / usual for sent, usual in since)
+        return down or late >= SILENCE or (member.group.primary is member and member.behind > 0)
 
     def healthy(self, member: Member) -> bool:
         waited = self.now - member.probed  # asked for a report in vain: dead, cut off or far away
