--- a/banklift/net/daemon.py
+++ b/banklift/net/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import random
 import signal
@@ -30,6 +31,9 @@
     machine = build.machine(config, random.SystemRandom().randrange(2**63))
     path = folder / config.roster if config.roster is not None else None
     groups = load_roster(path, config) if path is not None and path.exists() else config.groups
+    gc.collect()  # what is there by now stays for good; what requests leave behind has no cycles
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 50)
     async with anyio.create_task_group() as tasks:
         host = RouterHost(SocketEnv(tasks), machine, config.listen,
                           lambda event, fields: log.info(event, **fields), config.source)
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -8,9 +8,10 @@
   answer says otherwise. A link carries one attempt at a time. One that is cut off closes its link, so a late answer
   has no way to another request.
 - Each attempt asks the member for its standing on the same link: a read before its command, so what is read is at
-  least as new as what is proven; a write after it, so the mark it leaves holds the write. The first exchange of a link
-  asks for the history too: a restart of the member ends its links, so nothing outlives the data it spoke of. A read
-  whose own proof fails its floor is not passed on; the module hears of a miss.
+  least as new as what is proven; a write after it, so the mark it leaves holds the write. Only a read that any member
+  may serve needs no proof. The first exchange of a link asks for the history too: a restart of the member ends its
+  links, so nothing outlives the data it spoke of. A read whose own proof fails its floor is not passed on; the module
+  hears of a miss.
 - A probe of a replica also asks the primary, as a sample: positions come from samples (decide/offsets.py). The report
   waits up to `SAMPLE_WAIT` for it.
 - A member whose data began anew is listed to the module as gone, and under a new name as come: what was proven about
@@ -32,7 +33,7 @@
 from banklift.interface import Need, State, Status
 from banklift.proxy import events as ev
 from banklift.proxy.plan import Limits
-from banklift.proxy.wire import Ask, BrokenFrame, Failed, Final, Front, Reader, Refused, Served, Wire
+from banklift.proxy.wire import Ask, BrokenFrame, Failed, Final, Front, Question, Reader, Refused, Served, Wire
 
 SAMPLE_WAIT = 0.02  # seconds that a replica's report waits for the primary's sample
 PROBES = -1  # flavour of links for probes
@@ -82,6 +83,7 @@
     sent: float  # when the module decided it
     asked: float = math.inf  # when its bytes were written
     link: Link | None = None
+    question: Question = Question.NONE
     frames: list[bytes] = field(default_factory=list)
     ended: bool = False
 
@@ -278,12 +280,15 @@
 
     def _write(self, link: Link, attempt: Attempt) -> None:
         node, exchange = attempt.node, attempt.open.ask.exchange
-        full = link.fresh or node.doubt
+        if link.fresh or node.doubt:
+            attempt.question = Question.HISTORY
+        elif attempt.open.ask.kind.need is not Need.ANY:  # which asks for no proof
+            attempt.question = Question.STANDING
         link.fresh = False
         link.attempt, attempt.link, attempt.asked = attempt, link, self.now
         if attempt.open.ask.kind.need is Need.WRITE and node.unanswered is None:
             node.unanswered = self.now
-        self.actions.append(ev.ToLink(link.id, exchange.payload(full)))
+        self.actions.append(ev.ToLink(link.id, exchange.payload(attempt.question)))
 
     def _overdue(self, request: int, number: int) -> None:
         if (attempt := self.flying.get((request, number))) is not None:
@@ -323,7 +328,7 @@
     def _answered(self, link: Link, attempt: Attempt) -> None:
         """Every frame that was needed has come, or one that says nothing ran."""
         ask, node = attempt.open.ask, attempt.node
-        result = ask.exchange.read(attempt.frames)
+        result = ask.exchange.read(attempt.frames, attempt.question)
         if result is None:
             return
         status, fact = result.status, Fact()
@@ -343,7 +348,7 @@
                 if writes:
                     seen = self.tracks[node.group].seen(node.name, fact.offset, self.now)
                 served = Served(result.answer, seen)
-        complete = len(attempt.frames) >= ask.exchange.frames()
+        complete = len(attempt.frames) >= ask.exchange.frames(attempt.question)
         load = result.standing.load if result.standing is not None else None
         self._end(attempt, status, fact, load, served)
         if link.id in self.links:
@@ -525,7 +530,7 @@
         if link.flavour == PROBES:
             self._probes_failed(node)
         elif attempt is not None:
-            result = attempt.open.ask.exchange.cut(attempt.frames)
+            result = attempt.open.ask.exchange.cut(attempt.frames, attempt.question)
             if result is None or attempt.open.final:
                 self._end(attempt, Status.RESET)
             else:
--- a/banklift/proxy/wire.py
+++ b/banklift/proxy/wire.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import IntEnum
 from typing import Protocol
 
 from banklift.decide.offsets import Seen, Standing
@@ -32,6 +33,14 @@
     standing: Standing | None = None
 
 
+class Question(IntEnum):
+    """What a member is asked about itself together with a request."""
+
+    NONE = 0
+    STANDING = 1  # role and position
+    HISTORY = 2  # these and its history
+
+
 class Exchange(Protocol):
     """One request as a member gets it."""
 
@@ -39,16 +48,16 @@
     def flavour(self) -> int:
         """Only links of the same flavour carry it."""
 
-    def payload(self, full: bool) -> bytes:
-        """The bytes to send; `full`: ask the member for its history too."""
+    def payload(self, question: Question) -> bytes:
+        """The bytes to send."""
 
-    def frames(self) -> int:
+    def frames(self, question: Question) -> int:
         """How many frames answer it."""
 
-    def read(self, frames: list[bytes]) -> Result | None:
+    def read(self, frames: list[bytes], question: Question) -> Result | None:
         """What the frames so far mean; None while more are needed."""
 
-    def cut(self, frames: list[bytes]) -> Result | None:
+    def cut(self, frames: list[bytes], question: Question) -> Result | None:
         """The answer, if a link that broke had already brought it; None if not."""
 
 
--- a/banklift/resp/wire.py
+++ b/banklift/resp/wire.py
@@ -10,7 +10,7 @@
 
 from banklift.decide.offsets import Standing
 from banklift.interface import Status
-from banklift.proxy.wire import BrokenFrame, Result
+from banklift.proxy.wire import BrokenFrame, Question, Result
 from banklift.resp.frames import ProtocolError, Scanner, command
 from banklift.resp.replies import standing_of_info, standing_of_role, status
 
@@ -74,6 +74,9 @@
         return None
 
 
+ASKS = {Question.NONE: b"", Question.STANDING: ROLE, Question.HISTORY: INFO}
+
+
 @dataclass(frozen=True, slots=True)
 class Single:
     """One command."""
@@ -82,14 +85,15 @@
     data: bytes
     writes: bool
 
-    def payload(self, full: bool) -> bytes:
-        ask = INFO if full else ROLE
-        return self.data + ask if self.writes else ask + self.data
+    def payload(self, question: Question) -> bytes:
+        return self.data + ASKS[question] if self.writes else ASKS[question] + self.data
 
-    def frames(self) -> int:
-        return 2
+    def frames(self, question: Question) -> int:
+        return 2 if question else 1
 
-    def read(self, frames: list[bytes]) -> Result | None:
+    def read(self, frames: list[bytes], question: Question) -> Result | None:
+        if not question:
+            return Result(status(frames[0]), frames[0])
         if len(frames) == 1:
             verdict = status(frames[0])
             if verdict is Status.FULL and not self.writes:  # to the question in front: the command fares no better
@@ -98,10 +102,12 @@
         answer, told = (frames[0], frames[1]) if self.writes else (frames[1], frames[0])
         return Result(status(answer), answer, _standing(told))
 
-    def cut(self, frames: list[bytes]) -> Result | None:
-        if not frames or not self.writes:
-            return Result(status(frames[0])) if frames and status(frames[0]) is Status.FULL else None
-        return Result(status(frames[0]), frames[0])
+    def cut(self, frames: list[bytes], question: Question) -> Result | None:
+        if not frames:
+            return None
+        if self.writes:
+            return Result(status(frames[0]), frames[0])
+        return Result(Status.FULL) if status(frames[0]) is Status.FULL else None
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,23 +118,28 @@
     data: tuple[bytes, ...]
     writes: bool
 
-    def payload(self, full: bool) -> bytes:
-        ask = INFO if full else ROLE
+    def payload(self, question: Question) -> bytes:
         body = MULTI + b"".join(self.data) + EXEC
-        return body + ask if self.writes else ask + body
+        return body + ASKS[question] if self.writes else ASKS[question] + body
 
-    def frames(self) -> int:
-        return len(self.data) + 3
+    def frames(self, question: Question) -> int:
+        return len(self.data) + 2 + bool(question)
 
-    def read(self, frames: list[bytes]) -> Result | None:
+    def read(self, frames: list[bytes], question: Question) -> Result | None:
         if len(frames) == 1 and status(frames[0]) is Status.FULL:
             return Result(Status.FULL)
-        if len(frames) < self.frames():
+        if len(frames) < self.frames(question):
             return None
-        told = frames[-1] if self.writes else frames[0]
-        body = frames[:-1] if self.writes else frames[1:]
+        if not question:
+            return self._verdict(frames, None)
+        told, body = (frames[-1], frames[:-1]) if self.writes else (frames[0], frames[1:])
         return self._verdict(body, _standing(told))
 
+    def cut(self, frames: list[bytes], question: Question) -> Result | None:
+        if self.writes and len(frames) == len(self.data) + 2:
+            return self._verdict(frames, None)
+        return None
+
     def _verdict(self, body: list[bytes], standing: Standing | None) -> Result:
         answer = body[-1]
         if answer.startswith(b"-EXECABORT"):  # one was not queued, so nothing ran: its error tells why
@@ -136,8 +147,3 @@
             verdict = next((status(frame) for frame in errors if status(frame) is not Status.OK), Status.OK)
             return Result(verdict, answer, standing)
         return Result(status(answer), answer, standing)
-
-    def cut(self, frames: list[bytes]) -> Result | None:
-        if self.writes and len(frames) == len(self.data) + 2:
-            return self._verdict(frames, None)
-        return None
