--- a/banklift/decide/offsets.py
+++ b/banklift/decide/offsets.py
@@ -213,13 +213,18 @@
 
     def covers(self, fact: Fact, seen: Seen) -> bool:
         """Whether what `fact` proves holds the write that `seen` marks."""
-        if fact.position is not None and fact.position >= seen.at:
+        if fact.position is not None and fact.position > seen.at:  # a sample of that very moment may be older
             return True
         if fact.offset is None or seen.replid is None:
             return False
         limit = self.line.get(seen.replid)
         return limit is not None and seen.offset <= limit and fact.offset >= seen.offset
 
+    def holds(self, member: str, seen: Seen) -> bool:
+        """Whether the member's last answer proves that it has the write that `seen` marks."""
+        position, offset = self.place(member)
+        return self.covers(Fact(False, position, offset=offset), seen)
+
     def forget(self, member: str) -> None:
         self.places.pop(member, None)
         if self.owner == member:
--- a/banklift/judge/show.py
+++ b/banklift/judge/show.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from pathlib import Path
 
 from rich.console import Console
@@ -20,7 +21,7 @@
 
 
 def show(verdict: Verdict, trace: Path) -> None:
-    console = Console()
+    console = Console(width=None if sys.stdout.isatty() else 130)
     table = Table("class")
     for name in ("asked", "tries", "served", "in time", "refused", "failed", "errors", "left", "p50 ms", "p95 ms",
                  "p99 ms"):
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -204,6 +204,12 @@
             open_.final = True
             self._decide(io.Abandoned(request))
 
+    def refresh(self, group: int) -> None:
+        """Ask the members of a group where they stand, but those that are being asked."""
+        for node in self.nodes.values():
+            if node.group == group and node.state is State.READY and not node.probes:
+                self._probe(node, False)
+
     def under_way(self, request: int) -> bool:
         """Whether an attempt of it is out there."""
         open_ = self.open.get(request)
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -30,6 +31,8 @@
 VERSION = "7.2.0"  # of the protocol's commands that clients may expect
 SESSIONS = 10_000  # named sessions whose marks are kept
 OK = Simple("OK")
+NOT_YET = object()  # what a late answer may say: ask again
+WAIT_LOOK = 0.02  # seconds between looks at what replicas have, for WAIT
 
 
 @dataclass(slots=True, eq=False)
@@ -200,8 +203,9 @@
         line, out = state.line, []
         while line:
             front = line[0]
-            if front.late is not None:
-                front.answer = encode(front.late(), state.proto)
+            if front.answer is None and front.late is not None:
+                value = front.late()
+                front.answer = None if value is NOT_YET else encode(value, state.proto)
             if front.answer is None:
                 break
             out.append(front.answer)
@@ -356,7 +360,7 @@
             case b"ROLE":
                 self._say(state, place, ["master", 0, []])
             case b"WAIT":
-                place.late = lambda: self._wait(state)
+                self._wait(state, place, args)
             case b"MULTI":
                 if state.units is not None:
                     return self._say(state, place, Error("ERR MULTI calls can not be nested"))
@@ -504,15 +508,30 @@
             own[group] = seen if group not in own else later(own[group], seen, self.core.now)
         self._say(state, place, OK)
 
-    def _wait(self, state: Client) -> int:
-        """How many replicas are known to have the session's writes. It does not wait: the connection is shared."""
-        counts = []
-        for group, seen in self._marks(state).items():
-            track = self.core.tracks[group]
-            offsets = [track.place(name)[1] for name in track.places if name != track.owner]
-            counts.append(sum(offset is not None and seen.replid == track.replid and offset >= seen.offset
-                              for offset in offsets))
-        return min(counts, default=0)
+    def _wait(self, state: Client, place: Place, args: list[bytes]) -> None:
+        """How many replicas have the session's writes: once that many do, or the time is over (0: no end)."""
+        try:
+            wanted, end = int(args[1]), int(args[2]) / 1000
+        except ValueError:
+            return self._say(state, place, Error("ERR value is not an integer or out of range"))
+        if end < 0:
+            return self._say(state, place, Error("ERR timeout is negative"))
+        end = self.core.now + end if end else math.inf
+
+        def look() -> object:
+            counts = []
+            for group, seen in self._marks(state).items():
+                track = self.core.tracks[group]
+                counts.append(sum(name != track.owner and track.holds(name, seen) for name in track.places))
+            count = min(counts, default=0)
+            if count >= wanted or self.core.now >= end or not counts:
+                return count
+            for group in self._marks(state):
+                self.core.refresh(group)
+            self.core.at(min(end, self.core.now + WAIT_LOOK), lambda: self._flush(state))
+            return NOT_YET
+
+        place.late = look
 
 
 def later(one: Seen, other: Seen, now: float) -> Seen:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -264,3 +264,28 @@
         thread.join()
     assert got == count * (len(value) + 11)
     assert most < 260 * len(value)  # one line's worth, not all
+
+
+def test_refused_and_failed_are_told_apart_by_real_clients() -> None:
+    """Nobody takes writes: refused. The primary swallows one: it may have run."""
+    place = Site(load(EXAMPLE))
+    try:
+        with redis.Redis(port=place.port(), socket_timeout=20) as client:
+            client.set("pick:1", "a")
+            name = next(name for name, host in place.stand.nodes.items() if b"pick:1" in host.node.data
+                        and host.node.primary is None)
+            place.call(lambda: setattr(place.stand.nodes[name].node.faults, "hang", True))
+            with pytest.raises(redis.ResponseError, match="UNCERTAIN failed: it may have run"):
+                client.set("pick:1", "b")
+            place.call(place.stand.nodes[name].kill)
+            with pytest.raises(redis.exceptions.TryAgainError, match="refused: nothing ran; retry_after_ms="):
+                client.set("pick:1", "c")
+
+            async def main() -> None:
+                async with coredis.Redis(port=place.port()) as other:
+                    with pytest.raises(coredis.exceptions.ResponseError, match="refused: nothing ran"):
+                        await other.set("pick:1", "d")
+
+            anyio.run(main)
+    finally:
+        place.close()
--- /dev/null
+++ b/tests/test_machine.py
@@ -0,0 +1,367 @@
+"""The machine by itself: what a link, an attempt and an answer may and may not do, event by event."""
+
+from __future__ import annotations
+
+import gc
+
+import msgspec
+import pytest
+
+from banklift.config import build
+from banklift.config.load import EXAMPLE, load
+from banklift.interface import State
+from banklift.proxy import events as ev
+from banklift.proxy.machine import Attempt, Machine, Open
+from banklift.proxy.plan import Config, Limits
+from banklift.resp.frames import command
+from banklift.resp.wire import INFO, ROLE, Single
+
+A, B = "a" * 40, "b" * 40
+
+
+def info(primary: bool, offset: int, replid: str = A, replid2: str = "0" * 40, second: int = -1) -> bytes:
+    lines = [f"role:{'master' if primary else 'slave'}", f"master_replid:{replid}", f"master_replid2:{replid2}",
+             f"master_repl_offset:{offset}", f"second_repl_offset:{second}"]
+    if not primary:
+        lines += ["master_host:p", "master_port:1", "master_link_status:up", f"slave_repl_offset:{offset}"]
+    text = "\r\n".join(lines).encode()
+    return b"$%d\r\n%b\r\n" % (len(text), text)
+
+
+def role(offset: int) -> bytes:
+    return b"*3\r\n$6\r\nmaster\r\n:%d\r\n*0\r\n" % offset
+
+
+class Rig:
+    """A machine with one group, a primary p and a replica r, and everything under the test's control."""
+
+    def __init__(self, **limits: object) -> None:
+        example = load(EXAMPLE)
+        groups = [msgspec.structs.replace(example.groups[0], slots=[(0, 16383)])]
+        self.config: Config = msgspec.structs.replace(
+            example, groups=groups, limits=msgspec.structs.replace(Limits(), **limits))
+        self.machine: Machine = build.machine(self.config, 1)
+        self.now = 100.0
+        self.answers: dict[int, bytes] = {}
+        self.sent: dict[int, bytes] = {}
+        self.links: dict[int, str] = {}
+        self.closed: list[int] = []
+        self.closed_clients: list[int] = []
+        self.offsets = {"p:1": 5, "r:1": 5}  # what probes find
+        self.probing: set[int] = set()
+        self.tell(ev.Roster((ev.Listed("p", 0, "p:1", State.READY, True), ev.Listed("r", 0, "r:1"))))
+        self.tell(ev.ClientOpened(1))
+
+    def tell(self, event: ev.Event) -> None:
+        """Tell the machine; probes are answered at once."""
+        asked: list[int] = []
+        opened: list[int] = []
+        for action in self.machine.handle(self.now, event):
+            match action:
+                case ev.ToClient(client, data):
+                    self.answers[client] = self.answers.get(client, b"") + data
+                case ev.ToLink(link, data) if link in self.probing:
+                    asked += [link] * (len(data) // len(INFO))
+                case ev.ToLink(link, data):
+                    assert link not in self.closed
+                    self.sent[link] = self.sent.get(link, b"") + data
+                case ev.OpenLink(link, address):
+                    if any(node.prober is not None and node.prober.id == link
+                           for node in self.machine.nodes.values()):
+                        self.probing.add(link)
+                        opened.append(link)
+                    self.links[link] = address
+                case ev.CloseLink(link):
+                    self.closed.append(link)
+                case ev.CloseClient(client):
+                    self.closed_clients.append(client)
+        for link in opened:
+            self.tell(ev.LinkUp(link))
+        for link in asked:
+            address = self.links[link]
+            if address in self.offsets:
+                self.tell(ev.LinkData(link, info(address.startswith("p"), self.offsets[address])))
+
+    def ask(self, *args: object, client: int = 1) -> None:
+        self.tell(ev.ClientData(client, command(*map(str, args))))
+
+    def link(self, address: str) -> int:
+        """The newest open link to a member, but for probes."""
+        return max(link for link, where in self.links.items()
+                   if where == address and link not in self.closed and link not in self.probing)
+
+    def data_links(self, address: str) -> list[int]:
+        return [link for link, where in self.links.items() if where == address and link not in self.probing]
+
+    def up(self, address: str) -> int:
+        link = self.link(address)
+        self.tell(ev.LinkUp(link))
+        return link
+
+    def wait(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.machine.wake <= end:
+            self.now = max(self.now, self.machine.wake)
+            self.tell(ev.Wake())
+        self.now = end
+
+    def answer(self, client: int = 1) -> bytes:
+        return self.answers.pop(client, b"")
+
+
+def test_a_write_goes_to_the_primary_with_its_question_behind() -> None:
+    rig = Rig()
+    rig.ask("SET", "pick:1", "a")
+    link = rig.up("p:1")
+    assert rig.sent.pop(link) == command("SET", "pick:1", "a") + INFO
+    rig.tell(ev.LinkData(link, b"+OK\r\n" + info(True, 50)))
+    assert rig.answer() == b"+OK\r\n"
+    rig.ask("SET", "pick:1", "b")
+    assert rig.sent.pop(link) == command("SET", "pick:1", "b") + ROLE  # the same link; its history is known
+    rig.tell(ev.LinkData(link, b"+O"))
+    assert rig.answer() == b""
+    rig.tell(ev.LinkData(link, b"K\r\n" + role(80)))
+    assert rig.answer() == b"+OK\r\n"
+    rig.ask("BANKLIFT.TOKEN")
+    assert rig.answer() == b"$%d\r\nwest=%b:80\r\n" % (len(A) + 8, A.encode())
+
+
+def test_an_unsafe_write_cut_off_after_its_first_byte_may_have_run() -> None:
+    rig = Rig()
+    rig.ask("SET", "pick:1", "a")
+    link = rig.up("p:1")
+    rig.tell(ev.LinkLost(link, "reset"))
+    assert rig.answer().startswith(b"-UNCERTAIN failed")
+    assert sum(b"SET" in data for data in rig.sent.values()) == 1
+
+
+def test_an_answer_that_came_before_the_cut_is_passed_on() -> None:
+    rig = Rig()
+    rig.ask("SET", "pick:1", "a")
+    link = rig.up("p:1")
+    rig.tell(ev.LinkData(link, b"+OK\r\n"))
+    rig.tell(ev.LinkLost(link, "reset"))
+    assert rig.answer() == b"+OK\r\n"
+    rig.ask("BANKLIFT.TOKEN")
+    assert rig.answer() == b"$6\r\nwest=?\r\n"  # it ran, where is not known
+
+
+def test_a_refused_connect_never_ran() -> None:
+    rig = Rig()
+    rig.ask("SET", "pick:1", "a")
+    rig.tell(ev.LinkLost(rig.link("p:1"), "refused"))
+    rig.wait(2.0)
+    assert rig.answer().startswith(b"-TRYAGAIN refused")
+    assert not any(b"SET" in data for data in rig.sent.values())
+
+
+def test_a_connect_that_hangs_never_ran() -> None:
+    rig = Rig(connect=0.2)
+    rig.ask("SET", "pick:1", "a")
+    rig.wait(2.0)
+    assert rig.answer().startswith(b"-TRYAGAIN refused")
+
+
+def test_a_late_answer_reaches_nobody() -> None:
+    rig = Rig()
+    rig.ask("SET", "pick:1", "a")
+    link = rig.up("p:1")
+    rig.wait(2.0)  # the deadline
+    assert rig.answer().startswith(b"-UNCERTAIN failed")
+    assert link in rig.closed
+    rig.ask("GET", "alert:1")
+    rig.tell(ev.LinkData(link, b"+OK\r\n" + info(True, 50)))  # too late
+    assert rig.answer() == b""
+
+
+def test_a_client_that_leaves_ends_its_attempt_and_others_go_on() -> None:
+    rig = Rig()
+    rig.tell(ev.ClientOpened(2))
+    rig.ask("SET", "pick:1", "a")
+    rig.ask("SET", "pick:1", "b", client=2)
+    first, second = rig.data_links("p:1")
+    rig.tell(ev.LinkUp(first))
+    rig.tell(ev.LinkUp(second))
+    rig.tell(ev.ClientLost(1))
+    assert rig.closed == [first]
+    rig.tell(ev.LinkData(second, b"+OK\r\n" + info(True, 10)))
+    assert rig.answer(2) == b"+OK\r\n" and rig.answer(1) == b""
+
+
+@pytest.mark.parametrize("error", [b"-READONLY x\r\n", b"-LOADING x\r\n", b"-MASTERDOWN x\r\n", b"-CLUSTERDOWN x\r\n",
+                                   b"-NOREPLICAS x\r\n", b"-BUSY x\r\n", b"-OOM x\r\n", b"-TRYAGAIN x\r\n"])
+def test_a_write_turned_away_is_not_answered_with_the_members_words(error: bytes) -> None:
+    rig = Rig()
+    rig.ask("SET", "pick:1", "a")
+    link = rig.up("p:1")
+    rig.offsets.clear()  # probes find nobody
+    rig.tell(ev.LinkData(link, error + info(not error.startswith(b"-READONLY"), 10)))
+    rig.wait(2.0)
+    answer = rig.answer()
+    assert answer.startswith(b"-TRYAGAIN refused")  # never UNCERTAIN: nothing ran
+
+
+@pytest.mark.parametrize("error", [b"-ERR value is not an integer\r\n", b"-WRONGTYPE x\r\n", b"-NOSCRIPT x\r\n"])
+def test_honest_errors_of_the_application_pass_through(error: bytes) -> None:
+    rig = Rig()
+    rig.ask("INCR", "pick:1")
+    rig.tell(ev.LinkData(rig.up("p:1"), error + info(True, 10)))
+    assert rig.answer() == error
+
+
+ODD = [
+    b"%1\r\n+a\r\n*2\r\n:1\r\n_\r\n",
+    b"~2\r\n,1.50\r\n,inf\r\n",
+    b"(12345678901234567890123\r\n",
+    b"=7\r\ntxt:abc\r\n",
+    b"|1\r\n+ttl\r\n:9\r\n*1\r\n#t\r\n",
+    b"!9\r\nERR thing\r\n",
+    b"*-1\r\n",
+    b"$-1\r\n",
+    b"*2\r\n*0\r\n$0\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("frame", ODD)
+def test_answers_pass_byte_for_byte(frame: bytes) -> None:
+    rig = Rig()
+    rig.ask("HELLO", "3")
+    rig.answer()
+    rig.ask("EXISTS", "alert:1")
+    for link, address in [(link, where) for link, where in rig.links.items() if link not in rig.probing]:
+        rig.tell(ev.LinkUp(link))
+        if rig.sent.get(link, b"").startswith(b"*2\r\n$5\r\nHELLO"):
+            rig.sent[link] = b""
+            rig.tell(ev.LinkData(link, b"%0\r\n"))
+        if b"EXISTS" in rig.sent.get(link, b""):
+            for byte in info(address == "p:1", 10) + b">1\r\n+aside\r\n" + frame:
+                rig.tell(ev.LinkData(link, bytes([byte])))
+    rig.wait(0.0)
+    assert rig.answer().endswith(frame)
+
+
+def test_a_read_whose_own_proof_fails_is_not_passed_on() -> None:
+    """The replica was proven current, then it answers from before the session's write."""
+    rig = Rig()
+    rig.ask("SET", "pick:1", "a")
+    primary = rig.up("p:1")
+    rig.tell(ev.LinkData(primary, b"+OK\r\n" + info(True, 50)))
+    rig.offsets = {"p:1": 50, "r:1": 50}
+    rig.ask("BANKLIFT.SEEN", f"west={A}:50")
+    rig.answer()
+    rig.ask("GET", "pick:1")
+    replica = rig.up("r:1")
+    assert rig.sent[replica] == INFO + command("GET", "pick:1")
+    rig.tell(ev.LinkData(replica, info(False, 40) + b"$5\r\nstale\r\n"))
+    assert rig.answer() == b""
+    rig.wait(0.1)
+    assert rig.sent[primary].endswith(ROLE + command("GET", "pick:1"))
+    rig.tell(ev.LinkData(primary, role(50) + b"$1\r\na\r\n"))
+    assert rig.answer() == b"$1\r\na\r\n"
+
+
+def test_a_unit_goes_as_one_and_an_aborted_one_never_ran() -> None:
+    rig = Rig()
+    for args in (("MULTI",), ("SET", "{u}a", "1"), ("INCR", "{u}a"), ("EXEC",)):
+        rig.ask(*args)
+    assert rig.answer() == b"+OK\r\n+QUEUED\r\n+QUEUED\r\n"
+    link = rig.up("p:1")
+    assert rig.sent.pop(link) == (command("MULTI") + command("SET", "{u}a", "1") + command("INCR", "{u}a")
+                                  + command("EXEC") + INFO)
+    rig.offsets.clear()
+    rig.tell(ev.LinkData(link, b"+OK\r\n-READONLY x\r\n-READONLY x\r\n-EXECABORT x\r\n" + info(False, 10)))
+    rig.wait(2.0)
+    assert rig.answer().startswith(b"-TRYAGAIN refused")
+
+
+def test_an_answer_that_nobody_asked_for_ends_the_link() -> None:
+    rig = Rig()
+    rig.ask("SET", "pick:1", "a")
+    link = rig.up("p:1")
+    rig.tell(ev.LinkData(link, b"+OK\r\n" + info(True, 50) + b"+MORE\r\n"))
+    assert rig.answer() == b"+OK\r\n" and link in rig.closed
+
+
+def test_links_are_bounded_and_waiting_attempts_take_them_in_turn() -> None:
+    rig = Rig(links=2)
+    for client in range(2, 6):
+        rig.tell(ev.ClientOpened(client))
+        rig.ask("SET", f"pick:{client}", "x", client=client)
+    links = rig.data_links("p:1")
+    assert len(links) == 2
+    for link in links:
+        rig.tell(ev.LinkUp(link))
+    for _ in range(2):
+        for link in links:
+            rig.tell(ev.LinkData(link, b"+OK\r\n" + (info(True, 9) if INFO in rig.sent[link] else role(9))))
+            rig.sent[link] = rig.sent[link].replace(INFO, b"")
+    assert all(rig.answer(client) == b"+OK\r\n" for client in range(2, 6))
+
+
+def test_idle_links_are_closed() -> None:
+    rig = Rig(idle=10.0)
+    rig.ask("SET", "pick:1", "a")
+    link = rig.up("p:1")
+    rig.tell(ev.LinkData(link, b"+OK\r\n" + info(True, 50)))
+    rig.wait(20.1)
+    assert link in rig.closed
+
+
+def test_a_draining_member_gets_nothing_new_and_its_idle_links_go() -> None:
+    rig = Rig()
+    rig.ask("SET", "pick:1", "a")
+    link = rig.up("p:1")
+    rig.tell(ev.LinkData(link, b"+OK\r\n" + info(True, 50)))
+    rig.answer()
+    rig.tell(ev.Roster((ev.Listed("p", 0, "p:1", State.DRAINING, True), ev.Listed("r", 0, "r:1"))))
+    assert link in rig.closed
+    before = set(rig.links)
+    rig.ask("SET", "pick:1", "b")
+    rig.wait(2.0)
+    assert not any(rig.links[link] == "p:1" for link in set(rig.links) - before)
+    assert rig.answer().startswith(b"-TRYAGAIN refused")
+
+
+def test_a_member_at_a_new_address_is_another_one() -> None:
+    rig = Rig()
+    rig.ask("SET", "pick:1", "a")
+    link = rig.up("p:1")
+    rig.tell(ev.LinkData(link, b"+OK\r\n" + info(True, 50)))
+    rig.tell(ev.Roster((ev.Listed("p", 0, "p:2", State.READY, True), ev.Listed("r", 0, "r:1"))))
+    assert link in rig.closed
+    rig.ask("SET", "pick:1", "b")
+    assert rig.links[max(rig.links)] == "p:2" or "p:2" in rig.links.values()
+
+
+def test_memory_of_an_answer_goes_with_it() -> None:
+    """Timers outlive requests; what was sent and answered must not live as long."""
+    rig = Rig()
+    rig.ask("SET", "pick:1", "a")
+    rig.tell(ev.LinkData(rig.up("p:1"), b"+OK\r\n" + info(True, 50)))
+    assert rig.machine.timers  # they would hold it
+    gc.collect()
+    assert not [each for each in gc.get_objects() if isinstance(each, Attempt | Open | Single)]
+
+
+def test_wait_waits_for_replicas() -> None:
+    rig = Rig()
+    rig.ask("WAIT", "1", "0")
+    assert rig.answer() == b":0\r\n"  # nothing was written
+    rig.ask("SET", "pick:1", "a")
+    rig.tell(ev.LinkData(rig.up("p:1"), b"+OK\r\n" + info(True, 50)))
+    rig.answer()
+    rig.offsets = {"p:1": 50, "r:1": 5}
+    rig.ask("WAIT", "1", "500")
+    rig.ask("PING")
+    rig.wait(0.4)
+    assert rig.answer() == b""
+    rig.offsets = {"p:1": 50, "r:1": 50}
+    rig.wait(0.05)
+    assert rig.answer() == b":1\r\n+PONG\r\n"
+    rig.ask("WAIT", "2", "300")
+    rig.wait(0.29)
+    assert rig.answer() == b""
+    rig.wait(0.05)
+    assert rig.answer() == b":1\r\n"
+    rig.ask("WAIT", "x", "1")
+    assert rig.answer().startswith(b"-ERR value is not an integer")
