Faster codec; a copy and the stream behind it in one piece (stand-in)

Change: the stand-in reads handshake, copy and stream apart; plain answers and whole commands are cut out without state, commands pass on as they came. Tests of the stand-in's replication, in pieces of 1, 7 and many bytes.

--- a/banklift/emulator/node.py
+++ b/banklift/emulator/node.py
@@ -107,6 +107,8 @@
         self.actions: list[Act] = []
         self.upstream: Scanner | None = None
         self.stage = ""  # of the replication handshake
+        self.coming = bytearray()  # what the primary sent before its stream
+        self.resync = ("", 0)  # history and offset of the copy on its way
         self.inbox: deque[bytes] = deque()  # stream frames received, not applied
         self.applying = False
         self.apply_held = 0  # long reads during which nothing is applied
@@ -166,6 +168,7 @@
     def upstream_up(self, now: float) -> list[Act]:
         self._begin(now)
         self.upstream, self.stage = Scanner(1 << 30), "ping"
+        self.coming.clear()
         self.actions.append(Act("send", UPSTREAM, command("PING")))
         return self.actions
 
@@ -512,60 +515,66 @@
             self.actions.append(Act("connect", UPSTREAM, address.encode()))
 
     def _stream(self, data: bytes) -> None:
-        """What the primary sends: answers of the handshake, a copy, the stream."""
+        """What the primary sends: lines of the handshake, then a copy or nothing, then the stream."""
         if self.upstream is None:
             return
-        if self.stage == "copy":
-            self._copy(data)
+        if self.stage == "stream":
+            self.inbox += self.upstream.feed(data)
+            self._apply_next()
             return
-        frames = self.upstream.feed(data)
-        for place, frame in enumerate(frames):
-            if self.stage == "ping":
-                self.stage = "port"
-                self.actions.append(Act("send", UPSTREAM, command("REPLCONF", "listening-port", "0")))
-            elif self.stage == "port":
-                self.stage = "psync"
-                self.actions.append(Act("send", UPSTREAM, command("PSYNC", self.replid, self.offset + 1)))
-            elif self.stage == "psync":
-                words = frame[1:-2].split()
-                if words[0] == b"CONTINUE":
-                    if len(words) > 1 and words[1].decode() != self.replid:
-                        self.replid2, self.second = self.replid, self.offset + 1
-                        self.replid = words[1].decode()
-                    self._following()
-                elif words[0] == b"FULLRESYNC":
-                    self.stage = "copy"
-                    self.coming = words[1].decode(), int(words[2])
-                    rest = b"".join(frames[place + 1:]) + bytes(self.upstream.buffer)
-                    self.copy = bytearray()
-                    self.upstream = Scanner(1 << 30)
-                    if rest:
-                        self._copy(rest)
-                    return
-                else:
-                    self._reconnect()
-                    return
+        self.coming += data
+        while self.stage not in ("copy", "stream"):
+            end = self.coming.find(b"\r\n")
+            if end < 0:
+                return
+            line = bytes(self.coming[:end])
+            del self.coming[:end + 2]
+            if not self._handshake(line):
+                return
+        if self.stage == "copy" and not self._copy():
+            return
+        rest = bytes(self.coming)
+        self.coming.clear()
+        if rest:
+            self._stream(rest)
+
+    def _handshake(self, line: bytes) -> bool:
+        """One answer of the primary; false if it did not go on."""
+        if self.stage == "ping":
+            self.stage = "port"
+            self.actions.append(Act("send", UPSTREAM, command("REPLCONF", "listening-port", "0")))
+        elif self.stage == "port":
+            self.stage = "psync"
+            self.actions.append(Act("send", UPSTREAM, command("PSYNC", self.replid, self.offset + 1)))
+        else:
+            words = line[1:].split()
+            if words[:1] == [b"CONTINUE"]:
+                if len(words) > 1 and words[1].decode() != self.replid:
+                    self.replid2, self.second = self.replid, self.offset + 1
+                    self.replid = words[1].decode()
+                self._following()
+            elif words[:1] == [b"FULLRESYNC"]:
+                self.stage, self.resync = "copy", (words[1].decode(), int(words[2]))
             else:
-                self.inbox.append(frame)
-        self._apply_next()
+                self._reconnect()
+                return False
+        return True
 
-    def _copy(self, data: bytes) -> None:
-        self.copy += data
-        end = self.copy.find(b"\r\n")
+    def _copy(self) -> bool:
+        """A whole copy, as a bulk without its end; false until it is here."""
+        end = self.coming.find(b"\r\n")
         if end < 0:
-            return
-        size = int(self.copy[1:end])
-        if len(self.copy) < end + 2 + size:
-            return
-        self.data = _load(bytes(self.copy[end + 2:end + 2 + size]))
-        rest = bytes(self.copy[end + 2 + size:])
-        self.replid, self.offset = self.coming
+            return False
+        size = int(self.coming[1:end])
+        if len(self.coming) < end + 2 + size:
+            return False
+        self.data = _load(bytes(self.coming[end + 2:end + 2 + size]))
+        del self.coming[:end + 2 + size]
+        self.replid, self.offset = self.resync
         self.replid2, self.second = "0" * 40, -1
         self.backlog.clear()
-        self.copy = bytearray()
         self._following()
-        if rest:
-            self._stream(rest)
+        return True
 
     def _following(self) -> None:
         self.stage, self.linked = "stream", True
--- a/banklift/resp/frames.py
+++ b/banklift/resp/frames.py
@@ -17,6 +17,7 @@
 import hiredis
 
 SIMPLE = frozenset(b"+-:_,#(")  # one line, nothing after it
+PLAIN = frozenset(b"+-:")
 BLOBS = frozenset(b"$=!")
 AGGREGATES = frozenset(b"*~>%|")
 MAX_LINE = 64 * 1024  # bytes of an inline command or of a header line
@@ -47,8 +48,31 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """The frames that are whole now, in order."""
-        self.buffer += data
         frames: list[bytes] = []
+        if not self.buffer:  # most answers come whole and are plain: no copy, no state
+            pos, size = 0, len(data)
+            while pos < size:
+                end = data.find(b"\r\n", pos)
+                if end < 0:
+                    break
+                kind = data[pos]
+                if kind == 36 and data[pos + 1] != 63:
+                    try:
+                        length = int(data[pos + 1:end])
+                    except ValueError:
+                        break
+                    end += length + 2 if length >= 0 else 0
+                    if length > self.limit or end + 2 > size or data[end:end + 2] != b"\r\n":
+                        break
+                elif kind not in PLAIN:
+                    break
+                end += 2
+                frames.append(data if not pos and end == size else data[pos:end])
+                pos = end
+            if pos == size:
+                return frames
+            data = data[pos:]
+        self.buffer += data
         while self._advance():
             frames.append(bytes(self.buffer[:self.pos]))
             del self.buffer[:self.pos]
@@ -152,93 +176,87 @@
     """Reads the commands of a client: lists of byte strings.
 
     `limit`: bytes that one command may have. Errors: `ProtocolError` from `next`; commands before it were returned.
+    A command that is not whole yet is read on where it stopped.
     """
 
-    __slots__ = ("_args", "_size", "_want", "buffer", "limit", "pos")
+    __slots__ = ("_args", "_size", "_start", "_want", "buffer", "limit", "pos", "raw")
 
     def __init__(self, limit: int) -> None:
-        self.buffer = bytearray()
+        self.buffer = b""
         self.limit = limit
         self.pos = 0
+        self.raw: bytes | None = None  # the last command as it came; None if it was an inline one
         self._args: list[bytes] | None = None  # of the command being read
         self._want = 0
         self._size = 0
+        self._start = 0
 
     def feed(self, data: bytes) -> None:
-        self.buffer += data
+        if self.pos < len(self.buffer):
+            # what is read already is dropped, but for the command that is being read
+            self.buffer = self.buffer[self._start:] + data
+            self.pos -= self._start
+        else:
+            self.buffer = self.buffer[self._start:] + data if self._args is not None else data
+            self.pos = self.pos - self._start if self._args is not None else 0
+        self._start = 0
 
     def next(self) -> list[bytes] | None:
         """The next whole command, None if more bytes are needed."""
-        buffer = self.buffer
         while True:
+            buffer, pos = self.buffer, self.pos
             if self._args is None:
-                line = self._line("too big mbulk count string" if buffer[self.pos:self.pos + 1] == b"*"
-                                  else "too big inline request")
-                if line is None:
+                self._start = pos
+                end = buffer.find(b"\n", pos)
+                if (len(buffer) if end < 0 else end) - pos > MAX_LINE:
+                    raise ProtocolError("too big mbulk count string" if buffer[pos:pos + 1] == b"*"
+                                        else "too big inline request")
+                if end < 0:
                     return None
-                if line[:1] != b"*":
-                    if words := split_inline(line):
-                        self._drop()
+                self.pos = end + 1
+                if buffer[pos] != 42:
+                    if words := split_inline(buffer[pos:end].removesuffix(b"\r")):
+                        self.raw = None
                         return words
                     continue
-                self._want = self._number(line, "invalid multibulk length", MAX_ARGS)
+                self._want = number(buffer[pos + 1:end], "invalid multibulk length", MAX_ARGS)
                 self._args, self._size = [], 0
+                pos = end + 1
+            args = self._args
             while self._want > 0:
-                line = self._line("too big bulk count string")
-                if line is None:
+                end = buffer.find(b"\r\n", pos)
+                if (len(buffer) if end < 0 else end) - pos > MAX_LINE:
+                    raise ProtocolError("too big bulk count string")
+                if end < 0:
                     return None
-                if line[:1] != b"$":
-                    raise ProtocolError(f"expected '$', got '{line[:1].decode('latin-1')}'")
-                size = self._number(line, "invalid bulk length", self.limit)
-                if size < 0:
-                    raise ProtocolError("invalid bulk length")
+                if buffer[pos] != 36:
+                    raise ProtocolError(f"expected '$', got '{chr(buffer[pos])}'")
+                size = number(buffer[pos + 1:end], "invalid bulk length", self.limit)
                 self._size += size
-                if self._size > self.limit:
+                if size < 0 or self._size > self.limit:
                     raise ProtocolError("invalid bulk length")
-                end = self.pos + size
-                if len(buffer) < end + 2:
-                    self.pos -= len(line) + 2  # the header is read again with the rest
-                    self._size -= size
+                begin = end + 2
+                if len(buffer) < begin + size + 2:
+                    self._size -= size  # the header is read again with the rest
                     return None
-                self._args.append(bytes(buffer[self.pos:end]))
-                self.pos = end + 2
+                args.append(buffer[begin:begin + size])
+                self.pos = pos = begin + size + 2
                 self._want -= 1
-            args, self._args = self._args, None
-            self._drop()
+            self._args = None
             if args:
+                self.raw = buffer[self._start:pos]
                 return args
 
-    def _line(self, too_big: str) -> bytes | None:
-        end = self.buffer.find(b"\n", self.pos)
-        if (len(self.buffer) if end < 0 else end) - self.pos > MAX_LINE:
-            raise ProtocolError(too_big)
-        if end < 0:
-            self._drop()
-            return None
-        line = bytes(self.buffer[self.pos:end])
-        if line[:1] in (b"*", b"$"):
-            if line[-1:] != b"\r":
-                raise ProtocolError("expected CRLF at the end of a header")
-            self.pos = end + 1
-            return line[:-1]
-        self.pos = end + 1
-        return line.removesuffix(b"\r")
-
-    def _drop(self) -> None:
-        del self.buffer[:self.pos]
-        self.pos = 0
 
-    @staticmethod
-    def _number(line: bytes, error: str, limit: int) -> int:
-        if len(line) > 21 or not line[1:].lstrip(b"-").isdigit():
-            raise ProtocolError(error)
-        try:
-            number = int(line[1:])
-        except ValueError:
-            raise ProtocolError(error) from None
-        if number > limit:
-            raise ProtocolError(error)
-        return number
+def number(digits: bytes, error: str, limit: int) -> int:
+    """A length in a header. Errors: `ProtocolError` with `error` unless it is one, and at most `limit`."""
+    try:
+        value = int(digits)
+    except ValueError:
+        raise ProtocolError(error) from None
+    if value > limit:
+        raise ProtocolError(error)
+    return value
 
 
 def split_inline(line: bytes) -> list[bytes]:
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -269,7 +269,7 @@
                 return self._say(state, place, Error("CROSSSLOT Keys of one MULTI belong to different groups"))
             state.units.append((known, args, kind, group))
             return self._say(state, place, Simple("QUEUED"))
-        self._submit(state, place, kind, group, Single(state.proto, command(*args), writes))
+        self._submit(state, place, kind, group, Single(state.proto, state.reader.raw or command(*args), writes))
 
     def _submit(self, state: Client, place: Place, kind: RequestClass, group: int, exchange: Single | Unit) -> None:
         gate = state.gates.get(group)
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,123 @@
+"""The stand-in: replication by PSYNC, whole and partial, whatever the pieces it comes in; promotion; order."""
+
+from __future__ import annotations
+
+import pytest
+
+from banklift.emulator.node import UPSTREAM, Act, Node
+from banklift.resp.frames import command
+
+
+def sent(actions: list[Act], conn: int) -> bytes:
+    return b"".join(act.data for act in actions if act.what == "send" and act.conn == conn)
+
+
+class Pair:
+    """A primary and a replica whose bytes the test carries, in pieces of `size`."""
+
+    def __init__(self, size: int) -> None:
+        self.size = size
+        self.primary, self.replica = Node("p", 1, work=0.0), Node("r", 2, apply=0.0)
+        self.conn = 0
+        self.now = 1.0
+
+    def write(self, *args: str) -> list[Act]:
+        if 99 not in self.primary.conns:
+            self.primary.opened(self.now, 99, "c")
+        actions = list(self.primary.received(self.now, 99, command(*args)))
+        return actions + list(self.primary.wake_up(self.now))
+
+    def link(self) -> None:
+        self.conn += 1
+        self.primary.opened(self.now, self.conn, "r")
+        self.replica.follow(self.now, "p:1")
+        self.carry(sent(self.replica.upstream_up(self.now), UPSTREAM))
+
+    def carry(self, up: bytes) -> None:
+        """To the primary, its answers to the replica, and so on, until nothing is left."""
+        while up:
+            down = sent(self.primary.received(self.now, self.conn, up), self.conn)
+            up = b""
+            for place in range(0, len(down), self.size):
+                up += sent(self.replica.received(self.now, UPSTREAM, down[place:place + self.size]), UPSTREAM)
+
+    def stream(self, actions: list[Act]) -> None:
+        down = sent(actions, self.conn)
+        for place in range(0, len(down), self.size):
+            self.replica.received(self.now, UPSTREAM, down[place:place + self.size])
+
+
+@pytest.mark.parametrize("size", [1, 7, 10_000])
+def test_a_replica_copies_and_follows(size: int) -> None:
+    pair = Pair(size)
+    for number in range(20):
+        pair.write("SET", f"k{number}", "v\r\n$5\r\n")
+    pair.link()
+    assert pair.replica.data == pair.primary.data and pair.replica.offset == pair.primary.offset
+    assert pair.replica.replid == pair.primary.replid and pair.replica.linked
+    pair.stream(pair.write("RPUSH", "l", "a"))
+    assert pair.replica.data[b"l"] == [b"a"] and pair.replica.offset == pair.primary.offset
+
+
+def test_a_copy_and_the_stream_behind_it_come_in_one_piece() -> None:
+    """The copy is a bulk without its end: what follows is the stream, not that end."""
+    pair = Pair(10_000)
+    pair.write("SET", "a", "1")
+    pair.primary.opened(1.0, 1, "r")
+    pair.replica.follow(1.0, "p:1")
+    pair.replica.upstream_up(1.0)
+    for _ in range(2):
+        pair.replica.received(1.0, UPSTREAM, b"+PONG\r\n" if pair.replica.stage == "ping" else b"+OK\r\n")
+    down = sent(pair.primary.received(1.0, 1, command("PSYNC", "?", "-1")), 1)
+    down += sent(pair.write("SET", "b", "2"), 1)
+    pair.replica.received(1.0, UPSTREAM, down)
+    assert pair.replica.data == {b"a": b"1", b"b": b"2"} and pair.replica.offset == pair.primary.offset
+
+
+def test_a_replica_that_comes_back_gets_the_part_it_lacks() -> None:
+    pair = Pair(10_000)
+    pair.write("SET", "a", "1")
+    pair.link()
+    pair.replica.lost(1.0, UPSTREAM)
+    pair.primary.lost(1.0, pair.conn)
+    pair.write("SET", "b", "2")
+    pair.replica.data[b"mine"] = b"kept"  # a whole copy would drop it
+    pair.link()
+    assert pair.replica.data == {b"a": b"1", b"b": b"2", b"mine": b"kept"}
+    assert pair.replica.offset == pair.primary.offset
+
+
+def test_a_promoted_replica_names_the_history_it_goes_on_from() -> None:
+    pair = Pair(10_000)
+    pair.write("SET", "a", "1")
+    pair.link()
+    old, offset = pair.replica.replid, pair.replica.offset
+    pair.replica.promote(1.0)
+    assert pair.replica.replid != old and pair.replica.replid2 == old and pair.replica.second == offset + 1
+    assert pair.replica._role()[:2] == ["master", offset]
+
+
+def test_one_that_wrote_beyond_the_fork_needs_a_whole_copy() -> None:
+    pair = Pair(10_000)
+    pair.write("SET", "a", "1")
+    pair.link()
+    pair.replica.promote(1.0)
+    pair.write("SET", "lost", "x")  # the old primary goes on alone
+    back = Pair(10_000)
+    back.primary, back.replica = pair.replica, pair.primary
+    back.replica.apply_work = 0.0
+    back.link()
+    assert back.replica.data == {b"a": b"1"} and back.replica.replid == back.primary.replid
+
+
+def test_a_replica_takes_no_writes_and_a_hung_node_says_nothing() -> None:
+    pair = Pair(10_000)
+    pair.link()
+    pair.replica.opened(1.0, 5, "c")
+    pair.replica.received(1.0, 5, command("SET", "a", "1"))
+    assert sent(pair.replica.wake_up(9.0), 5).startswith(b"-READONLY")
+    pair.replica.faults.hang = True
+    assert sent(pair.replica.received(9.0, 5, command("GET", "a")), 5) == b""
+    assert sent(pair.replica.received(9.0, 5, command("ROLE")), 5).startswith(b"*5\r\n$5\r\nslave")
+    pair.replica.faults.hang_probes = True
+    assert sent(pair.replica.received(9.0, 5, command("ROLE")), 5) == b""
--- a/tests/test_resp_frames.py
+++ b/tests/test_resp_frames.py
@@ -58,7 +58,7 @@
         while (args := reader.next()) is not None:
             found.append(args)
     assert found == commands
-    assert not reader.buffer
+    assert reader.pos == len(reader.buffer)
 
 
 @pytest.mark.parametrize(("sent", "text"), [
