A catalogue of bad files refused for their reasons; the daemon tested as a process

Need: bad input gets a clear error naming place and reason, and nothing is lost. Change: 26 bad files, each refused for its reason by load and by 'banklift check' alike; torn rosters refused at every cut; a name that occurs twice is told at its second place. The daemon: its line, a client, a bad roster, SIGTERM.

--- a/banklift/config/load.py
+++ b/banklift/config/load.py
@@ -80,7 +80,7 @@
     names = [kind.name for kind in config.classes]
     for place, kind in enumerate(config.classes):
         where = f"$.classes[{place}]"
-        if names.count(kind.name) > 1:
+        if kind.name in names[:place]:
             problems.append(f"{where}.name: {kind.name!r} occurs twice")
         if kind.aim > kind.deadline:
             problems.append(f"{where}.aim: {kind.aim:g} s is beyond the deadline of {kind.deadline:g} s")
@@ -117,7 +117,7 @@
         where = f"$.groups[{place}]"
         if not group.members:
             problems.append(f"{where}.members: a group needs a member")
-        if [other.name for other in groups].count(group.name) > 1:
+        if group.name in [other.name for other in groups[:place]]:
             problems.append(f"{where}.name: {group.name!r} occurs twice")
         for first, last in group.slots:
             if not 0 <= first <= last < SLOTS:
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,168 @@
+"""The operator's file: what is wrong is named with file, place and reason; rosters replace each other whole or not."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import msgspec
+import pytest
+from typer.testing import CliRunner
+
+from banklift.cli.main import app
+from banklift.config import build
+from banklift.config.load import EXAMPLE, ConfigError, evaluate, load, load_roster
+from banklift.interface import Need
+from banklift.resp.routes import CrossGroup, Routes, Unowned, strongest
+
+Doc = dict[str, Any]
+
+
+def example() -> Doc:
+    found: Doc = json.loads(evaluate(EXAMPLE))
+    return found
+
+
+def spoil(change: Callable[[Doc], object]) -> Doc:
+    doc = example()
+    change(doc)
+    return doc
+
+
+BAD: list[tuple[Callable[[Doc], object], str]] = [
+    (lambda d: d.update(colour="red"), "$: Object contains unknown field `colour`"),
+    (lambda d: d.pop("groups"), "$: Object missing required field `groups`"),
+    (lambda d: d.update(groups=[]), "$.groups: Expected `array` of length >= 1"),
+    (lambda d: d["groups"][0].update(members=[]), "$.groups[0].members: a group needs a member"),
+    (lambda d: d["groups"][1].update(name="west"), "$.groups[1].name: 'west' occurs twice"),
+    (lambda d: d["groups"][1].update(slots=[[8191, 16383]]), "$.groups[1].slots: 8191 belongs to 'west' too"),
+    (lambda d: d["groups"][1].update(slots=[[8192, 16384]]), "$.groups[1].slots: 8192-16384 is no range"),
+    (lambda d: d["groups"][1]["members"][0].update(name="west-0"), "$.groups[1].members[0].name: 'west-0' occurs"),
+    (lambda d: d["groups"][1]["members"][0].update(address="nowhere"), "$.groups[1].members[0].address: 'nowhere' is"),
+    (lambda d: [m.update(address="h:1") for m in d["groups"][0]["members"]],
+     "$.groups[0].members[1].address: h:1 is 'west-0' too"),
+    (lambda d: d["groups"][0]["members"][1].update(primary=True), "$.groups[0].members: more than one is marked"),
+    (lambda d: d["groups"][0]["members"][1].update(state="ill"), "$.groups[0].members[1].state: 'ill' is none of"),
+    (lambda d: d["groups"][0].update(prefixes=["a"]) or d["groups"][1].update(prefixes=["a"]),
+     "$.groups[1].prefixes: 'a' belongs to 'west' too"),
+    (lambda d: d["classes"][0].update(effect="harmless"), "$.classes[0].effect: Invalid enum value 'harmless'"),
+    (lambda d: d["classes"][0].update(aim=0), "$.classes[0].aim: Expected `float` > 0.0"),
+    (lambda d: d["classes"][0].update(aim=3), "$.classes[0].aim: 3 s is beyond the deadline of 2 s"),
+    (lambda d: d["classes"][1].update(name="pick-save"), "$.classes[1].name: 'pick-save' occurs twice"),
+    (lambda d: d["classes"][3].pop("bound"), "$.classes[3].bound: a bounded read needs a bound above 0"),
+    (lambda d: d["classes"][1].update(effect="keyed"), "$.classes[1].window: a keyed class needs a window above 0"),
+    (lambda d: d["routes"][0].update(to="nothing"), "$.routes[0].to: no class is named 'nothing'"),
+    (lambda d: d.update(default_write="own-picks"), "$.default_write: 'own-picks' does not go to the primary"),
+    (lambda d: d.update(default_read="x"), "$.default_read: no class is named 'x'"),
+    (lambda d: d.update(sessions="maybe"), "$.sessions: must be 'roaming' or 'connection'"),
+    (lambda d: d.update(listen="6380"), "$.listen: '6380' is not host:port"),
+    (lambda d: d.update(limits={"links": 0}), "$.limits.links: Expected `int` >= 1"),
+    (lambda d: d.update(users=[{"name": "a", "password": "x"}, {"name": "a", "password": "y"}]),
+     "$.users: a name occurs twice"),
+]
+
+
+@pytest.mark.parametrize(("change", "reason"), BAD)
+def test_a_bad_file_is_refused_for_its_reason(tmp_path: Path, change: Callable[[Doc], object], reason: str) -> None:
+    path = tmp_path / "bad.jsonnet"
+    path.write_text(json.dumps(spoil(change)))
+    with pytest.raises(ConfigError) as caught:
+        load(path)
+    assert str(caught.value).splitlines()[0].startswith(f"{path}: {reason}")
+    result = CliRunner().invoke(app, ["check", str(path)])
+    assert result.exit_code == 2 and reason in result.output
+
+
+def test_every_reason_is_told_at_once(tmp_path: Path) -> None:
+    path = tmp_path / "bad.jsonnet"
+    path.write_text(json.dumps(spoil(lambda d: d.update(listen="x", sessions="y", default_read="z"))))
+    with pytest.raises(ConfigError) as caught:
+        load(path)
+    assert len(str(caught.value).splitlines()) == 3
+
+
+def test_files_that_are_none(tmp_path: Path) -> None:
+    for path, reason in [(tmp_path / "absent", "there is no such file"), (tmp_path, "there is no such file")]:
+        with pytest.raises(ConfigError, match=reason):
+            load(path)
+    (tmp_path / "torn").write_text(EXAMPLE.read_text()[:200])
+    with pytest.raises(ConfigError, match="torn"):
+        load(tmp_path / "torn")
+    (tmp_path / "spy").write_text("importstr '/etc/hostname'")
+    with pytest.raises(ConfigError, match="outside the folder"):
+        load(tmp_path / "spy")
+
+
+def test_the_example_is_fine() -> None:
+    result = CliRunner().invoke(app, ["check", str(EXAMPLE)])
+    assert result.exit_code == 0 and "2 groups, 6 members, 6 classes" in result.output
+
+
+def test_routes() -> None:
+    config = load(EXAMPLE)
+    routes = Routes(config)
+    assert routes.kind(b"GET", [b"trace:1"], False, "default").name == "trace-view"
+    assert routes.kind(b"GET", [b"trace:1", b"pick:1"], False, "default").name == "own-picks"
+    assert routes.kind(b"SET", [b"trace:1"], True, "default").name == "pick-save"  # a read's route is none for a write
+    assert routes.kind(b"SET", [b"note:1"], True, "default").name == "note"
+    assert routes.group([b"{a}1", b"{a}2"]) in (0, 1)
+    with pytest.raises(CrossGroup):
+        routes.group([b"a", b"b", b"c", b"d", b"e"])
+    holed = msgspec.structs.replace(config, groups=[msgspec.structs.replace(config.groups[0], prefixes=["pick:"])])
+    routes = Routes(holed)
+    assert routes.group([b"pick:anything"]) == 0
+    with pytest.raises(Unowned):
+        for number in range(100):
+            routes.group([b"%d" % number])
+    kinds = [routes.classes[name] for name in ("note", "pick-save", "final")]
+    assert strongest(kinds).name == "pick-save" and strongest(kinds[2:]).need is Need.FRESH
+
+
+def test_a_roster_is_whole_or_refused(tmp_path: Path) -> None:
+    config = load(EXAMPLE)
+    path = tmp_path / "roster.json"
+    groups = msgspec.to_builtins(config.groups)
+    text = json.dumps(groups)
+    path.write_text(text)
+    assert build.roster(config, load_roster(path, config), 0.0).members[0].name == "west-0"
+    for cut in range(0, len(text) - 1, 17):
+        path.write_text(text[:cut])
+        with pytest.raises(ConfigError):
+            load_roster(path, config)
+    path.write_text(json.dumps(groups[:1]))
+    with pytest.raises(ConfigError, match="group 'east' is missing"):
+        load_roster(path, config)
+    path.write_text(json.dumps([*groups, {"name": "new", "members": groups[0]["members"]}]))
+    with pytest.raises(ConfigError, match="unknown group 'new'"):
+        load_roster(path, config)
+
+
+def test_a_router_process_serves_says_so_and_stops(tmp_path: Path) -> None:
+    """The daemon by itself: its line on standard output, a client's PING, a bad roster, SIGTERM."""
+    config = msgspec.structs.replace(load(EXAMPLE), listen="127.0.0.1:0", roster="roster.json")
+    (tmp_path / "router.json").write_bytes(msgspec.json.encode(config))
+    async def main() -> None:
+        async with await anyio.open_process([sys.executable, "-m", "banklift", "router", "--config",
+                                             str(tmp_path / "router.json")]) as process:
+            assert process.stdout is not None and process.stderr is not None
+            line = json.loads(await process.stdout.receive())
+            assert line["router"] == "router"
+            host, _, port = line["listening"].rpartition(":")
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(b"PING\r\n")
+                assert await stream.receive() == b"+PONG\r\n"
+                (tmp_path / "roster.json").write_text("[")
+                log = b""
+                with anyio.fail_after(20):
+                    while b"roster refused" not in log:
+                        log += await process.stderr.receive()
+                await stream.send(b"PING\r\n")
+                assert await stream.receive() == b"+PONG\r\n"
+            process.terminate()
+            assert await process.wait() == 0
+
+    anyio.run(main)
