--- a/banklift/emulator/stand.py
+++ b/banklift/emulator/stand.py
@@ -143,6 +143,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="banklift-"))
         self.processes: dict[int, Process] = {}
         self.addresses: list[str] = []
+        self.stalled: dict[int, float] = {}  # until when, on the clock of the surroundings
         self.roster(stand)
 
     def roster(self, stand: Stand) -> None:
@@ -181,7 +182,13 @@
     def stall(self, number: int, seconds: float) -> None:
         process, env = self.processes[number], self.stand.env
         os.kill(process.pid, signal.SIGSTOP)
-        env.at(env.now() + seconds, lambda: os.kill(process.pid, signal.SIGCONT))
+        until = self.stalled[number] = max(self.stalled.get(number, 0.0), env.now() + seconds)
+
+        def go_on() -> None:
+            if self.stalled[number] <= env.now() and process.returncode is None:
+                os.kill(process.pid, signal.SIGCONT)
+
+        env.at(until, go_on)
 
     async def stop(self) -> None:
         """Stop them, politely first."""
--- a/banklift/judge/day.py
+++ b/banklift/judge/day.py
@@ -131,6 +131,7 @@
         for name in day.absent:
             self.stand.nodes[name].kill()
             self.stand.states[name] = "gone"
+        self.published = dict(self.stand.states)
         for group in config.groups:
             self._role(self.stand.roles[group.name])
 
@@ -290,20 +291,22 @@
 
     def _told(self, name: str, state: str) -> None:
         self.stand.states[name] = state
-        self._list(name, state)
+        self._list()
 
-    def _list(self, name: str = "", state: str = "") -> None:
+    def _list(self) -> None:
         """The roster changed; it may run late."""
-        def tell() -> None:
-            assert self.routers is not None
-            self.routers.roster(self.stand)
-            if name:
-                self.record(Entry(t=self.env.now(), k="told", member=name, value=state))
-
         if self.roster_delay:
-            self.env.at(self.env.now() + self.roster_delay, tell)
+            self.env.at(self.env.now() + self.roster_delay, self._publish)
         else:
-            tell()
+            self._publish()
+
+    def _publish(self) -> None:
+        assert self.routers is not None
+        self.routers.roster(self.stand)
+        for name, state in self.stand.states.items():
+            if self.published[name] != state:
+                self.record(Entry(t=self.env.now(), k="told", member=name, value=state))
+        self.published = dict(self.stand.states)
 
     # ---- elections, as the store's own control plane does them
 
--- a/banklift/net/router.py
+++ b/banklift/net/router.py
@@ -32,6 +32,7 @@
         self.dead = False
         self.beat = env.now()
         self.stood_from, self.stood_until = 0.0, -math.inf  # the last stall, and when it was noticed
+        self.stalled_until = -math.inf
         self.stalled: list[Callable[[], None]] | None = None  # what has come in meanwhile
         self._heartbeat()
         self.alarm = Alarm(env, self._due, lambda: self.tell(ev.Wake()))
@@ -97,10 +98,14 @@
 
     def stall(self, seconds: float) -> None:
         """As by SIGSTOP, for routers that share a process with what watches them."""
-        self.stalled = []
-        self.env.at(self.env.now() + seconds, self._go_on)
+        if self.stalled is None:
+            self.stalled = []
+        self.stalled_until = max(self.stalled_until, self.env.now() + seconds)
+        self.env.at(self.stalled_until, self._go_on)
 
     def _go_on(self) -> None:
+        if self.env.now() < self.stalled_until:
+            return
         missed, self.stalled = self.stalled or [], None
         for call in missed:
             call()
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -147,15 +147,19 @@
     return process, ours
 
 
-def router(port: int, folder: Path) -> tuple[subprocess.Popen[bytes], int]:
-    config = {
+def configuration(port: int) -> dict[str, Any]:
+    """One member, one class that any member may serve, aims that refuse nothing."""
+    return {
         "listen": "127.0.0.1:0", "default_read": "any", "default_write": "save", "limits": {"links": 600},
         "groups": [{"name": "g", "slots": [[0, 16383]],
                     "members": [{"name": "m", "address": f"127.0.0.1:{port}", "primary": True}]}],
         "classes": [{"name": "any", "effect": "safe", "need": "any", "aim": 5, "deadline": 10},
                     {"name": "save", "effect": "unsafe", "need": "write", "aim": 1, "deadline": 5}]}
+
+
+def router(port: int, folder: Path) -> tuple[subprocess.Popen[bytes], int]:
     path = folder / "router.json"
-    path.write_text(json.dumps(config))
+    path.write_text(json.dumps(configuration(port)))
     process = subprocess.Popen([sys.executable, "-m", "banklift", "router", "--config", str(path)],
                                stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
     assert process.stdout is not None
