--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -185,6 +185,30 @@
     return (after - before) / clients
 
 
+def memory_open(clients: int = 500) -> float:
+    """Bytes that an open request costs, over those of its client: in front of a member that never answers."""
+    silent = socket.create_server(("127.0.0.1", 0), backlog=1024)
+    with tempfile.TemporaryDirectory() as folder:
+        process, port = router(silent.getsockname()[1], Path(folder))
+        socks = [socket.create_connection(("127.0.0.1", port)) for _ in range(clients)]
+        for sock in socks:
+            sock.sendall(b"PING\r\n")
+        for sock in socks:
+            sock.recv(100)
+        before = resident(process.pid)
+        for sock in socks:
+            sock.sendall(GET)
+        probe = socket.create_connection(("127.0.0.1", port))
+        probe.sendall(b"PING\r\n")
+        probe.recv(100)  # all of them were read by now
+        after = resident(process.pid)
+        for sock in [*socks, probe, silent]:
+            sock.close()
+        process.terminate()
+        process.wait()
+    return (after - before) / clients
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--seconds", type=float, default=2.0)
@@ -224,7 +248,7 @@
     member.terminate()
     result = {"machine": f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}",
               "seconds": given.seconds, "rounds": given.rounds, "cases": rows,
-              "bytes for an idle client": round(idle)}
+              "bytes for an idle client": round(idle), "bytes for an open request": round(memory_open())}
     given.out.parent.mkdir(exist_ok=True)
     given.out.write_text(json.dumps(result, indent=1) + "\n")
     print(result)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,7 +1,11 @@
 """The wire codec: every message in, every action out, and what malformed input does."""
 
+import ast
 import io
 import json
+import subprocess
+import sys
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -132,3 +136,12 @@
         Host().answer(line)
     assert main(io.StringIO(line + "\n"), io.StringIO()) == 2
     assert fault in capsys.readouterr().err
+
+
+def test_the_adapter_needs_nothing_else() -> None:
+    """It starts where only the standard library is installed."""
+    code = ("import sys, banklift.adapter; "
+            "print([name for name in sys.modules if name.startswith('banklift.') or name in ('anyio', 'msgspec')])")
+    found = subprocess.run([sys.executable, "-S", "-c", code], capture_output=True, text=True, check=True,
+                           cwd=Path(__file__).parent.parent).stdout
+    assert sorted(ast.literal_eval(found)) == ["banklift.adapter", "banklift.balance", "banklift.interface"]
