--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -171,42 +171,32 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
 
-def memory(pid: int, port: int, clients: int = 2000) -> float:
-    """Bytes that an idle client costs."""
-    before = resident(pid)
-    socks = [socket.create_connection(("127.0.0.1", port)) for _ in range(clients)]
-    for sock in socks:
-        sock.sendall(b"PING\r\n")
-    for sock in socks:
-        sock.recv(100)
-    after = resident(pid)
-    for sock in socks:
-        sock.close()
-    return (after - before) / clients
-
-
-def memory_open(clients: int = 500) -> float:
-    """Bytes that an open request costs, over those of its client: in front of a member that never answers."""
+def memory(clients: int = 1000) -> tuple[float, float]:
+    """Bytes that an idle client costs a fresh router, and how many more one with an open request does, which a member
+    that never answers has."""
     silent = socket.create_server(("127.0.0.1", 0), backlog=1024)
     with tempfile.TemporaryDirectory() as folder:
         process, port = router(silent.getsockname()[1], Path(folder))
-        socks = [socket.create_connection(("127.0.0.1", port)) for _ in range(clients)]
-        for sock in socks:
+
+        def connect() -> socket.socket:
+            sock = socket.create_connection(("127.0.0.1", port))
             sock.sendall(b"PING\r\n")
-        for sock in socks:
             sock.recv(100)
-        before = resident(process.pid)
+            return sock
+
+        socks = [connect()]
+        begin = resident(process.pid)
+        socks += [connect() for _ in range(clients)]
+        idle = resident(process.pid)
         for sock in socks:
             sock.sendall(GET)
-        probe = socket.create_connection(("127.0.0.1", port))
-        probe.sendall(b"PING\r\n")
-        probe.recv(100)  # all of them were read by now
-        after = resident(process.pid)
-        for sock in [*socks, probe, silent]:
+        socks.append(connect())  # all were read by now
+        opened = resident(process.pid)
+        for sock in [*socks, silent]:
             sock.close()
         process.terminate()
         process.wait()
-    return (after - before) / clients
+    return (idle - begin) / clients, (opened - idle) / clients
 
 
 def main() -> None:
@@ -240,15 +230,15 @@
                              "relay ms": round(1000 * wait["relay"], 3), "direct ms": round(1000 * wait["direct"], 3),
                              "refused": sum(refused for _, _, refused in figures["router"])})
                 print(rows[-1], flush=True)
-            idle = memory(process.pid, router_port)
         finally:
             process.terminate()
             process.wait()
     bare.terminate()
     member.terminate()
+    idle, opened = memory()
     result = {"machine": f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}",
               "seconds": given.seconds, "rounds": given.rounds, "cases": rows,
-              "bytes for an idle client": round(idle), "bytes for an open request": round(memory_open())}
+              "bytes for an idle client": round(idle), "bytes more for an open request": round(opened)}
     given.out.parent.mkdir(exist_ok=True)
     given.out.write_text(json.dumps(result, indent=1) + "\n")
     print(result)
