--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -43,7 +43,7 @@
     Trouble(at=1.0, do="restart", member=f"{group}-1") for group in ("west", "east")]
 
 
-BUSY = {"rate": 1000, "work": 0.016, "sessions": 200, "seconds": 2.5}
+BUSY = {"rate": 1000, "work": 0.02, "sessions": 200, "seconds": 2.5}
 
 
 def reasons(verdict: Verdict, rule: int) -> str:
