--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -251,6 +251,7 @@
                 linger = LINGER
                 while ready := self.epoll.poll(linger, AT_ONCE):
                     linger = LINGER if len(ready) == 1 else 0.0  # where much is ready, more comes anyway
+                    self._flush_due = True
                     for fd, events in ready:
                         if (found := self.by_fd.get(fd)) is not None:
                             found.ready(events)
@@ -288,7 +289,7 @@
             self._alarm.set()
 
     def _ring(self, now: float) -> None:
-        timers = self._timers
+        timers, self._flush_due = self._timers, True
         while timers and timers[0][0] <= now:
             heapq.heappop(timers)[2]()
         self._flush()
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -210,6 +210,11 @@
             if node.group == group and node.state is State.READY and not node.probes:
                 self._probe(node, False)
 
+    def untouched(self, request: int) -> bool:
+        """Whether nothing of it was ever written to a member."""
+        open_ = self.open.get(request)
+        return open_ is not None and all(attempt.link is None for attempt in open_.attempts)
+
     def under_way(self, request: int) -> bool:
         """Whether an attempt of it is out there."""
         open_ = self.open.get(request)
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -32,6 +32,7 @@
 SESSIONS = 10_000  # named sessions whose marks are kept
 OK = Simple("OK")
 NOT_YET = object()  # what a late answer may say: ask again
+LUMP = 1024 * 1024  # bytes of answers let go at once after which nothing is begun in the same moment
 WAIT_LOOK = 0.02  # seconds between looks at what replicas have, for WAIT
 
 
@@ -125,9 +126,10 @@
             gate.waiting.clear()
         for place in list(state.line):
             if place.request is not None and place.answer is None and not self.core.under_way(place.request):
+                untouched = self.core.untouched(place.request)
                 self.core.abandon(place.request)
                 self.places.pop(place.request, None)
-                place.answer = gone
+                place.answer = gone if untouched else encode(Error("UNCERTAIN failed: it may have run"))
         self._flush(state)
 
     def lost(self, client: int) -> None:
@@ -217,6 +219,9 @@
         if state.closing and not line:
             del self.clients[state.id]
             self.core.actions.append(ev.CloseClient(state.id))
+        elif sum(map(len, out)) > LUMP:  # whether the client reads it is known a moment later
+            self._pause(state)
+            self.core.at(self.core.now, lambda: self._flush(state))
         elif state.paused and not state.full and len(line) <= self.config.limits.pipeline // 2:
             state.paused = False
             self.core.actions.append(ev.ResumeClient(state.id))
--- a/banklift/resp/replies.py
+++ b/banklift/resp/replies.py
@@ -9,7 +9,8 @@
 
 `-NOREPLICAS` and `-MISCONF` come before a command runs (too few replicas, disk trouble), so nothing ran. `-BUSY` comes
 while a script runs and before the command is looked at. Every row holds for real Redis: its dispatcher gives these
-answers before it calls the command.
+answers before it calls the command. An error out of the middle of a script carries the same codes and names the script:
+what came before it has run, so it is an answer.
 """
 
 from __future__ import annotations
@@ -24,7 +25,7 @@
 
 def status(frame: bytes) -> Status:
     """What an answer means for its attempt."""
-    if frame[:1] != b"-":
+    if frame[:1] != b"-" or b" script: " in frame:
         return Status.OK
     if frame.startswith(MISSES):
         return Status.MISS
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -365,3 +365,51 @@
     assert rig.answer() == b":1\r\n"
     rig.ask("WAIT", "x", "1")
     assert rig.answer().startswith(b"-ERR value is not an integer")
+
+
+def test_an_error_out_of_a_script_may_have_run() -> None:
+    rig = Rig()
+    rig.ask("EVAL", "x", "1", "pick:1")
+    error = b"-OOM command not allowed when used memory > 'maxmemory'. script: abc, on @user_script:2.\r\n"
+    rig.tell(ev.LinkData(rig.up("p:1"), error + info(True, 10)))
+    assert rig.answer() == error  # not tried again, not called refused
+    assert sum(data.count(b"EVAL") for data in rig.sent.values()) == 1
+
+
+def test_a_half_closed_client_is_not_told_that_nothing_ran_when_something_may_have() -> None:
+    rig = Rig()
+    rig.ask("SET", "note:1", "a")  # safe to repeat: tried again after a cut, or held
+    link = rig.up("p:1")
+    rig.offsets.clear()
+    rig.tell(ev.LinkLost(link, "reset"))
+    rig.tell(ev.ClientEof(1))
+    rig.wait(3.0)
+    assert rig.answer().startswith(b"-UNCERTAIN") or any(
+        b"SET" in rig.sent.get(other, b"") for other in rig.data_links("p:1") if other != link)
+    held = Rig()
+    held.offsets.clear()
+    held.ask("SET", "note:1", "a")  # held for a report, never written
+    held.tell(ev.ClientEof(1))
+    assert held.answer().startswith(b"-TRYAGAIN refused: nothing ran")
+
+
+def test_nothing_new_is_begun_behind_a_lump_of_answers() -> None:
+    """Answers held back by the first of a line go out together: until it is known that the client reads them, a second
+    line's worth is not asked for."""
+    rig = Rig(pipeline=2)
+    for _ in range(6):
+        rig.ask("GET", "alert:1")
+    links = rig.data_links("p:1") + rig.data_links("r:1")
+    assert len(links) == 2
+    value = b"$700000\r\n" + b"v" * 700_000 + b"\r\n"
+    for link in links:
+        rig.tell(ev.LinkUp(link))
+    for link in reversed(links):
+        rig.tell(ev.LinkData(link, info(rig.links[link] == "p:1", 5) + value))
+    assert len(rig.answer()) == 2 * len(value)
+    assert not rig.machine.open
+    rig.tell(ev.ClientFull(1))
+    rig.wait(0.01)
+    assert not rig.machine.open
+    rig.tell(ev.ClientFree(1))
+    assert len(rig.machine.open) == 2
