--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import math
+from collections import OrderedDict, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from heapq import heappop, heappush
 from itertools import islice
 from random import Random
 
@@ -29,6 +31,7 @@
 TARGET = 0.5  # of the aim: work given to a crowded member, by the rate at which it answers this router
 PACE_TARGET = 0.75  # of the aim: the same by reported load, for the class with the best worth for its work
 TURN = 4  # held requests of a class that may be tried in vain for one fact: thousands may be held
+SWEEP = 64  # ... and for each regular look
 RATE_SPAN = 2.5  # shortest aims over which answer rates are smoothed
 FIRST_PACE = 12.0  # requests at a member that answers within the usual latency, until there are answers
 COLD_PART = 0.4  # of what the falling rule allows a cold member; the rest is for uneven load and retries
@@ -58,6 +61,8 @@
     flying: dict[tuple[int, int], tuple[float, float, float]] = field(default_factory=dict)
     work: float = 0.0  # of these, the usual latencies together ...
     haste: float = 0.0  # ... and their inverses
+    base: float = -math.inf  # from when on those out there are late: the last answer, or the first attempt
+    lag: float = 0.0  # of those sent after that, how much later, in usual latencies together
 
 
 @dataclass(slots=True, eq=False)
@@ -66,7 +71,9 @@
     primary: Member | None = None
     lost: float = -math.inf  # when the last one was lost
     crowned: float = -math.inf  # when the newest fact on who is primary was true
-    held: dict[str, dict[int, Pending]] = field(default_factory=dict)  # by class, in turn
+    held: dict[str, OrderedDict[int, Pending]] = field(
+        default_factory=lambda: defaultdict(OrderedDict))  # by class, in turn
+    ends: list[tuple[float, int]] = field(default_factory=list)  # heap: last calls of what is or was held
     tending: bool = False
 
 
@@ -82,6 +89,7 @@
     tried: list[Member] = field(default_factory=list)
     flying: dict[int, Member] = field(default_factory=dict)
     maybe_ran: float | None = None  # when the first attempt that may have run was sent
+    ending: bool = False  # its last call is among those of its group
 
 
 class Balancer:
@@ -171,6 +179,7 @@
             if event.ok:
                 member.seen, member.reported, member.refused = self.now, self.now, -math.inf
             self.on_report(member, event.report or io.Report(), self.now - event.latency)
+            self.release(member.group, TURN, member)
 
     def on_report(self, member: Member, report: io.Report, asked: float) -> None:
         load = report.queued if report.in_flight is None else report.in_flight
@@ -184,7 +193,6 @@
             self.crown(member, at)
         elif report.primary is False and at is not None:
             self.demote(member, at)
-        self.release(member.group)
 
     def bury(self, member: Member) -> None:
         if member.state is State.GONE and not member.flying:
@@ -232,19 +240,21 @@
             elif not pending.flying:
                 self.route(pending)
         self.bury(member)
-        self.release(member.group)
+        self.release(member.group, TURN, member)
 
     def learn(self, member: Member, event: io.Outcome, pending: Pending | None) -> float:
         known = member.flying.pop((event.request, event.attempt), None)
         sent, usual, load = known or (self.now - event.latency, math.inf, 1.0)
         member.work, member.haste = member.work - (usual if known else 0.0), member.haste - 1 / usual
+        member.lag -= max(0.0, sent - member.base) / usual if known else 0.0
         if not member.flying:
-            member.work = member.haste = 0.0
+            member.work = member.haste = member.lag = 0.0
         status = event.status
         if status is Status.CONNECT_FAILED:
             member.refused = self.now
         elif status not in (Status.TIMEOUT, Status.CANCELLED, Status.MOOT):
             member.alive, member.seen, member.refused = self.now, self.now, -math.inf
+            member.base, member.lag = self.now, 0.0
         member.load = max(0.0, member.load - 1)
         if status in (Status.ERROR, Status.RESET):
             member.failed = self.now
@@ -296,7 +306,7 @@
 
     def route(self, pending: Pending) -> None:
         """Send it, hold it, or give it its final answer."""
-        pending.group.held.get(pending.kind.name, {}).pop(pending.ask.id, None)
+        pending.group.held[pending.kind.name].pop(pending.ask.id, None)
         effect, ran = pending.kind.effect, pending.maybe_ran
         keyed = effect is Effect.KEYED and ran is not None and self.now < ran + pending.kind.window
         repeatable = ran is None or effect is Effect.SAFE or keyed  # rule 2
@@ -363,6 +373,8 @@
         member.load = max(member.load, len(member.flying)) + 1
         member.flying[pending.ask.id, len(pending.tried)] = self.now, usual, member.load
         member.work, member.haste = member.work + usual, member.haste + 1 / usual
+        member.base = self.now if member.base == -math.inf else member.base
+        member.lag += (self.now - member.base) / usual
         pending.tried.append(member)
         self.actions.append(io.Send(pending.ask.id, member.name, pending.ask.deadline - self.now))
         if pending.kind.effect is Effect.SAFE:
@@ -386,7 +398,7 @@
         self.forget(pending)
 
     def forget(self, pending: Pending, cancel: bool = True) -> None:
-        pending.group.held.get(pending.kind.name, {}).pop(pending.ask.id, None)
+        pending.group.held[pending.kind.name].pop(pending.ask.id, None)
         self.requests.pop(pending.ask.id, None)
         if cancel and self.settings.may_cancel:
             self.actions.extend(io.Cancel(pending.ask.id, attempt) for attempt in pending.flying)
@@ -396,26 +408,46 @@
         group, step = pending.group, STEP * self.shortest
         if self.now + step >= pending.last_call:
             return self.give_up(pending)
-        group.held.setdefault(pending.kind.name, {})[pending.ask.id] = pending
+        group.held[pending.kind.name][pending.ask.id] = pending
+        if not pending.ending:
+            pending.ending = True
+            heappush(group.ends, (pending.last_call, pending.ask.id))
+        self.watch(group)
+
+    def watch(self, group: Group) -> None:
         if not group.tending:
             group.tending = True
-            self.after(step, lambda: self.tend(group))
+            self.after(STEP * self.shortest, lambda: self.tend(group))
 
     def tend(self, group: Group) -> None:
-        """While work is held: look for a primary, send what can go, answer what has run out of time."""
+        """While work is held: look for a primary, answer what runs out of time, send what can go."""
         group.tending = False
         if any(group.held.values()) and (group.primary is None or not self.healthy(group.primary)):
             self.probe_all(group, 4 * STEP * self.shortest)
-        self.release(group, None)
-
-    def release(self, group: Group, most: int | None = TURN) -> None:
-        """Try what is held again, the best worth for its work first: what is worth least waits longest. Each
-        fact tries some of many, in turn; what is held on goes to the end, and `tend` tries all."""
+        while group.ends and group.ends[0][0] <= self.now + STEP * self.shortest:
+            pending = self.requests.get(heappop(group.ends)[1])
+            if pending is not None:
+                pending.ending = False  # one that is out there is held no more when it comes back
+                if pending.ask.id in group.held[pending.kind.name]:
+                    self.give_up(pending)
+        self.release(group, SWEEP)
+        if any(group.held.values()):
+            return self.watch(group)
+        for _, number in group.ends:  # what is out there may come to be held again
+            if number in self.requests:
+                self.requests[number].ending = False
+        group.ends.clear()
+
+    def release(self, group: Group, most: int, told: Member | None = None) -> None:
+        """Try what is held again, the best worth for its work first: what is worth least waits longest. Some of
+        many are tried, in turn; what is held on goes to the end. What waits for the primary alone is not tried
+        for word of somebody else (`told`)."""
+        others = told is not None and group.primary is not None and told is not group.primary
         for name in sorted(group.held, key=lambda name: -self.kinds[name].worth / self.usual[name]):
             waiting = group.held[name]
-            missed = 0
-            for number in tuple(islice(waiting, most and 4 * most)):
-                if number in waiting and missed != most:
+            missed = most if others and self.kinds[name].need in (Need.WRITE, Need.FRESH) else 0
+            for number in tuple(islice(waiting, 4 * most)):
+                if number in waiting and missed < most:
                     self.route(waiting[number])
                     missed += number in waiting
 
@@ -460,8 +492,7 @@
         down = self.now - member.refused < LOOK * self.shortest
         late, silent = 0.0, self.now - member.alive
         if silent >= STEP * self.shortest and silent * member.haste >= SILENCE:  # less is but a hiccup
-            since = ((max(sent, member.alive), usual) for sent, usual, _ in member.flying.values())
-            late = sum((self.now - sent) / usual for sent, usual in since)
+            late = (self.now - member.base) * member.haste - member.lag
         return down or late >= SILENCE or (member.group.primary is member and member.behind > 0)
 
     def healthy(self, member: Member) -> bool:
--- a/banklift/config/example.jsonnet
+++ b/banklift/config/example.jsonnet
@@ -9,12 +9,15 @@
   classes: [
     { name: 'pick-save', effect: 'unsafe', need: 'write', aim: 1, deadline: 2, worth: 6, late_worth: 0.3 },
     { name: 'note', effect: 'safe', need: 'write', aim: 1, deadline: 2, worth: 1 },
+    { name: 'stamp', effect: 'keyed', need: 'write', aim: 1, deadline: 2, worth: 1, window: 5 },
     { name: 'own-picks', effect: 'safe', need: 'session', aim: 0.5, deadline: 1.2, worth: 3 },
     { name: 'trace-view', effect: 'safe', need: 'bounded', aim: 0.5, deadline: 2, bound: 0.8 },
     { name: 'final', effect: 'safe', need: 'fresh', aim: 0.8, deadline: 2, worth: 2 },
     { name: 'alert-check', effect: 'safe', need: 'any', aim: 0.4, deadline: 1.2, worth: 3 },
   ],
   routes: [
+    { to: 'stamp', commands: ['SETNX'], keys: 'stamp:*' },
+  ] + [
     { to: 'note', commands: ['SET', 'DEL', 'APPEND', 'EXPIRE', 'PEXPIRE', 'EVAL'], keys: keys }
     for keys in ['note:*', 'trace:*', 'alert:*', 'final:*']
   ] + [
--- a/banklift/emulator/node.py
+++ b/banklift/emulator/node.py
@@ -48,6 +48,7 @@
     understate: float = 1.0  # part of its load that it reports
     handshake: float = 0.0  # seconds before a new connection is served
     withhold: bool = False  # what it writes reaches no replica
+    delay: float = 0.0  # seconds that what it writes takes more to its replicas
 
 
 @dataclass(slots=True, eq=False)
@@ -68,6 +69,7 @@
     name: str = ""
     ready: float = 0.0
     closed: bool = False
+    due: float = 0.0  # of the log, when the last part goes out to this replica
     stuck: bool = False  # a command on it was swallowed
     held: bytearray = field(default_factory=bytearray)  # of the log, withheld from this replica
 
@@ -472,7 +474,11 @@
             if conn.follower and self.faults.withhold:
                 conn.held += raw
             elif conn.follower:
-                self._send(conn, raw)
+                conn.due = max(conn.due, self.now + self.faults.delay)
+                if conn.due > self.now:
+                    self._at(conn.due, lambda conn=conn: self._send(conn, raw))  # type: ignore[misc]
+                else:
+                    self._send(conn, raw)
 
     def ship(self, now: float) -> list[Act]:
         """Replicas get what was withheld from them."""
--- a/banklift/emulator/store.py
+++ b/banklift/emulator/store.py
@@ -51,6 +51,11 @@
             if self.gone(key, now):
                 self.apply([b"DEL", key], now)
                 log.append([b"DEL", key])
+        if name == b"SETNX":
+            if args[1] in self.data:
+                return 0  # what was done before is not done again
+            self.perform([b"SET", *args[1:]], now, log)
+            return 1
         args = absolute(args, now)
         answer = self.apply(args, now)
         if not isinstance(answer, Error):
--- a/banklift/judge/day.py
+++ b/banklift/judge/day.py
@@ -77,6 +77,7 @@
     retries: int = 2
     leavers: Seconds = 0.2
     reread: Seconds = 0.6
+    batches: Seconds = 0.1  # share of arrivals that are several requests in one piece
     work: Positive = 0.001
     apply: Seconds = 0.0001
     requests: list[Request]
@@ -88,8 +89,8 @@
 
 
 ORDERS = ("hang", "thaw", "kill", "restart", "drain", "undrain", "lag", "slow", "slow_for", "cut", "cap", "handshake",
-          "understate", "tail", "withhold", "join", "leavers", "roster_delay", "kill_router", "start_router",
-          "stall_router")
+          "understate", "tail", "withhold", "delay", "split", "heal", "join", "leavers",
+          "roster_delay", "kill_router", "start_router", "stall_router")
 
 
 def load_day(name: str) -> tuple[Day, Config]:
@@ -152,7 +153,8 @@
         day = self.day
         self.begin = self.env.now()
         self.say(f"{len(routers.addresses)} routers and {len(self.stand.nodes)} members are up")
-        habits = Habits(day.sessions, day.retries, day.roam, day.helped, day.leavers, day.reread)
+        habits = Habits(day.sessions, day.retries, day.roam, day.helped, day.leavers, day.reread,
+                        batches=day.batches)
         self.clients = Clients(
             self.env, routers.addresses, {kind.name: kind.deadline for kind in self.config.classes},
             [Mix(one.kind, one.share, one.key, one.writes, one.keys, tuple(one.forms.items()))
@@ -314,6 +316,13 @@
                 faults.cap = int(trouble.value)
             case "handshake":
                 faults.handshake = trouble.value
+            case "delay":
+                faults.delay = trouble.value
+            case "split":  # it is given up, and nobody tells it
+                self.sick[name] = now
+            case "heal":
+                self.sick.pop(name, None)
+                self._follow(name)
             case "withhold":
                 if trouble.value:
                     faults.withhold = True
@@ -410,7 +419,8 @@
     rules = config.rules
     return Head(
         classes={kind.name: {"effect": kind.effect.value, "need": kind.need.value, "aim": kind.aim,
-                             "deadline": kind.deadline, "bound": kind.bound, "worth": kind.worth}
+                             "deadline": kind.deadline, "bound": kind.bound, "worth": kind.worth,
+                             "window": kind.window}
                  for kind in config.classes},
         groups={member.name: group.name for group in config.groups for member in group.members},
         sources=[source(number) for number in range(routers)], drain_grace=rules.drain_grace,
--- a/banklift/judge/days/base.libsonnet
+++ b/banklift/judge/days/base.libsonnet
@@ -9,6 +9,7 @@
     { kind: 'trace-view', share: 28, key: 'trace:{{k{k}}}', keys: 12, forms: reads },
     { kind: 'final', share: 6, key: 'final:{{k{k}}}', keys: 5, forms: reads },
     { kind: 'alert-check', share: 12, key: 'alert:{{k{k}}}', keys: 6, forms: reads },
+    { kind: 'stamp', share: 4, key: 'stamp:{{k{k}}}', keys: 5, writes: true, forms: { once: 1 } },
     { kind: 'note', share: 10, key: 'trace:{{k{k}}}', keys: 12, writes: true, forms: writes },
     { kind: 'note', share: 4, key: 'final:{{k{k}}}', keys: 5, writes: true, forms: writes },
     { kind: 'note', share: 4, key: 'alert:{{k{k}}}', keys: 6, writes: true, forms: writes },
--- a/banklift/judge/forms.py
+++ b/banklift/judge/forms.py
@@ -11,7 +11,7 @@
 from banklift.resp.frames import command, decode
 
 READS = ("get", "mget", "unit", "script")
-WRITES = ("append", "set", "del", "expire", "px", "unit", "script")
+WRITES = ("append", "set", "del", "expire", "px", "unit", "script", "once")
 BRIEF = 400  # milliseconds that a key lives which a write gives an end
 READ_SCRIPT = "return redis.call('MGET', KEYS[1], KEYS[2])"
 WRITE_SCRIPT = "redis.call('APPEND', KEYS[1], ARGV[1]) return redis.call('APPEND', KEYS[2], ARGV[1])"
@@ -46,6 +46,9 @@
     match form:
         case "append":
             return Sent(command("APPEND", key, mark), 1, (key,))
+        case "once":  # its repeats do nothing: the key is the request's own
+            own = f"{key}:{rid.partition('.')[0]}"
+            return Sent(command("SETNX", own, mark), 1, (own,))
         case "set":
             return Sent(command("SET", key, mark), 1, (key,))
         case "px":
--- a/banklift/judge/load.py
+++ b/banklift/judge/load.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
+from typing import Literal
 
 from banklift.judge import forms
 from banklift.judge.trace import Entry
 from banklift.net.env import Env, Handle, Peer
 from banklift.resp.frames import ProtocolError, Scanner, command, decode
 
+MOST = 6  # requests of one batch
 SLACK = 0.1  # seconds beyond the class's deadline that a patient client waits
 UNREACHABLE = 0.1  # seconds until it tries again where no router took the connection
 BROKEN = 0.2  # ... or where the connection broke
@@ -41,6 +44,7 @@
     leavers: float = 0.2  # leave after 42 to 100 per cent of the class's deadline
     reread: float = 0.6  # of writes: read again soon after
     reread_within: float = 0.3
+    batches: float = 0.1  # of arrivals: several requests in one piece
 
 
 @dataclass(slots=True, eq=False)
@@ -89,19 +93,44 @@
 
     def _arrive(self, begin: float, at: float, rate: float, seconds: float) -> None:
         if at:
-            self.start(self.random.choice(self.sessions), self.random.choices(self.mix, self.shares)[0])
+            batch = self.random.randint(2, MOST) if self.random.random() < self.habits.batches else 1
+            session = self.random.choice(self.sessions)
+            self.start(session, self.random.choices(self.mix, self.shares, k=batch))
         at += self.random.expovariate(rate)
         if at >= seconds:
             self.sending = False
             return
         self.env.at(begin + at, lambda: self._arrive(begin, at, rate, seconds))
 
-    def start(self, session: Session, mix: Mix) -> None:
-        self.numbers += 1
-        key = mix.key.format(s=session.number, k=self.random.randrange(mix.keys))
-        names = [name for name, _ in mix.forms] or ["append" if mix.writes else "mget"]
-        form = self.random.choices(names, [share for _, share in mix.forms] or [1.0])[0]
-        _Request(self, session, mix, str(self.numbers), key, form).begin()
+    def start(self, session: Session, kinds: list[Mix]) -> None:
+        """Send one request, or several in one piece."""
+        requests = []
+        for mix in kinds:
+            self.numbers += 1
+            key = mix.key.format(s=session.number, k=self.random.randrange(mix.keys))
+            names = [name for name, _ in mix.forms] or ["append" if mix.writes else "mget"]
+            form = self.random.choices(names, [share for _, share in mix.forms] or [1.0])[0]
+            requests.append(_Request(self, session, mix, str(self.numbers), key, form))
+        self.open += len(requests)
+        self.send(session, requests)
+
+    def send(self, session: Session, requests: list[_Request]) -> None:
+        """Over a connection that is free, or a new one. A batch is patient as long as its first request."""
+        habits, random = self.habits, self.random
+        router = random.randrange(len(self.addresses)) if random.random() < habits.roam else session.home
+        longest = max(self.deadlines[request.mix.kind] for request in requests)
+        patience = longest + SLACK
+        if random.random() < habits.leavers:
+            patience = self.deadlines[requests[0].mix.kind] * random.uniform(0.42, 1.0)
+        idle = session.idle.get(router, [])
+        line = None
+        while idle and line is None:
+            line = idle.pop()
+            if line.over:
+                line = None
+        if line is None:
+            line = Line(self, session, router)
+        line.take(requests, patience)
 
     def served(self, session: Session, mix: Mix) -> None:
         """A write was acknowledged."""
@@ -114,7 +143,7 @@
 
             def reread() -> None:
                 self.open -= 1
-                self.start(session, reads[0])
+                self.start(session, [reads[0]])
 
             self.env.at(self.env.now() + wait, reread)
 
@@ -136,27 +165,6 @@
         self.form = form
         self.tries = 0
 
-    def begin(self) -> None:
-        self.clients.open += 1
-        self._try()
-
-    def _try(self) -> None:
-        clients, habits = self.clients, self.clients.habits
-        random = clients.random
-        roams = random.random() < habits.roam
-        router = random.randrange(len(clients.addresses)) if roams else self.session.home
-        deadline = clients.deadlines[self.mix.kind]
-        patience = deadline * random.uniform(0.42, 1.0) if random.random() < habits.leavers else deadline + SLACK
-        idle = self.session.idle.get(router, [])
-        line = None
-        while idle and line is None:
-            line = idle.pop()
-            if line.over:
-                line = None
-        if line is None:
-            line = Line(clients, self.session, router)
-        line.take(self, patience)
-
     def ended(self, verdict: str, wait: float) -> None:
         """One try is over."""
         clients = self.clients
@@ -166,13 +174,24 @@
         if verdict == "served" and self.mix.writes:
             clients.served(self.session, self.mix)
         if rest and again:
-            clients.env.at(clients.env.now() + wait * clients.random.uniform(0.5, 1.0), self._try)
+            clients.env.at(clients.env.now() + wait * clients.random.uniform(0.5, 1.0),
+                           lambda: clients.send(self.session, [self]))
         else:
             clients.open -= 1
 
 
+@dataclass(slots=True, eq=False)
+class _Sent:
+    """One request of a batch under way. Frames up to `upto` of the line's answers are its, the last one counts."""
+
+    request: _Request
+    rid: str
+    upto: int
+    token: bool  # the frame behind it is a mark
+
+
 class Line(Peer):
-    """One connection of a session to a router; it carries one request at a time."""
+    """One connection of a session to a router; it carries one batch at a time."""
 
     def __init__(self, clients: Clients, session: Session, router: int) -> None:
         self.clients, self.session, self.router = clients, session, router
@@ -181,43 +200,50 @@
         self.scanner = Scanner(1 << 24)
         self.handle: Handle | None = None
         self.over = False
-        self.request: _Request | None = None
-        self.rid = ""
+        self.batch: list[_Request] = []  # to be sent
+        self.sent: deque[_Sent] = deque()  # sent, and not answered
+        self.turn = 0
+        self.last = ""
         self.patience = 0.0
         self.frames: list[bytes] = []
-        self.expects, self.place = 1, 0
+        self.expects = 0
         self.up_ = False
         self.handle = clients.env.connect(clients.addresses[router], self)
 
-    def take(self, request: _Request, patience: float) -> None:
+    def take(self, batch: list[_Request], patience: float) -> None:
         clients = self.clients
-        self.request, self.patience, self.frames = request, patience, []
-        self.rid = rid = f"{request.number}.{request.tries}"
-        clients.env.at(clients.env.now() + patience, lambda: self._impatient(request, rid))
+        self.batch, self.patience, self.frames = batch, patience, []
+        self.turn += 1
+        turn = self.turn
+        clients.env.at(clients.env.now() + patience, lambda: self._impatient(turn))
         if self.up_:
             self._send()
 
     def up(self, handle: Handle) -> None:
         self.handle, self.up_ = handle, True
-        if self.request is not None:
+        if self.batch:
             self._send()
 
     def _send(self) -> None:
-        request, clients, session = self.request, self.clients, self.session
-        assert request is not None and self.handle is not None
-        mix = request.mix
-        one = (forms.write if mix.writes else forms.read)(request.form, request.key, self.rid)
-        sent, before, behind = one.data, 0, 0
-        if clients.habits.helped:
-            if (token := session.token) is not None:
-                sent, before = command("BANKLIFT.SEEN", token) + sent, 1
-            sent, behind = sent + command("BANKLIFT.TOKEN"), 1
-        self.place = before + one.frames - 1
-        self.expects = before + one.frames + behind
-        clients.record(Entry(t=clients.env.now(), k="ask", rid=self.rid, kind=mix.kind, router=self.router,
-                             patience=self.patience, keys=list(one.keys), conn=self.number, session=session.number,
-                             value=request.form))
-        self.handle.send(sent)
+        clients, session, data = self.clients, self.session, b""
+        assert self.handle is not None
+        helped, self.expects = clients.habits.helped, 0
+        if helped and (token := session.token) is not None:
+            data, self.expects = command("BANKLIFT.SEEN", token), 1
+        for request in self.batch:
+            mix, rid = request.mix, f"{request.number}.{request.tries}"
+            one = (forms.write if mix.writes else forms.read)(request.form, request.key, rid)
+            data += one.data
+            self.expects += one.frames
+            self.sent.append(_Sent(request, rid, self.expects, helped))
+            if helped:
+                data += command("BANKLIFT.TOKEN")
+                self.expects += 1
+            clients.record(Entry(t=clients.env.now(), k="ask", rid=rid, kind=mix.kind, router=self.router,
+                                 patience=self.patience, keys=list(one.keys), conn=self.number,
+                                 session=session.number, value=request.form))
+        self.batch = []
+        self.handle.send(data)
 
     def data(self, data: bytes) -> None:
         try:
@@ -225,50 +251,51 @@
         except ProtocolError as error:
             self.lost(f"protocol: {error}")
             return
-        request, clients = self.request, self.clients
-        if request is None or len(self.frames) > self.expects:  # more than was asked for
-            clients.record(Entry(t=clients.env.now(), k="answer", rid=self.rid, router=self.router,
-                                 verdict="surplus"))
-        if request is None or len(self.frames) < self.expects:
-            return
-        frame = self.frames[self.place]
-        verdict, wait = read_answer(frame)
-        token = self.frames[self.place + 1] if self.expects > self.place + 1 else b""
-        if token[:1] == b"$":
-            self.session.keep(decode(token).decode())
-        clients.record(Entry(t=clients.env.now(), k="answer", rid=self.rid, router=self.router, verdict=verdict,
-                             value=frame.decode("latin-1") if request.mix.writes or verdict == "error" else "",
-                             values=[] if request.mix.writes or verdict != "served" else forms.values(frame)))
-        self.request = None
-        self.session.idle.setdefault(self.router, []).append(self)
-        request.ended(verdict, wait)
+        clients = self.clients
+        if len(self.frames) > self.expects:  # more than was asked for
+            last = self.sent[-1].rid if self.sent else self.last
+            clients.record(Entry(t=clients.env.now(), k="answer", rid=last, router=self.router, verdict="surplus"))
+        ended: list[tuple[_Request, str, float]] = []
+        while self.sent and len(self.frames) >= self.sent[0].upto + self.sent[0].token:
+            one = self.sent.popleft()
+            frame, self.last = self.frames[one.upto - 1], one.rid
+            verdict, wait = read_answer(frame)
+            if one.token and (token := self.frames[one.upto])[:1] == b"$":
+                self.session.keep(decode(token).decode())
+            writes = one.request.mix.writes
+            clients.record(Entry(t=clients.env.now(), k="answer", rid=one.rid, router=self.router, verdict=verdict,
+                                 value=frame.decode("latin-1") if writes or verdict == "error" else "",
+                                 values=[] if writes or verdict != "served" else forms.values(frame)))
+            ended.append((one.request, verdict, wait))
+        if ended and not self.sent:
+            self.session.idle.setdefault(self.router, []).append(self)
+        for request, verdict, wait in ended:
+            request.ended(verdict, wait)
 
     def eof(self) -> None:
         self.lost("closed")
 
     def lost(self, reason: str) -> None:
-        if self.over:
-            return
+        if not self.over:
+            self._end("broke", BROKEN)
+
+    def _impatient(self, turn: int) -> None:
+        if self.turn == turn and not self.over and (self.batch or self.sent):
+            self._end("left", 0.0)
+
+    def _end(self, how: Literal["broke", "left"], wait: float) -> None:
+        """It is over: what it carries ends so, what it had not sent found no router."""
         self.over = True
         if self.handle is not None:
             self.handle.close()
-        if (request := self.request) is not None:
-            self.request = None
-            if not self.up_:
-                request.ended("unreachable", UNREACHABLE)
-                return
-            self.clients.record(Entry(t=self.clients.env.now(), k="broke", rid=self.rid, router=self.router))
-            request.ended("broke", BROKEN)
-
-    def _impatient(self, request: _Request, rid: str) -> None:
-        if self.request is not request or self.rid != rid:
-            return
-        self.request, self.over = None, True
-        if self.handle is not None:
-            self.handle.close()
-        if self.up_:
-            self.clients.record(Entry(t=self.clients.env.now(), k="left", rid=rid, router=self.router))
-        request.ended("left" if self.up_ else "unreachable", 0.0)
+        clients, batch, sent = self.clients, self.batch, list(self.sent)
+        self.batch = []
+        self.sent.clear()
+        for one in sent:
+            clients.record(Entry(t=clients.env.now(), k=how, rid=one.rid, router=self.router))
+            one.request.ended(how, wait)
+        for request in batch:
+            request.ended("unreachable", UNREACHABLE if how == "broke" else 0.0)
 
 
 def read_answer(frame: bytes) -> tuple[str, float]:
--- a/banklift/judge/rules.py
+++ b/banklift/judge/rules.py
@@ -143,27 +143,21 @@
     def twice(self) -> None:
         ran: dict[str, list[Entry]] = defaultdict(list)
         for entry in self.entries:
-            if entry.k == "ran" and entry.rid:
+            if entry.k == "ran" and entry.rid and entry.log:
                 ran[entry.rid.partition(".")[0]].append(entry)
         for rid, one in self.tries.items():
-            effect = rid.partition(".")[0]
-            unsafe = self._effect(one) == "unsafe"
-            word = one.answers[0].verdict if one.answers else ""
-            runs = [run for run in ran.get(effect, ()) if run.rid == rid]
-            if word == "refused" and runs:
-                self.broken(2, "refused, but it ran", runs[0].t, rid)
-            elif word == "refused" and len(one.commands) > sum(reply.verdict == "turned away"
-                                                                for reply in one.replies):
-                self.broken(2, "said that nothing ran of what a member took", one.answers[0].t, rid)
-            elif word == "repeat" and unsafe:
-                self.broken(2, "called safe to repeat, though it is unsafe", one.answers[0].t, rid)
+            self._words(rid, one, [run for run in ran.get(rid.partition(".")[0], ()) if run.rid == rid])
+            effect, window = self._effect(one), float(self.head.classes[one.ask.kind].get("window", 0.0))
             for earlier, later in pairwise(one.commands):
                 reply = next((reply for reply in one.replies if reply.member == earlier.member
                               and reply.conn == earlier.conn and reply.t >= earlier.t), None)
-                closed = self.cuts.get((earlier.member, earlier.conn), float("inf"))
-                if unsafe and (reply is None or reply.verdict != "turned away"):
+                away = reply is not None and reply.verdict == "turned away"
+                if effect == "unsafe" and not away:
                     self.broken(2, "sent again though it may have run", later.t, rid)
-                ended = min(closed, reply.t if reply is not None else float("inf"))
+                if effect == "keyed" and not away and later.t > one.commands[0].t + window + self.head.crossing:
+                    self.broken(2, "sent again when its members had forgotten it", later.t, rid)
+                closed = self.cuts.get((earlier.member, earlier.conn), math.inf)
+                ended = min(closed, reply.t if reply is not None else math.inf)
                 if later.t < ended - self.head.crossing:
                     self.broken(2, "two attempts out at once", later.t, rid)
         for runs in ran.values():
@@ -171,6 +165,16 @@
                                      if run.rid in self.tries):
                 self.broken(2, f"ran {len(runs)} times", runs[1].t, runs[1].rid)
 
+    def _words(self, rid: str, one: Try, runs: list[Entry]) -> None:
+        """What the router says of a request that it refuses, against what members got of it."""
+        word, at = (one.answers[0].verdict, one.answers[0].t) if one.answers else ("", 0.0)
+        if word == "refused" and runs:
+            self.broken(2, f"refused, but it ran ({self._effect(one)})", runs[0].t, rid)
+        elif word == "refused" and len(one.commands) > sum(reply.verdict == "turned away" for reply in one.replies):
+            self.broken(2, "said that nothing ran of what a member took", at, rid)
+        elif word == "repeat" and self._effect(one) == "unsafe":
+            self.broken(2, "called safe to repeat, though it is unsafe", at, rid)
+
     def drains(self) -> None:
         told: dict[str, float] = {}
         for entry in self.entries:
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -23,18 +23,19 @@
 
 from __future__ import annotations
 
-import heapq
 import math
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from banklift import interface as io
 from banklift.balance import Balancer
 from banklift.decide.offsets import Fact, Seen, Standing, Track
+from banklift.decide.queues import Queues
 from banklift.interface import Effect, Need, State, Status
 from banklift.proxy import events as ev
 from banklift.proxy.plan import Limits
+from banklift.proxy.timers import Timer, Timers
 from banklift.proxy.wire import Ask, BrokenFrame, Failed, Final, Front, Question, Reader, Refused, Served, Wire
 
 SAMPLE_WAIT = 0.02  # seconds that a replica's report waits for the primary's sample
@@ -55,7 +56,8 @@
     births: int = 0
     links: dict[int, Link] = field(default_factory=dict)
     idle: dict[int, list[Link]] = field(default_factory=dict)
-    waiting: deque[Attempt] = field(default_factory=deque)
+    waiting: dict[int, OrderedDict[Attempt, None]] = field(default_factory=dict)  # for a link, by flavour
+    queued: int = 0  # of these, all flavours together
     opening: int = 0
     prober: Link | None = None
     probes: deque[float] = field(default_factory=deque)  # asked, not yet answered
@@ -89,6 +91,7 @@
     question: Question = Question.NONE
     frames: list[bytes] = field(default_factory=list)
     ended: bool = False
+    timers: list[Timer] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
@@ -125,8 +128,8 @@
         self.arrived: float | None = None  # of what is being read now, where that is not now
         self.ids = 0
         self.link_ids = 0
-        self.timers: list[tuple[float, int, Callable[[], None]]] = []
-        self.timer_ids = 0
+        self.timers = Timers()
+        self.queues = Queues(limits.queue, settings.max_retry_after)
         self.inbox: deque[io.Event] = deque()  # what the module is to be told
         self.deciding = False
         self.actions: list[ev.Action] = []
@@ -147,8 +150,7 @@
                 if link in self.links:
                     self._link_data(self.links[link], data)
             case ev.Wake():
-                while self.timers and self.timers[0][0] <= now:
-                    heapq.heappop(self.timers)[2]()
+                self.timers.run(now)
             case ev.ClientOpened(client):
                 self.front.opened(client)
             case ev.ClientEof(client):
@@ -171,11 +173,10 @@
 
     @property
     def wake(self) -> float:
-        return self.timers[0][0] if self.timers else math.inf
+        return self.timers.next
 
-    def at(self, when: float, callback: Callable[[], None]) -> None:
-        self.timer_ids += 1
-        heapq.heappush(self.timers, (when, self.timer_ids, callback))
+    def at(self, when: float, callback: Callable[[], None]) -> Timer:
+        return self.timers.at(when, callback)
 
     def note(self, event: str, **fields: object) -> None:
         self.actions.append(ev.Note(event, fields))
@@ -186,6 +187,11 @@
         """Take a request; `front.done` will be called once, perhaps before this returns."""
         self.ids += 1
         kind, now = ask.kind, self.now
+        full = self.queues.enter(ask.group, kind.name, now)
+        if full is not None:  # nothing of it has gone anywhere
+            ask.ids.append(self.ids)
+            self.front.done(ask, Refused(full))
+            return self.ids
         request = Open(self.ids, ask, now, ask.arrived + self.patience(kind))
         self.open[request.id] = request
         ask.ids.append(request.id)
@@ -206,6 +212,7 @@
         """Its client has gone: no answer is owed."""
         if (open_ := self.open.pop(request, None)) is not None:
             open_.final = True
+            self.queues.leave(open_.ask.group, open_.ask.kind.name, self.now)
             self._decide(io.Abandoned(request))
 
     def refresh(self, group: int) -> None:
@@ -272,6 +279,7 @@
         open_ = self.open.pop(request, None)
         if open_ is not None:
             open_.final = True
+            self.queues.leave(open_.ask.group, open_.ask.kind.name, self.now)
             self.front.done(open_.ask, final)
 
     # ---- attempts
@@ -288,20 +296,32 @@
         open_.attempts.append(attempt)
         self.flying[request, number] = attempt
         end = min(self.now + timeout, open_.deadline)
-        # timers outlive attempts, so they hold numbers, not what was sent and answered
-        self.at(end, lambda: self._overdue(request, number))
         flavour = open_.ask.exchange.flavour
         idle = node.idle.get(flavour)
+        if not idle and node.queued >= self.limits.waiting:  # it would only wait: the module may know better
+            self._end(attempt, Status.MOOT)
+            return
+        attempt.timers.append(self.at(end, lambda: self._overdue(request, number)))
         if idle:
             self._write(idle.pop(), attempt)
             return
-        node.waiting.append(attempt)
-        self.at(min(end, self.now + self.limits.connect), lambda: self._not_connected(request, number))
+        node.waiting.setdefault(flavour, OrderedDict())[attempt] = None
+        node.queued += 1
+        soon = min(end, self.now + self.limits.connect)
+        attempt.timers.append(self.at(soon, lambda: self._not_connected(request, number)))
         if len(node.links) < self.limits.links:
             self._open_link(node, flavour)
         elif (other := next((links for links in node.idle.values() if links), None)) is not None:
             self._close(other[-1])  # a link of another flavour makes room
 
+    def _next_waiting(self, node: Node, flavour: int) -> Attempt | None:
+        """Take the first attempt that waits for a link of this flavour out of the queue."""
+        queue = node.waiting.get(flavour)
+        if not queue:
+            return None
+        node.queued -= 1
+        return queue.popitem(last=False)[0]
+
     def _write(self, link: Link, attempt: Attempt) -> None:
         node, exchange = attempt.node, attempt.open.ask.exchange
         if link.fresh or node.doubt:
@@ -336,9 +356,13 @@
             attempt.open.ran = True
         self.flying.pop((attempt.open.id, attempt.number), None)
         node, link, open_ = attempt.node, attempt.link, attempt.open
+        for timer in attempt.timers:
+            self.timers.cancel(timer)
         if link is None:
-            if attempt in node.waiting:
-                node.waiting.remove(attempt)
+            queue = node.waiting.get(open_.ask.exchange.flavour)
+            if queue is not None and attempt in queue:
+                del queue[attempt]
+                node.queued -= 1
         else:
             link.attempt = None
             if status in (Status.TIMEOUT, Status.CANCELLED) and link.id in self.links:
@@ -510,11 +534,10 @@
         if node.state is State.GONE or (link.flavour != PROBES and link.node.address == ""):
             self._close(link)
             return
-        for attempt in node.waiting:
-            if attempt.open.ask.exchange.flavour == link.flavour:
-                node.waiting.remove(attempt)
-                self._write(link, attempt)
-                return
+        attempt = self._next_waiting(node, link.flavour)
+        if attempt is not None:
+            self._write(link, attempt)
+            return
         link.since = self.now
         node.idle.setdefault(link.flavour, []).append(link)
 
@@ -565,17 +588,17 @@
                 self._end(attempt, result.status, served=served, turned=turned)
         elif not was_up:
             self.note("connect failed", member=node.name, reason=reason)
-            for waiting in [other for other in node.waiting if other.open.ask.exchange.flavour == link.flavour]:
-                if not waiting.ended:
-                    self._end(waiting, Status.CONNECT_FAILED)
-                    break  # one attempt for each link that failed
+            waiting = self._next_waiting(node, link.flavour)
+            if waiting is not None:  # one attempt for each link that failed
+                self._end(waiting, Status.CONNECT_FAILED)
         # others that wait have a link of their own on the way, or wait for one that is busy
         self._feed(node)
 
     def _feed(self, node: Node) -> None:
         """Attempts may wait although no link is on its way: open one."""
-        if node.waiting and not node.opening and len(node.links) < self.limits.links:
-            self._open_link(node, node.waiting[0].open.ask.exchange.flavour)
+        if node.queued and not node.opening and len(node.links) < self.limits.links:
+            first = min((next(iter(queue)) for queue in node.waiting.values() if queue), key=lambda one: one.sent)
+            self._open_link(node, first.open.ask.exchange.flavour)
 
     def _close(self, link: Link) -> None:
         if link.id in self.links:
@@ -647,8 +670,9 @@
         del self.nodes[node.name]
         self.aliases.pop(node.alias, None)
         self.tracks[node.group].forget(node.name)
-        for attempt in list(node.waiting):
-            self._end(attempt, Status.MOOT)
+        for queue in node.waiting.values():
+            for attempt in list(queue):
+                self._end(attempt, Status.MOOT)
         for link in list(node.links.values()):
             if link.attempt is None:
                 self._close(link)
--- a/banklift/proxy/plan.py
+++ b/banklift/proxy/plan.py
@@ -69,6 +69,8 @@
     frame: Count = 64 * 1024 * 1024
     pipeline: Count = 256  # commands of one client without an answer before it is no longer read
     links: Count = 64  # to one member
+    waiting: Count = 1024  # attempts that wait for a link to one member
+    queue: Count = 4096  # requests of one class open in one group; one on top is refused at once
     connect: Positive = 0.5
     probe: Positive = 1.0
     margin: Seconds = 0.02  # of a class's deadline, kept for the answer's way back
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -4,8 +4,10 @@
 and answers leave from the front of the line only. Commands of one connection and group keep their order towards members
 as far as it can be seen: a write waits for all before it, a session's or a fresh read for the writes before it. What
 the connection itself means (HELLO, AUTH, MULTI ...) is answered here at once; the rest becomes a request of the core. A
-line that grows too long is no longer read. A client that closes its side gets what is under way; what still waits is
-refused at once, as it may be gone.
+line that grows too long is no longer read. As answers leave in order, one that is late holds up those behind it: when
+the time of a command is over, everything in front of it that has no answer is given up, so its answer is out in time
+too; only a `WAIT` may hold up what is behind it, as its client asked for that. A client that closes its side gets what
+is under way; what still waits is refused at once, as it may be gone.
 
 The router's own words, each held against the members' logs by the judge:
 
@@ -56,6 +58,8 @@
     answer: bytes | None = None
     request: int | None = None
     late: Callable[[], object] | None = None  # makes the answer once all before it are answered
+    gate: Gate | None = None  # what its request counts at ...
+    kind: RequestClass | None = None  # ... and as
 
 
 @dataclass(slots=True, eq=False)
@@ -76,6 +80,12 @@
     writes: int = 0
     waiting: deque[Waiting] = field(default_factory=deque)
 
+    def ended(self, kind: RequestClass) -> None:
+        if kind.need is Need.WRITE:
+            self.writes -= 1
+        else:
+            self.reads -= 1
+
     def lets(self, kind: RequestClass) -> bool:
         if kind.need is Need.WRITE:
             return not self.reads and not self.writes
@@ -98,6 +108,7 @@
     paused: bool = False
     full: bool = False  # it does not read its answers
     closing: bool = False  # nothing more is read; closed once the line is empty
+    latest: float = -math.inf  # when the time is over of whatever in the line has the most
 
 
 class RespFront:
@@ -135,14 +146,12 @@
         gone = encode(Error("TRYAGAIN refused: nothing ran; the client closed its side"))
         for gate in state.gates.values():
             for waiting in gate.waiting:
-                waiting.place.answer = gone
+                if waiting.place.answer is None:
+                    waiting.place.answer = gone
             gate.waiting.clear()
         for place in list(state.line):
             if place.request is not None and place.answer is None and not self.core.under_way(place.request):
-                touched, repeats = self.core.touched(place.request), self.core.repeats(place.request)
-                self.core.abandon(place.request)
-                self.places.pop(place.request, None)
-                place.answer = (gone if not touched else refusal(0.0, True) if repeats else UNCERTAIN)
+                self._give_up(place, gone)
         self._flush(state)
 
     def lost(self, client: int) -> None:
@@ -180,17 +189,38 @@
                 place.answer = refusal(wait, touched)
             case Failed():
                 place.answer = UNCERTAIN
-        gate = state.gates.get(ask.group)
-        if gate is not None:
-            if ask.kind.need is Need.WRITE:
-                gate.writes -= 1
-            else:
-                gate.reads -= 1
-            self._let(state, ask.group, gate)
+        if place.gate is not None:
+            place.gate.ended(ask.kind)
+            self._let(state, ask.group, place.gate)
         self._flush(state)
 
     # ---- the line
 
+    def _give_up(self, place: Place, untouched: bytes) -> None:
+        """Answer a command at once, by what is known of it. `untouched`: the words if no member got it."""
+        if place.request is None:
+            place.answer = untouched
+            return
+        touched, repeats = self.core.touched(place.request), self.core.repeats(place.request)
+        self.core.abandon(place.request)
+        self.places.pop(place.request, None)
+        place.answer = untouched if not touched else refusal(0.0, True) if repeats else UNCERTAIN
+        if place.gate is not None and place.kind is not None:
+            place.gate.ended(place.kind)
+
+    def _overdue(self, state: Client, place: Place) -> None:
+        """The time of a command is over, and something in front of it has more: that is given up with it."""
+        if state.id not in self.clients or place not in state.line:
+            return
+        for other in state.line:
+            if other.answer is None and other.late is None:
+                self._give_up(other, refusal(0.0, False))
+            if other is place:
+                break
+        for group, gate in state.gates.items():
+            self._let(state, group, gate)
+        self._flush(state)
+
     def _read(self, state: Client) -> None:
         limit = self.config.limits.pipeline
         try:
@@ -294,26 +324,43 @@
         if gate is None:
             gate = state.gates[group] = Gate()
         now = self.core.now if self.core.arrived is None else self.core.arrived
-        if not gate.waiting and gate.lets(kind):
-            return self._request(state, gate, Waiting(place, kind, exchange, now), group)
+        end = now + self.core.patience(kind)
+        if state.line[0] is place:
+            state.latest = end
+        elif end < state.latest:  # its time is over before that of something in front of it
+            self.core.at(end, lambda: self._overdue(state, place))
+        else:
+            state.latest = end
         waiting = Waiting(place, kind, exchange, now)
+        self._skip(gate)
+        if not gate.waiting and gate.lets(kind):
+            return self._request(state, gate, waiting, group)
         gate.waiting.append(waiting)
-        self.core.at(now + self.core.patience(kind), lambda: self._waited(state, gate, waiting))
+        self.core.at(end, lambda: self._waited(state, place))
+
+    def _skip(self, gate: Gate) -> None:
+        """What was given up while it waited is passed over, and not kept for long."""
+        while gate.waiting and gate.waiting[0].place.answer is not None:
+            gate.waiting.popleft()
+        if len(gate.waiting) > 2 * self.config.limits.pipeline:
+            gate.waiting = deque(waiting for waiting in gate.waiting if waiting.place.answer is None)
 
     def _let(self, state: Client, group: int, gate: Gate) -> None:
         """Something ended: what waited may go."""
+        self._skip(gate)
         while gate.waiting and gate.lets(gate.waiting[0].kind):
             self._request(state, gate, gate.waiting.popleft(), group)
+            self._skip(gate)
 
-    def _waited(self, state: Client, gate: Gate, waiting: Waiting) -> None:
-        """Its time is over, and it never began."""
-        if waiting in gate.waiting:
-            gate.waiting.remove(waiting)
-            waiting.place.answer = refusal(0.0, False)
+    def _waited(self, state: Client, place: Place) -> None:
+        """Its time is over; if it never began, it is answered now."""
+        if place.answer is None and place.request is None and state.id in self.clients:
+            place.answer = refusal(0.0, False)
             self._flush(state)
 
     def _request(self, state: Client, gate: Gate, waiting: Waiting, group: int) -> None:
         place, kind = waiting.place, waiting.kind
+        place.gate, place.kind = gate, kind
         if kind.need is Need.WRITE:
             gate.writes += 1
         else:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -2,9 +2,11 @@
 
 import subprocess
 import sys
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import replace
-from typing import TypeVar
+from random import Random
+from typing import Any, TypeVar
 
 import pytest
 
@@ -478,3 +480,78 @@
 def test_settings_that_make_no_sense_are_refused(change: dict[str, object], field: str) -> None:
     with pytest.raises(ValueError, match=field):
         replace(SETTINGS, **change)  # type: ignore[arg-type]
+
+
+# ---- flat cost: running sums and turns say what looking at everything would say
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_lateness_by_running_sums_is_what_a_sum_over_all_out_there_says(seed: int) -> None:
+    random = Random(seed)
+    bench = Bench(seed=seed)
+    out: list[tuple[int, int, str]] = []
+    judged = 0
+    for _ in range(600):
+        bench.now += random.choice((0.0, 0.001, 0.02, 0.2))
+        if random.random() < 0.6 or not out:
+            if random.random() < 0.2:
+                bench.positions()
+            sends = of(Send, bench.ask(random.choice(("loose", "own", "write", "keyed"))))
+        else:
+            request, attempt, member = out.pop(random.randrange(len(out)))
+            status = random.choice((Status.OK, Status.OK, Status.TIMEOUT, Status.CANCELLED, Status.RESET, Status.MISS,
+                                    Status.CONNECT_FAILED))
+            sends = of(Send, bench.do(Outcome(request, attempt, member, status, status is Status.OK, 0.01)))
+        for send in sends:
+            pending = bench.balancer.requests[send.request]
+            out.append((send.request, len(pending.tried) - 1, send.member))
+        for one in bench.balancer.members.values():
+            by_all = sum((bench.now - max(sent, one.alive)) / usual for sent, usual, _ in one.flying.values())
+            by_sums = (bench.now - one.base) * one.haste - one.lag if one.flying else 0.0
+            assert by_sums == pytest.approx(by_all, abs=1e-6)
+            judged += by_all > 6
+    assert judged > 100
+
+
+def test_with_thousands_held_each_look_tries_some_and_all_are_answered_in_time() -> None:
+    """Each held request is refused by its own last call, though no look goes over all of them; those that can go are
+    sent in turn once there is a primary."""
+    bench = Bench(members=tuple(Entry(name, 1) for name in ("p", "r1", "r2", "r3")))
+    tried: Counter[int] = Counter()
+    route = bench.balancer.route
+
+    def counted(pending: Any) -> None:
+        tried[round((bench.now - T0) * 1e6)] += 1
+        route(pending)
+
+    bench.balancer.route = counted  # type: ignore[method-assign]
+    bench.ids = 100_000
+    first = bench.ids + 1
+    for _ in range(1000):
+        bench.ask("fresh")
+    tried.clear()
+    bench.run(1.9)
+    assert max(tried.values()) <= 64 + 4
+    refused = [(at, action.request) for at, action in bench.log if isinstance(action, Refuse)]
+    assert sorted(request for _, request in refused) == list(range(first, first + 1000))
+    assert all(at < T0 + 0.8 for at, _ in refused)  # its worth is over then
+    assert not bench.balancer.groups[1].ends
+
+
+def test_word_of_a_replica_does_not_try_writes_that_wait_for_the_primary() -> None:
+    bench = Bench()
+    bench.positions()
+    bench.do(Probed("p", True, 0.001, Report(bench.now, True, in_flight=1000.0)))
+    assert not targets(bench.ask("write"))
+    tried: list[str] = []
+    choose = bench.balancer.choose
+
+    def noted(pending: Any) -> Any:
+        tried.append(pending.kind.name)
+        return choose(pending)
+
+    bench.balancer.choose = noted  # type: ignore[method-assign]
+    bench.do(Probed("r1", True, 0.001, Report(position=bench.now, primary=False)))
+    assert "write" not in tried
+    bench.do(Probed("p", True, 0.001, Report(bench.now, True, in_flight=0.0)))
+    assert "write" in tried
--- /dev/null
+++ b/tests/test_queues.py
@@ -0,0 +1,184 @@
+"""What is bounded and flat: timers taken back, queues by group and class, what a flood leaves behind."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from banklift.config import build
+from banklift.decide.queues import LEAST, Queues
+from banklift.proxy import events as ev
+from banklift.proxy.timers import FEW, Timer, Timers
+from banklift.resp.frames import command
+from tests.test_machine import Rig, info
+
+
+@given(st.lists(st.tuples(st.integers(0, 20), st.booleans()), max_size=200))
+def test_timers_run_in_order_but_those_taken_back(asked: list[tuple[int, bool]]) -> None:
+    timers, ran = Timers(), list[int]()
+    made = [timers.at(float(when), lambda number=number: ran.append(number))  # type: ignore[misc]
+            for number, (when, _) in enumerate(asked)]
+    for timer, (_, taken_back) in zip(made, asked, strict=True):
+        if taken_back:
+            timers.cancel(timer)
+            timers.cancel(timer)  # twice is once
+    left = [(when, number) for number, (when, taken_back) in enumerate(asked) if not taken_back]
+    assert len(timers) == len(left) and timers.next == min((when for when, _ in left), default=math.inf)
+    timers.run(10.0)
+    assert ran == [number for when, number in sorted(left) if when <= 10]
+    timers.run(20.0)
+    assert ran == [number for _, number in sorted(left)] and len(timers) == 0
+
+
+def test_timers_taken_back_take_no_room() -> None:
+    timers = Timers()
+    kept = timers.at(1e9, lambda: None)
+    for number in range(10_000):
+        timers.cancel(timers.at(float(number), lambda: None))
+        assert timers.room <= 2 * FEW + 4
+    assert len(timers) == 1 and timers.next == 1e9 and kept.call is not None
+
+
+def test_a_timer_may_set_and_take_back_others() -> None:
+    timers, ran = Timers(), list[str]()
+    later: list[Timer] = []
+
+    def first() -> None:
+        ran.append("first")
+        timers.cancel(later[0])
+        timers.at(1.0, lambda: ran.append("now"))
+        timers.at(3.0, lambda: ran.append("much later"))
+
+    timers.at(1.0, first)
+    later.append(timers.at(2.0, lambda: ran.append("later")))
+    timers.run(2.0)
+    assert ran == ["first", "now"]
+
+
+def test_a_full_class_leaves_the_others_alone() -> None:
+    queues = Queues(3, 1.0)
+    assert [queues.enter(0, "note", 1.0) for _ in range(3)] == [None] * 3
+    assert queues.enter(0, "note", 1.0) == 1.0  # nothing was ever answered: the longest wait
+    assert queues.enter(0, "pick", 1.0) is None and queues.enter(1, "note", 1.0) is None
+    queues.leave(0, "note", 1.0)
+    assert queues.enter(0, "note", 1.0) is None
+    assert queues.queues[0, "note"].full == 1
+
+
+def test_who_finds_a_queue_full_comes_back_when_half_of_it_is_gone() -> None:
+    queues = Queues(100, 10.0)
+    for _ in range(100):
+        queues.enter(0, "note", 0.0)
+    now = 0.0
+    for _ in range(600):  # fifty a second for twelve seconds, and as many come in
+        now += 0.02
+        queues.leave(0, "note", now)
+        assert queues.enter(0, "note", now) is None
+    wait = queues.enter(0, "note", now)
+    assert wait is not None and wait == pytest.approx(1.0, rel=0.05)
+    assert queues.enter(0, "note", now + 60.0) == 10.0  # that rate is long past
+    quick = Queues(1, 10.0)
+    quick.enter(0, "note", 0.0)
+    for number in range(100):
+        quick.leave(0, "note", number / 1000)
+        quick.enter(0, "note", number / 1000)
+    assert quick.enter(0, "note", 0.1) == LEAST
+
+
+def test_a_full_queue_refuses_at_once_and_tells_when_to_come_back() -> None:
+    rig = Rig(queue=2)
+    rig.offsets.clear()  # nobody answers: everything is held
+    for _ in range(3):
+        rig.ask("SET", "note:1", "a")
+    assert rig.answer() == b""  # answers keep their order
+    rig.tell(ev.ClientOpened(2))
+    rig.ask("SET", "note:1", "a", client=2)
+    assert rig.answer(2) == b""  # the first client's third waits at its gate, and is not open
+    rig.tell(ev.ClientOpened(3))
+    rig.ask("SET", "note:1", "a", client=3)
+    assert rig.answer(3) == b"-TRYAGAIN refused: nothing ran; retry_after_ms=1000\r\n"
+    rig.ask("SET", "pick:1", "a", client=3)  # another class
+    assert rig.answer(3) == b""
+
+
+def test_attempts_that_wait_for_links_are_bounded_and_their_requests_are_not_lost() -> None:
+    """One on top of the bound never goes to the member; the module holds its request, and it ends in time."""
+    rig = Rig(links=1, waiting=2)
+    for client in range(2, 12):
+        rig.tell(ev.ClientOpened(client))
+        rig.ask("GET", "alert:1", client=client)
+    assert {node.name: node.queued for node in rig.machine.nodes.values()} == {"p": 2, "r": 2}
+    rig.wait(3.0)
+    assert all(rig.answer(client) for client in range(2, 12)) and not rig.machine.open
+
+
+def test_a_flood_that_has_gone_leaves_nothing() -> None:
+    """Every client leaves, in any order: no queue, timer or heap keeps anything of it."""
+    rig = Rig(links=4, waiting=50)
+    rig.ask("SET", "note:1", "a")
+    link = rig.up("p:1")
+    rig.tell(ev.LinkData(link, b"+OK\r\n" + info(True, 9)))
+    clients = list(range(2, 402))
+    for client in clients:
+        rig.tell(ev.ClientOpened(client))
+        rig.ask("SET" if client % 2 else "GET", "note:1", *("a",) * (client % 2), client=client)
+    machine = rig.machine
+    assert len(machine.open) > 300
+    Random(1).shuffle(clients)
+    for client in clients:
+        rig.tell(ev.ClientLost(client))
+    rig.wait(1.0)
+    group = machine.balancer.groups[0]
+    assert not machine.open and not machine.flying and not machine.balancer.requests
+    assert not any(group.held.values()) and not group.ends
+    assert all(node.queued == 0 and not any(node.waiting.values()) for node in machine.nodes.values())
+    assert all(queue.open == 0 for queue in machine.queues.queues.values())
+    assert len(machine.front.clients) == 1  # type: ignore[attr-defined]
+    assert not machine.front.places  # type: ignore[attr-defined]
+    rig.wait(10.0)
+    assert len(machine.timers) < 20 and machine.timers.room < 2 * FEW + 40
+
+
+def test_what_is_late_in_a_line_is_given_up_for_those_behind_it() -> None:
+    """A held write has two seconds, the read piped behind it 1.2: both are answered in the read's time."""
+    rig = Rig()
+    rig.offsets.clear()
+    rig.tell(ev.ClientData(1, command("SET", "pick:1", "a") + command("GET", "alert:1") + command("PING")))
+    rig.wait(1.15)
+    assert rig.answer() == b""
+    rig.wait(0.05)
+    answers = rig.answer()
+    assert answers.startswith(b"-TRYAGAIN refused: nothing ran") and answers.endswith(b"+PONG\r\n")
+    assert not rig.machine.open and not rig.machine.front.places  # type: ignore[attr-defined]
+
+
+def test_an_unsafe_write_under_way_is_given_up_for_those_behind_it_with_true_words() -> None:
+    rig = Rig()
+    rig.tell(ev.ClientData(1, command("SET", "pick:1", "a") + command("GET", "alert:1")))
+    link = rig.up("p:1")
+    rig.wait(1.2)
+    assert rig.answer().startswith(b"-UNCERTAIN failed: it may have run")
+    assert link in rig.closed  # its late answer has no way to another request
+    rig.ask("SET", "pick:1", "b")  # the gate is open again
+    assert any(b"\r\nb\r\n" in data for other, data in rig.sent.items() if other != link) or rig.machine.open
+
+
+def test_a_wait_may_hold_up_what_is_behind_it() -> None:
+    rig = Rig()
+    rig.ask("SET", "note:1", "a")
+    rig.tell(ev.LinkData(rig.up("p:1"), b"+OK\r\n" + info(True, 50)))
+    rig.answer()
+    rig.tell(ev.ClientData(1, command("WAIT", 2, 3000) + command("GET", "alert:1")))
+    rig.wait(2.9)
+    assert rig.answer() == b""
+    rig.wait(0.2)
+    assert rig.answer().startswith(b":")
+
+
+def test_settings_of_queues_come_from_the_file() -> None:
+    rig = Rig(queue=7)
+    assert rig.machine.queues.most == 7 and build.machine(rig.config, 1).queues.most == 7
