--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -439,9 +439,9 @@
         group.ends.clear()
 
     def release(self, group: Group, most: int, told: Member | None = None) -> None:
-        """Try what is held again, the best worth for its work first: what is worth least waits longest. Some of
-        many are tried, in turn; what is held on goes to the end. What waits for the primary alone is not tried
-        for word of somebody else (`told`)."""
+        """Try what is held again, the best worth for its work first: what is worth least waits longest. Some
+        of many are tried, in turn; what is held on goes to the end. What waits for the primary alone is not
+        tried for word of somebody else (`told`)."""
         others = told is not None and group.primary is not None and told is not group.primary
         for name in sorted(group.held, key=lambda name: -self.kinds[name].worth / self.usual[name]):
             waiting = group.held[name]
--- a/banklift/decide/offsets.py
+++ b/banklift/decide/offsets.py
@@ -19,6 +19,12 @@
 (`unsure`). A member whose offset fell, or whose history left the line, holds other data than before (a restart, a full
 copy): it is `reborn`, and nothing proven about it holds on.
 
+Samples of an older history say something about the new one only up to the time at which its primary is known to have
+still been a replica: after that both may have taken writes, neither knowing of the other.
+
+A session's mark may name a history that no member has told of: its writer's router has met a new primary, and this one
+has not. Times proven by the old line then prove nothing for that session (`meet`, `covers`).
+
 A primary whose offset stands still idles or hangs. It hangs if a write of ours that was sent there before has had no
 answer since: then its position is the time of that write, not the present.
 """
@@ -32,6 +38,8 @@
 SPACING = 0.002  # seconds between samples that are worth keeping apart
 SAMPLES = 8192  # of one group: 16 s of the densest; older ones prove what nobody asks any more
 OWNER_SILENT = 3.0  # seconds without a word of the primary after which an unrelated history may replace its own
+MARKS = 4  # histories that a session's mark speaks of, at most
+HISTORIES = 64  # that are remembered though they are not of the line
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,11 +69,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Seen:
-    """A write that a session has seen acknowledged: commits up to `at`; in its history up to `offset`."""
+    """What a session has seen: commits up to `at`; in its history up to `offset`. `also`: the same of other histories
+    that it met."""
 
     at: float
     replid: str | None = None
     offset: int = -1
+    also: tuple[Seen, ...] = ()
+
+    def parts(self) -> tuple[Seen, ...]:
+        """One mark for each history."""
+        return (Seen(self.at, self.replid, self.offset), *self.also)
+
+
+def keep_last(histories: dict[str, None] | dict[str, float]) -> None:
+    while len(histories) > HISTORIES:
+        del histories[next(iter(histories))]
 
 
 @dataclass(slots=True)
@@ -75,6 +94,7 @@
     replid: str
     offset: int
     answered: float
+    followed: float  # it was asked as late as this when it said that it is a replica
 
 
 class Track:
@@ -89,6 +109,9 @@
         self.owner_heard = -math.inf
         self.moved = -math.inf  # when the primary's newest offset was first seen
         self.places: dict[str, _Place] = {}
+        self.past: dict[str, None] = {}  # histories that were once of the line, and are no more
+        self.strangers: dict[str, float] = {}  # histories that only marks have told of, since when
+        self.heard = -math.inf  # the last time that anything was learnt
 
     def learn(self, member: str, standing: Standing, asked: float, now: float,
               waiting: float | None = None) -> Fact:
@@ -96,6 +119,7 @@
 
         `waiting`: when the oldest write was sent that this member has not answered yet.
         """
+        self.heard = now
         place, replid, reborn = self.places.get(member), standing.replid, False
         if replid is None:  # ROLE
             if (place is None or place.primary != standing.primary or place.source != standing.source
@@ -107,7 +131,9 @@
             reborn = fell or (place.replid in self.line and replid not in self.line
                               and standing.replid2 != place.replid)
         if standing.replid is not None or place is None or standing.offset >= place.offset:
-            self.places[member] = _Place(standing.primary, standing.source, replid, standing.offset, now)
+            followed = place.followed if place is not None else -math.inf
+            self.places[member] = _Place(standing.primary, standing.source, replid, standing.offset, now,
+                                         followed if standing.primary else max(followed, asked))
         if standing.primary:
             fact = self._primary(member, standing, replid, asked, now, waiting)
         else:
@@ -142,12 +168,18 @@
             for old in self.line:
                 self.line[old] = min(self.line[old], fork)
             self.offsets = [min(offset, fork) for offset in self.offsets]
+            # the old primary may have gone on without knowing: its word counts up to when the new one still followed
+            place = self.places.get(member)
+            valid = bisect_right(self.times, place.followed if place is not None else -math.inf)
+            del self.times[valid:], self.offsets[valid:]
             self._thin()
         elif self.replid is not None and standing.replid2 in self.line:
             return False  # a branch of an older history beside the newest
         else:
             if self.owner not in (None, member) and now - self.owner_heard < OWNER_SILENT:
                 return False
+            self.past.update(dict.fromkeys(self.line))
+            keep_last(self.past)
             self.line, self.times, self.offsets = {}, [], []
         self.line[replid] = 2**62
         self.replid = replid
@@ -204,18 +236,48 @@
             return Seen(at)
         return Seen(at, place.replid, offset)
 
+    def join(self, one: Seen, other: Seen, now: float) -> Seen:
+        """A mark that holds both. What the line has gone on from is held by what is of its newest history."""
+        parts: dict[str | None, Seen] = {}
+        for seen in (*one.parts(), *other.parts()):
+            known = parts.get(seen.replid)
+            if known is None or (seen.offset, seen.at) > (known.offset, known.at):
+                parts[seen.replid] = seen
+        if self.replid in parts:
+            parts = {replid: seen for replid, seen in parts.items()
+                     if replid in (self.replid, None) or (replid not in self.line and replid not in self.past)}
+        if len(parts) > MARKS:
+            return Seen(now)
+        first, *rest = parts.values()
+        return Seen(first.at, first.replid, first.offset, tuple(rest))
+
     def floor(self, seen: Seen, now: float) -> float:
         """A time such that who stands there has, as far as known, what `seen` marks; `now` if it can't be told."""
+        if seen.also:
+            return max(self.floor(part, now) for part in seen.parts())
         shared = self.shared(seen.replid, seen.offset) if seen.replid is not None else None
         if shared is None:
             return min(seen.at, now)
         place = bisect_right(self.offsets, shared - 1)
         return min(seen.at, self.times[place] if place < len(self.times) else now)
 
+    def meet(self, replid: str, now: float) -> bool:
+        """A session shows a mark of this history. True if no member has told of it: then it may be newer than all that
+        they told, and for `OWNER_SILENT` no time proves that it is held. After that it counts as lost."""
+        if replid in self.line or replid in self.past:
+            return False
+        self.heard = now
+        self.strangers.setdefault(replid, now)
+        keep_last(self.strangers)
+        return now - self.strangers[replid] < OWNER_SILENT
+
     def covers(self, fact: Fact, seen: Seen) -> bool:
-        """Whether what `fact` proves holds the write that `seen` marks."""
-        if fact.position is not None and fact.position > seen.at:  # a sample of that very moment may be older
-            return True
+        """Whether what `fact` proves holds what `seen` marks."""
+        if seen.also:
+            return all(self.covers(fact, part) for part in seen.parts())
+        strange = self.strangers.get(seen.replid or "", -math.inf) if seen.replid not in self.line else -math.inf
+        if fact.position is not None and fact.position > seen.at and self.heard - strange >= OWNER_SILENT:
+            return True  # later than `at`: a sample of that very moment may be older
         if fact.offset is None or seen.replid is None:
             return False
         limit = self.line.get(seen.replid)
--- a/banklift/emulator/node.py
+++ b/banklift/emulator/node.py
@@ -242,10 +242,14 @@
         self.actions.append(Act("close", UPSTREAM))
         self.replid2, self.second = self.replid, self.offset + 1
         self._branch(received)
-        for conn in [conn for conn in self.conns.values() if conn.follower]:
-            self._close(conn)  # they ask again and learn of the new history
+        self._part()
         return self.actions
 
+    def _part(self) -> None:
+        """The history is another one: who follows has to ask again, and learns of it."""
+        for conn in [conn for conn in self.conns.values() if conn.follower]:
+            self._close(conn)
+
     def _branch(self, received: int) -> None:
         """From here on its log is a line of its own. `received`: how far it had been sent the old one."""
         old, self.replid = self.replid, self._new_id()
@@ -569,6 +573,7 @@
                 if len(words) > 1 and words[1].decode() != self.replid:
                     self.replid2, self.second = self.replid, self.offset + 1
                     self.replid = words[1].decode()
+                    self._part()
                 self._following()
             elif words[:1] == [b"FULLRESYNC"]:
                 self.stage, self.resync = "copy", (words[1].decode(), int(words[2]))
@@ -590,6 +595,7 @@
         self.replid, self.offset = self.resync
         self.replid2, self.second = "0" * 40, -1
         self.backlog.clear()
+        self._part()
         self._following()
         return True
 
--- a/banklift/judge/day.py
+++ b/banklift/judge/day.py
@@ -74,6 +74,7 @@
     sessions: Annotated[int, Meta(ge=1)] = 50
     roam: Seconds = 0.5
     helped: bool = False
+    named: bool = False
     retries: int = 2
     leavers: Seconds = 0.2
     reread: Seconds = 0.6
@@ -153,7 +154,7 @@
         day = self.day
         self.begin = self.env.now()
         self.say(f"{len(routers.addresses)} routers and {len(self.stand.nodes)} members are up")
-        habits = Habits(day.sessions, day.retries, day.roam, day.helped, day.leavers, day.reread,
+        habits = Habits(day.sessions, day.retries, day.roam, day.helped, day.named, day.leavers, day.reread,
                         batches=day.batches)
         self.clients = Clients(
             self.env, routers.addresses, {kind.name: kind.deadline for kind in self.config.classes},
--- a/banklift/judge/load.py
+++ b/banklift/judge/load.py
@@ -41,6 +41,7 @@
     retries: int = 2
     roam: float = 0.5  # go to any router, not to the session's own
     helped: bool = False  # sessions show the mark of their last write
+    named: bool = False  # sessions tell their name on each of their connections
     leavers: float = 0.2  # leave after 42 to 100 per cent of the class's deadline
     reread: float = 0.6  # of writes: read again soon after
     reread_within: float = 0.3
@@ -230,6 +231,8 @@
         helped, self.expects = clients.habits.helped, 0
         if helped and (token := session.token) is not None:
             data, self.expects = command("BANKLIFT.SEEN", token), 1
+        if clients.habits.named and self.turn == 1:
+            data, self.expects = data + command("CLIENT", "SETNAME", f"session-{session.number}"), self.expects + 1
         for request in self.batch:
             mix, rid = request.mix, f"{request.number}.{request.tries}"
             one = (forms.write if mix.writes else forms.read)(request.form, request.key, rid)
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -13,7 +13,8 @@
   links, so nothing outlives the data it spoke of. A read whose own proof fails its floor is not passed on; the module
   hears of a miss.
 - What an answer of a write, a session's or a fresh read shows leaves a mark with its session (`Served.seen`), and the
-  session's reads hold all its marks: they see its writes and never go back behind its reads.
+  session's reads hold all its marks: they see its writes and never go back behind its reads. Such a read asks for the
+  member's standing behind its command too, as it may show what was written while it waited.
 - A probe of a replica also asks the primary, as a sample: positions come from samples (decide/offsets.py). The report
   waits up to `SAMPLE_WAIT` for it.
 - A member whose data began anew is listed to the module as gone, and under a new name as come: what was proven about
@@ -324,10 +325,12 @@
 
     def _write(self, link: Link, attempt: Attempt) -> None:
         node, exchange = attempt.node, attempt.open.ask.exchange
+        need = attempt.open.ask.kind.need
+        both = need in (Need.SESSION, Need.FRESH)  # what they show leaves a mark
         if link.fresh or node.doubt:
-            attempt.question = Question.HISTORY
-        elif attempt.open.ask.kind.need is not Need.ANY:  # which asks for no proof
-            attempt.question = Question.STANDING
+            attempt.question = Question.HISTORY_BOTH if both else Question.HISTORY
+        elif need is not Need.ANY:  # which asks for no proof
+            attempt.question = Question.BOTH if both else Question.STANDING
         link.fresh = False
         link.attempt, attempt.link, attempt.asked = attempt, link, self.now
         if attempt.open.ask.kind.need is Need.WRITE and node.unanswered is None:
@@ -395,7 +398,10 @@
                 status = Status.MISS
             elif not attempt.open.final:
                 seen = None
-                if ask.kind.need in MARKED:
+                if result.after is not None:  # it showed nothing newer than that
+                    offset = self._learn(node, result.after, attempt.asked, None).offset
+                    seen = self.tracks[node.group].seen(node.name, offset, self.now)
+                elif ask.kind.need in MARKED:
                     seen = self.tracks[node.group].seen(node.name, fact.offset, self.now)
                 served = Served(result.answer, seen)
         complete = len(attempt.frames) >= ask.exchange.frames(attempt.question)
@@ -567,6 +573,20 @@
                 self._answered(link, link.attempt)
             else:  # an answer that nobody asked for: nothing on this link can be trusted
                 self._close(link)
+                return
+        attempt = link.attempt
+        if attempt is not None and len(attempt.frames) == 1 and attempt.question:
+            self._told_early(link.node, attempt)
+
+    def _told_early(self, node: Node, attempt: Attempt) -> None:
+        """A member said where it stands, and its answer may take a while: a change of role is told at once."""
+        standing = self.wire.standing(attempt.frames[0])
+        if standing is None or attempt.open.ask.kind.need is Need.WRITE:
+            return
+        was = self.tracks[node.group].owner == node.name
+        fact = self._learn(node, standing, attempt.asked, None)
+        if fact.primary is not None and fact.primary != was:
+            self._report(node, attempt.asked, fact.primary, fact.position, standing.load)
 
     def _link_lost(self, link: Link, reason: str) -> None:
         was_up = link.up and not link.greeting
--- a/banklift/proxy/wire.py
+++ b/banklift/proxy/wire.py
@@ -31,14 +31,18 @@
     status: Status
     answer: bytes = b""
     standing: Standing | None = None
+    after: Standing | None = None  # of a read that asked on both sides: where the member stood behind it
 
 
 class Question(IntEnum):
-    """What a member is asked about itself together with a request."""
+    """What a member is asked about itself together with a request: of a read in front of it, so that it is at least as
+    new as what is proven, of a write behind it, so that its mark holds it."""
 
     NONE = 0
     STANDING = 1  # role and position
     HISTORY = 2  # these and its history
+    BOTH = 3  # of a read, role and position behind it as well: what it showed is no newer than that
+    HISTORY_BOTH = 4
 
 
 class Exchange(Protocol):
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -183,8 +183,7 @@
             case Served(answer, seen):
                 place.answer = answer
                 if seen is not None:
-                    marks, now = self._marks(state), self.core.now
-                    marks[ask.group] = later(marks[ask.group], seen, now) if ask.group in marks else seen
+                    self._mark(self._marks(state), ask.group, seen)
             case Refused(wait, touched):
                 place.answer = refusal(wait, touched)
             case Failed():
@@ -378,6 +377,10 @@
         taken = self.core.submit(ask)
         assert taken == core_id
 
+    def _mark(self, marks: dict[int, Seen], group: int, seen: Seen) -> None:
+        known = marks.get(group)
+        marks[group] = seen if known is None else self.core.tracks[group].join(known, seen, self.core.now)
+
     def _marks(self, state: Client) -> dict[int, Seen]:
         """The session's marks: the connection's own, or those of the name it gave itself."""
         if not state.name:
@@ -554,7 +557,8 @@
     def _token(self, state: Client) -> str:
         """Where the session's writes stand: `group=history:offset`, or `group=?` where that is not known."""
         return ",".join(f"{self.group_names[group]}=" + (f"{seen.replid}:{seen.offset}" if seen.replid else "?")
-                        for group, seen in sorted(self._marks(state).items())) or "-"
+                        for group, mark in sorted(self._marks(state).items(), key=lambda pair: pair[0])
+                        for seen in mark.parts()) or "-"
 
     def _seen(self, state: Client, place: Place, token: bytes) -> None:
         marks: dict[int, Seen] = {}
@@ -564,13 +568,17 @@
                 replid, _, offset = mark.partition(":")
                 group = self.group_names.index(name)
                 seen = Seen(self.core.now) if mark == "?" else Seen(self.core.now, replid, int(offset))
-                marks[group] = seen if group not in marks else later(marks[group], seen, self.core.now)
+                self._mark(marks, group, seen)
         except ValueError:
             return self._say(state, place, Error("ERR not a token of BANKLIFT.TOKEN"))
         state.shown = True
+        for group, shown in marks.items():
+            met = [self.core.tracks[group].meet(seen.replid, self.core.now) for seen in shown.parts() if seen.replid]
+            if any(met):
+                self.core.refresh(group)  # somebody leads a history that is news here
         own = self._marks(state)
         for group, seen in marks.items():
-            own[group] = seen if group not in own else later(own[group], seen, self.core.now)
+            self._mark(own, group, seen)
         self._say(state, place, OK)
 
     def _wait(self, state: Client, place: Place, args: list[bytes]) -> None:
@@ -599,13 +607,6 @@
         place.late = look
 
 
-def later(one: Seen, other: Seen, now: float) -> Seen:
-    """A mark that holds both: the later one of one history, else whatever was committed by now."""
-    if one.replid is None or one.replid != other.replid:
-        return Seen(now)
-    return one if one.offset >= other.offset else other
-
-
 def _describe(known: Command) -> list[object]:
     """A command in the form of `COMMAND INFO`."""
     flags = [Simple("write" if known.kind is Kind.WRITE else "readonly" if known.kind is Kind.READ else "fast")]
--- a/banklift/resp/wire.py
+++ b/banklift/resp/wire.py
@@ -1,12 +1,13 @@
 """RESP towards members: `Wire` and `Exchange` of proxy/wire.py.
 
-A read is sent as `ROLE` and the command, a write as the command and `ROLE`, in one piece; on a link's first exchange
-`INFO replication` stands in for `ROLE`, as it tells the history too.
+A read is sent as `ROLE` and the command, a write as the command and `ROLE`, in one piece; a read that leaves a mark has
+a `ROLE` behind it too. On a link's first exchange `INFO replication` stands in for the first `ROLE`, as it tells the
+history as well.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from banklift.decide.offsets import Standing
 from banklift.interface import Status
@@ -75,7 +76,9 @@
         return None
 
 
-ASKS = {Question.NONE: b"", Question.STANDING: ROLE, Question.HISTORY: INFO}
+ASKS = {Question.NONE: b"", Question.STANDING: ROLE, Question.HISTORY: INFO, Question.BOTH: ROLE,
+        Question.HISTORY_BOTH: INFO}
+BEHIND = {question: ROLE if question in (Question.BOTH, Question.HISTORY_BOTH) else b"" for question in Question}
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,10 +90,10 @@
     writes: bool
 
     def payload(self, question: Question) -> bytes:
-        return self.data + ASKS[question] if self.writes else ASKS[question] + self.data
+        return self.data + ASKS[question] if self.writes else ASKS[question] + self.data + BEHIND[question]
 
     def frames(self, question: Question) -> int:
-        return 2 if question else 1
+        return 1 + bool(question) + bool(BEHIND[question])
 
     def read(self, frames: list[bytes], question: Question) -> Result | None:
         if not question:
@@ -100,8 +103,12 @@
             if verdict is Status.FULL and not self.writes:  # to the question in front: the command fares no better
                 return Result(verdict)
             return None
-        answer, told = (frames[0], frames[1]) if self.writes else (frames[1], frames[0])
-        return Result(status(answer), answer, _standing(told))
+        if self.writes:
+            return Result(status(frames[0]), frames[0], _standing(frames[1]))
+        verdict = status(frames[1])
+        if BEHIND[question] and verdict is Status.OK:
+            return Result(verdict, frames[1], _standing(frames[0]), _standing(frames[2])) if len(frames) > 2 else None
+        return Result(verdict, frames[1], _standing(frames[0]))
 
     def cut(self, frames: list[bytes], question: Question) -> Result | None:
         if not frames:
@@ -121,10 +128,10 @@
 
     def payload(self, question: Question) -> bytes:
         body = MULTI + b"".join(self.data) + EXEC
-        return body + ASKS[question] if self.writes else ASKS[question] + body
+        return body + ASKS[question] if self.writes else ASKS[question] + body + BEHIND[question]
 
     def frames(self, question: Question) -> int:
-        return len(self.data) + 2 + bool(question)
+        return len(self.data) + 2 + bool(question) + bool(BEHIND[question])
 
     def read(self, frames: list[bytes], question: Question) -> Result | None:
         if len(frames) == 1 and status(frames[0]) is Status.FULL:
@@ -133,8 +140,11 @@
             return None
         if not question:
             return self._verdict(frames, None)
-        told, body = (frames[-1], frames[:-1]) if self.writes else (frames[0], frames[1:])
-        return self._verdict(body, _standing(told))
+        if self.writes:
+            return self._verdict(frames[:-1], _standing(frames[-1]))
+        if not BEHIND[question]:
+            return self._verdict(frames[1:], _standing(frames[0]))
+        return replace(self._verdict(frames[1:-1], _standing(frames[0])), after=_standing(frames[-1]))
 
     def cut(self, frames: list[bytes], question: Question) -> Result | None:
         if self.writes and len(frames) == len(self.data) + 2:
--- a/tests/test_offsets.py
+++ b/tests/test_offsets.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banklift.decide.offsets import OWNER_SILENT, Seen, Standing, Track
+from banklift.decide.offsets import HISTORIES, MARKS, OWNER_SILENT, Fact, Seen, Standing, Track
 
 A, B, C = "a" * 40, "b" * 40, "c" * 40
 
@@ -124,3 +124,63 @@
     behind = track.learn("q", replica(200, B, "r:1"), 2.1, 2.1)
     assert not track.covers(behind, seen)  # its byte 200 is another one
     assert track.covers(track.learn("q", replica(300, B, "r:1"), 2.2, 2.2), seen)
+
+
+def test_an_old_primary_that_went_on_says_nothing_of_the_new_line() -> None:
+    """A split: both took writes, neither knowing of the other. What the old one told after the new one had left it
+    would date the new line's writes too late."""
+    track = Track()
+    track.learn("p", Standing(True, 100, replid=A), 1.0, 1.01)
+    track.learn("r", Standing(False, 100, "p:1", replid=A), 1.1, 1.11)
+    track.learn("p", Standing(True, 130, replid=A), 5.0, 5.01)  # r leads its own line since 2.0, at 100
+    track.learn("r", Standing(True, 160, replid=B, replid2=A, second_offset=101), 6.0, 6.01)
+    assert track.position(A, 100) == 1.0  # and not 5.0: r may have taken writes from 1.1 on
+    assert track.position(B, 160) == 6.0
+    assert track.position(A, 130) == 1.0
+
+
+def test_a_mark_of_a_history_that_nobody_told_of_is_not_held_by_an_old_line() -> None:
+    track = Track()
+    track.learn("p", Standing(True, 100, replid=A), 1.0, 1.01)
+    assert not track.meet(A, 1.5)
+    assert track.meet(B, 2.0)  # its writer's router has met a new primary
+    mark = Seen(2.0, B, 120)
+    old = track.learn("p", Standing(True, 100, replid=A), 2.5, 2.51)
+    assert old.position == 2.5 and not track.covers(old, mark)
+    track.learn("r", Standing(True, 130, replid=B, replid2=A, second_offset=101), 3.0, 3.01)
+    assert not track.meet(B, 3.1)
+    assert track.covers(Fact(True, 3.0, offset=130), mark) and not track.covers(Fact(False, 1.0, offset=100), mark)
+    lost = Track()
+    lost.learn("p", Standing(True, 100, replid=A), 1.0, 1.01)
+    assert lost.meet(B, 2.0) and not lost.meet(B, 2.0 + OWNER_SILENT)  # nobody ever told: it is gone
+    late = lost.learn("p", Standing(True, 100, replid=A), 9.0, 9.01)
+    assert lost.covers(late, mark)
+
+
+def test_histories_that_marks_tell_of_are_bounded() -> None:
+    track = Track()
+    track.learn("p", Standing(True, 100, replid=A), 1.0, 1.01)
+    for number in range(1000):
+        track.meet(f"{number:040x}", 2.0)
+    assert len(track.strangers) <= HISTORIES
+
+
+def test_a_mark_of_two_histories_is_held_by_who_holds_both() -> None:
+    """A session wrote before and after a promotion that this router has not heard of."""
+    track = Track()
+    track.learn("p", Standing(True, 100, replid=A), 1.0, 1.01)
+    track.meet(B, 2.0)
+    mark = track.join(Seen(1.5, A, 90), Seen(2.0, B, 120), 2.0)
+    assert not track.covers(track.learn("p", Standing(True, 100, replid=A), 2.5, 2.51), mark)
+    assert track.floor(mark, 3.0) == 2.0
+    track.learn("r", Standing(True, 130, replid=B, replid2=A, second_offset=101), 3.0, 3.01)
+    assert track.covers(Fact(True, 3.0, offset=130), mark) and not track.covers(Fact(False, 1.0, offset=110), mark)
+    assert track.join(mark, Seen(3.0, B, 130), 3.0) == Seen(3.0, B, 130)  # which goes on from the other
+    assert track.join(Seen(1.0, A, 5), Seen(1.0, A, 9), 3.0) == Seen(1.0, A, 9)
+
+
+def test_a_mark_of_too_many_histories_is_one_of_now() -> None:
+    track, mark = Track(), Seen(1.0, A, 1)
+    for number in range(MARKS):
+        mark = track.join(mark, Seen(1.0, f"{number:040x}", 1), 7.0)
+    assert mark == Seen(7.0)
