Marks follow a session's name; a changed role is asked for its history at once

Cause and change: CLIENT SETNAME dropped the marks that its connection had shown before; ROLE from a replica that had been promoted proved nothing without its history, and nobody asked until the next request to it: it is probed at once.

--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -431,6 +431,8 @@
         fact = self.tracks[node.group].learn(node.name, standing, asked, self.now, waiting)
         if fact.unsure:
             node.doubt = True
+            if node.state is State.READY and not node.probes:  # it has another role than before: ask for its history
+                self._probe(node, True)
         elif standing.replid is not None:
             node.doubt = False
         if fact.reborn:
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -484,7 +484,12 @@
     def _rename(self, state: Client, name: bytes) -> Error | None:
         if any(byte < 33 or byte > 126 for byte in name):
             return Error("ERR Client names cannot contain spaces, newlines or special characters.")
+        before = self._marks(state)
         state.name = name.decode()
+        own = self._marks(state)
+        if own is not before:  # what the connection has seen until now, the named session has seen
+            for group, seen in before.items():
+                self._mark(own, group, seen)
         return None
 
     def _client(self, state: Client, place: Place, args: list[bytes]) -> None:
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -9,6 +9,7 @@
 
 from banklift.config import build
 from banklift.config.load import EXAMPLE, load
+from banklift.decide.offsets import Standing
 from banklift.interface import State
 from banklift.proxy import events as ev
 from banklift.proxy.machine import Attempt, Machine, Open
@@ -468,6 +469,47 @@
     assert rig.answer(2) == b"$48\r\nwest=%b:90\r\n" % A.encode()
 
 
+def test_a_member_whose_role_changed_is_asked_for_its_history_at_once() -> None:
+    """A replica says by ROLE that it leads: without its history that proves nothing, and waiting for its next request
+    would leave reads with the old primary."""
+    rig = Rig()
+    rig.ask("SET", "note:1", "a")
+    rig.tell(ev.LinkData(rig.up("p:1"), b"+OK\r\n" + info(True, 5)))
+    node = rig.machine.nodes["r"]
+    rig.machine._learn(node, Standing(False, 5, "p:1", replid=A), rig.now, None)
+    before = len(node.probes)
+    rig.machine._learn(node, Standing(True, 5), rig.now, None)
+    assert node.doubt and len(node.probes) == before + 1
+    rig.machine._learn(node, Standing(True, 5), rig.now, None)
+    assert len(node.probes) == before + 1  # once is enough
+
+
+def test_a_new_primary_that_answers_slowly_is_known_by_the_word_in_front() -> None:
+    """The role stands in front of the answer, which may take long: the module hears of it at once."""
+    rig = Rig()
+    rig.ask("SET", "note:1", "a")
+    rig.tell(ev.LinkData(rig.up("p:1"), b"+OK\r\n" + info(True, 5)))
+    rig.tell(ev.ClientOpened(2))
+    rig.ask("GET", "alert:1", client=2)
+    rig.tell(ev.ClientOpened(3))
+    rig.ask("GET", "trace:1", client=3)
+    link = max(rig.data_links("r:1"))
+    rig.tell(ev.LinkUp(link))
+    rig.tell(ev.LinkData(link, info(True, 5, B, A, 6)))  # and its answer is still to come
+    assert rig.machine.balancer.groups[0].primary is rig.machine.balancer.members["r"]
+
+
+def test_a_connection_that_takes_a_sessions_name_brings_its_marks() -> None:
+    rig = Rig()
+    rig.ask("CLIENT", "SETNAME", "dashboard")
+    rig.ask("BANKLIFT.SEEN", f"west={A}:10")
+    rig.tell(ev.ClientOpened(2))
+    rig.tell(ev.ClientData(2, command("BANKLIFT.SEEN", f"west={A}:70") + command("CLIENT", "SETNAME", "dashboard")))
+    rig.answer()
+    rig.ask("BANKLIFT.TOKEN")
+    assert rig.answer() == b"$48\r\nwest=%b:70\r\n" % A.encode()
+
+
 def test_nothing_new_is_begun_behind_a_lump_of_answers() -> None:
     """Answers held back by the first of a line go out together: until it is known that the client reads them, a second
     line's worth is not asked for."""
