--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -62,7 +62,6 @@
     opening: int = 0
     prober: Link | None = None
     probes: deque[float] = field(default_factory=deque)  # asked, not yet answered
-    reports: deque[tuple[float, bool]] = field(default_factory=deque)  # of these, whether the module asked
     doubt: bool = True  # its history is to be asked
     unanswered: float | None = None  # since when a write of ours has had no answer
 
@@ -441,17 +440,17 @@
 
     # ---- probes
 
-    def _probe(self, node: Node, report: bool) -> None:
+    def _probe(self, node: Node, sampled: bool) -> None:
+        """Ask a member where it stands. `sampled`: the primary too, so that a replica's offset says something."""
         track = self.tracks[node.group]
         owner = self.nodes.get(track.owner) if track.owner is not None else None
-        if report and owner is not None and owner is not node and not owner.probes:
+        if sampled and owner is not None and owner is not node and not owner.probes:
             self._probe(owner, False)
         link = node.prober
         if link is None:
             link = node.prober = self._open_link(node, PROBES)
         asked = self.now
         node.probes.append(asked)
-        node.reports.append((asked, report))
         if link.up and not link.greeting:
             self.actions.append(ev.ToLink(link.id, self.wire.probe()))
         self.at(asked + self.limits.probe, lambda: self._probe_overdue(node, link, asked))
@@ -462,11 +461,10 @@
             self._close(link)
 
     def _probes_failed(self, node: Node) -> None:
-        reports = list(node.reports)
+        asked_at = list(node.probes)
         node.probes.clear()
-        node.reports.clear()
         node.prober = None
-        for asked, _ in reports:
+        for asked in asked_at:
             self._decide(io.Probed(node.alias, False, self.now - asked))
         self._release(node.group)
 
@@ -474,7 +472,6 @@
         if not node.probes:
             return
         asked = node.probes.popleft()
-        node.reports.popleft()
         standing = self.wire.standing(frame)
         if standing is None:  # it speaks, but doesn't say what it is: loading, or no permission
             self._decide(io.Probed(node.alias, False, self.now - asked))
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -334,8 +334,7 @@
         self._skip(gate)
         if not gate.waiting and gate.lets(kind):
             return self._request(state, gate, waiting, group)
-        gate.waiting.append(waiting)
-        self.core.at(end, lambda: self._waited(state, place))
+        gate.waiting.append(waiting)  # what it waits for ends in time, or is given up with it
 
     def _skip(self, gate: Gate) -> None:
         """What was given up while it waited is passed over, and not kept for long."""
@@ -351,12 +350,6 @@
             self._request(state, gate, gate.waiting.popleft(), group)
             self._skip(gate)
 
-    def _waited(self, state: Client, place: Place) -> None:
-        """Its time is over; if it never began, it is answered now."""
-        if place.answer is None and place.request is None and state.id in self.clients:
-            place.answer = refusal(0.0, False)
-            self._flush(state)
-
     def _request(self, state: Client, gate: Gate, waiting: Waiting, group: int) -> None:
         place, kind = waiting.place, waiting.kind
         place.gate, place.kind = gate, kind
--- a/benchmarks/mutate.py
+++ b/benchmarks/mutate.py
@@ -31,6 +31,7 @@
          "banklift/decide/queues.py", "banklift/resp/front.py")
 TESTS = ("tests/test_machine.py", "tests/test_queues.py", "tests/test_offsets.py", "tests/test_front.py",
          "tests/test_config.py")
+CLIENTS = "tests/test_clients.py"  # real clients on sockets, for the front's own commands
 PATIENCE = 120.0  # seconds for the tests or the days of one mutant
 DAYS = """
 import sys
@@ -136,7 +137,8 @@
             shutil.copytree(ROOT / part, folder / part, ignore=shutil.ignore_patterns("__pycache__"))
         shutil.copy(ROOT / "pyproject.toml", folder)
         (folder / name).write_text(text)
-        said = run(folder, ["-m", "pytest", "-x", "-q", "-p", "no:cacheprovider", "-p", "no:xdist", *TESTS])
+        tests = [*TESTS, CLIENTS] if "front" in name else TESTS
+        said = run(folder, ["-m", "pytest", "-x", "-q", "-p", "no:cacheprovider", "-p", "no:xdist", *tests])
         if said:
             return found | {"end": "tests", "by": said}
         said = run(folder, ["-c", DAYS])
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -21,6 +21,7 @@
 from banklift.net.sockets import SocketEnv
 from banklift.proxy.plan import Config, Limits, User
 from banklift.resp.frames import command
+from banklift.resp.slots import slot
 
 
 class Site:
@@ -287,5 +288,16 @@
                         await other.set("pick:1", "d")
 
             anyio.run(main)
+            # in the other group a note, safe to repeat, is swallowed: the words say so, and the error stays the same
+            other = next(host for host in place.stand.nodes.values()
+                         if host.node.primary is None and host.listener is not None)
+            keys = (f"note:{number}" for number in range(100))
+            key = next(key for key in keys if slot(key.encode()) // 8192 != slot(b"pick:1") // 8192)
+            client.set(key, "a")
+            assert key.encode() in other.node.data
+            place.call(lambda: setattr(other.node.faults, "hang", True))
+            with pytest.raises(redis.exceptions.TryAgainError, match="it may have run and is safe to repeat"):
+                client.set(key, "b")
+            assert client.ping()  # on the connection that it had
     finally:
         place.close()
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -432,9 +432,10 @@
     rig.ask("SET", "note:1", "a")
     link = rig.up("p:1")
     rig.tell(ev.LinkData(link, b"-READONLY You can't write against a read only replica.\r\n"))
+    rig.offsets.clear()
     rig.tell(ev.LinkLost(link, "reset"))
     rig.wait(3.0)
-    assert b"READONLY" not in rig.answer()
+    assert rig.answer().startswith(b"-TRYAGAIN refused: nothing ran")  # the member had said so
 
 
 def test_a_unit_that_a_demoted_member_discards_is_tried_elsewhere() -> None:
@@ -510,6 +511,85 @@
     assert rig.answer() == b"$48\r\nwest=%b:70\r\n" % A.encode()
 
 
+def test_a_probe_that_gets_no_answer_ends_and_another_link_is_tried() -> None:
+    rig = Rig(probe=0.5)
+    rig.offsets.clear()
+    rig.ask("SET", "pick:1", "a")
+    node = rig.machine.nodes["p"]
+    first = node.prober
+    assert first is not None and node.probes
+    rig.wait(0.45)
+    assert first.id not in rig.closed
+    rig.wait(0.1)
+    assert first.id in rig.closed
+    assert node.prober is not first
+
+
+def test_a_probe_of_a_replica_asks_the_primary_for_a_sample() -> None:
+    rig = Rig()
+    rig.ask("SET", "note:1", "a")
+    rig.tell(ev.LinkData(rig.up("p:1"), b"+OK\r\n" + info(True, 5)))
+    rig.offsets.clear()
+    primary, replica = rig.machine.nodes["p"], rig.machine.nodes["r"]
+    primary.probes.clear()
+    rig.machine.actions = []
+    rig.machine._probe(replica, True)
+    assert primary.probes and replica.probes
+    primary.probes.clear()
+    rig.machine._probe(replica, False)
+    assert not primary.probes
+
+
+def test_links_that_could_not_be_opened_make_room_for_others() -> None:
+    rig = Rig()
+    rig.ask("SET", "pick:1", "a")
+    node = rig.machine.nodes["p"]
+    assert node.opening == 1
+    rig.tell(ev.LinkLost(rig.link("p:1"), "refused"))
+    assert node.opening == len([link for link in node.links.values() if not link.up])
+
+
+def test_a_member_that_is_listed_no_more_gets_nothing_and_its_links_go() -> None:
+    rig = Rig()
+    rig.tell(ev.ClientOpened(2))
+    rig.ask("GET", "alert:1", client=2)
+    link = rig.up("r:1")
+    rig.tell(ev.LinkData(link, info(False, 5) + b"$1\r\nx\r\n"))
+    assert rig.answer(2) == b"$1\r\nx\r\n"
+    rig.tell(ev.Roster((ev.Listed("p", 0, "p:1", State.READY, True),)))
+    assert link in rig.closed and set(rig.machine.nodes) == {"p"}
+    before = len(rig.data_links("r:1"))
+    rig.ask("GET", "alert:1", client=2)
+    rig.wait(0.5)
+    assert len(rig.data_links("r:1")) == before
+
+
+@pytest.mark.parametrize("wrong", [("NOSUCH",), ("GET",), ("BLPOP", "a", "0"), ("PING",), ("SELECT", "0"),
+                                   ("EVAL", "x", "0"), ("MGET", "{a}", "{b}", "{c}", "{d}")])
+def test_a_unit_with_a_wrong_command_is_discarded(wrong: tuple[str, ...]) -> None:
+    rig = Rig()
+    for args in (("MULTI",), ("SET", "note:1", "a"), wrong, ("EXEC",)):
+        rig.ask(*args)
+    said = rig.answer()
+    assert said.startswith(b"+OK\r\n+QUEUED\r\n")
+    discarded = b"-EXECABORT Transaction discarded because of previous errors.\r\n"
+    assert said.endswith(discarded) == (wrong[0] != "MGET")  # whose keys all belong to the one group
+    assert not any(b"SET" in data for data in rig.sent.values()) or wrong[0] == "MGET"
+
+
+def test_a_mark_that_is_news_here_makes_the_router_ask_the_group() -> None:
+    rig = Rig()
+    rig.ask("SET", "note:1", "a")
+    rig.tell(ev.LinkData(rig.up("p:1"), b"+OK\r\n" + info(True, 5)))
+    rig.offsets.clear()
+    for node in rig.machine.nodes.values():
+        node.probes.clear()
+    rig.ask("BANKLIFT.SEEN", f"west={A}:5")
+    assert not any(node.probes for node in rig.machine.nodes.values())
+    rig.ask("BANKLIFT.SEEN", f"west={B}:9")
+    assert all(node.probes for node in rig.machine.nodes.values())
+
+
 def test_nothing_new_is_begun_behind_a_lump_of_answers() -> None:
     """Answers held back by the first of a line go out together: until it is known that the client reads them, a second
     line's worth is not asked for."""
--- a/tests/test_offsets.py
+++ b/tests/test_offsets.py
@@ -184,3 +184,20 @@
     for number in range(MARKS):
         mark = track.join(mark, Seen(1.0, f"{number:040x}", 1), 7.0)
     assert mark == Seen(7.0)
+
+
+def test_a_member_whose_history_leaves_the_line_is_another_one() -> None:
+    track = Track()
+    track.learn("p", Standing(True, 100, replid=A), 1.0, 1.01)
+    track.learn("r", Standing(False, 100, "p:1", replid=A), 1.1, 1.11)
+    assert track.learn("r", Standing(False, 100, "p:1", replid=B, replid2=A), 1.2, 1.21).reborn is False  # it goes on
+    track.learn("s", Standing(False, 100, "p:1", replid=A), 1.1, 1.11)
+    assert track.learn("s", Standing(False, 100, "p:1", replid=C, replid2="0" * 40), 1.2, 1.21).reborn is True
+
+
+def test_an_answer_asked_before_the_last_one_came_does_not_take_a_member_back() -> None:
+    track = Track()
+    track.learn("p", Standing(True, 100, replid=A), 1.0, 1.01)
+    track.learn("r", Standing(False, 100, "p:1", replid=A), 1.1, 1.2)
+    late = track.learn("r", Standing(False, 90, "p:1"), 1.15, 1.21)  # by ROLE, on another link
+    assert not late.unsure and not late.reborn and track.place("r") == (1.0, 100)
