--- a/banklift/judge/show.py
+++ b/banklift/judge/show.py
@@ -24,19 +24,20 @@
     console = Console(width=None if sys.stdout.isatty() else 130)
     table = Table("class")
     for name in ("asked", "tries", "served", "in time", "refused", "failed", "errors", "left", "p50 ms", "p95 ms",
-                 "p99 ms", "reads", "shown", "aged"):
+                 "p99 ms"):
         table.add_column(name, justify="right")
     for kind, tally in sorted(verdict.tallies.items()):
         times = sorted(tally.latencies)
         table.add_row(kind, *map(str, (tally.asked, tally.tries, tally.served, tally.in_time, tally.refused,
                                        tally.failed, tally.errors, tally.left)),
-                      *(f"{1000 * percentile(times, share):.1f}" for share in (0.5, 0.95, 0.99)),
-                      *map(str, (tally.reads, tally.shown, tally.aged)))
+                      *(f"{1000 * percentile(times, share):.1f}" for share in (0.5, 0.95, 0.99)))
     console.print(table)
     for name, count in sorted(verdict.counts.items()):
         console.print(f"{name}: {count}", highlight=False)
-    console.print("reads: judged; shown: a wrong answer would have been seen; aged: an old one would",
-                  highlight=False)
+    for kind, tally in sorted(verdict.tallies.items()):
+        if tally.reads:
+            console.print(f"{kind}: {tally.reads} reads judged, of {tally.shown} a wrong answer would have been seen, "
+                          f"of {tally.aged} an old one", highlight=False)
     for name, count in sorted(verdict.excused.items()):
         console.print(f"excused, {name}: {count}", highlight=False)
     for rule, text in RULES.items():
--- a/tests/test_offsets.py
+++ b/tests/test_offsets.py
@@ -201,3 +201,13 @@
     track.learn("r", Standing(False, 100, "p:1", replid=A), 1.1, 1.2)
     late = track.learn("r", Standing(False, 90, "p:1"), 1.15, 1.21)  # by ROLE, on another link
     assert not late.unsure and not late.reborn and track.place("r") == (1.0, 100)
+
+
+def test_a_member_that_is_forgotten_proves_and_leads_nothing() -> None:
+    track = Track()
+    track.learn("p", Standing(True, 100, replid=A), 1.0, 1.01)
+    track.learn("r", Standing(False, 100, "p:1", replid=A), 1.1, 1.11)
+    track.forget("r")
+    assert track.place("r") == (None, None) and track.owner == "p"
+    track.forget("p")
+    assert track.owner is None and track.learn("p", Standing(True, 100), 1.2, 1.21).unsure
