Read again: lines that move while they are given up, marks without a place behind

Found on a last read of the change, each with a test that fails without its mend: giving up one command may answer another of the same client while the line is walked, which would have ended the router's process; a read whose place behind it is not told took its mark from the place in front, which may be older than what it showed; a withheld log overtook a delayed one in the stand-in. A read that is turned away waits for its last word and keeps its link.

--- a/banklift/emulator/node.py
+++ b/banklift/emulator/node.py
@@ -478,19 +478,24 @@
             if conn.follower and self.faults.withhold:
                 conn.held += raw
             elif conn.follower:
-                conn.due = max(conn.due, self.now + self.faults.delay)
-                if conn.due > self.now:
-                    self._at(conn.due, lambda conn=conn: self._send(conn, raw))  # type: ignore[misc]
-                else:
-                    self._send(conn, raw)
+                self._ship(conn, raw)
+
+    def _ship(self, conn: Conn, raw: bytes) -> None:
+        """The log goes out in order, whatever delays it."""
+        conn.due = max(conn.due, self.now + self.faults.delay)
+        if conn.due > self.now:
+            self._at(conn.due, lambda: self._send(conn, raw))
+        else:
+            self._send(conn, raw)
 
     def ship(self, now: float) -> list[Act]:
         """Replicas get what was withheld from them."""
         self._begin(now)
         self.faults.withhold = False
         for conn in self.conns.values():
-            self._send(conn, bytes(conn.held))
-            conn.held.clear()
+            if conn.held:
+                self._ship(conn, bytes(conn.held))
+                conn.held.clear()
         return self.actions
 
     def _psync(self, conn: Conn, args: list[bytes]) -> bytes:
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -41,7 +41,7 @@
 
 SAMPLE_WAIT = 0.02  # seconds that a replica's report waits for the primary's sample
 PROBES = -1  # flavour of links for probes
-MARKED = (Need.WRITE, Need.SESSION, Need.FRESH)  # what a session has seen of these it never unsees
+MARKED = (Need.SESSION, Need.FRESH)  # reads: what a session has seen of these it never unsees
 
 
 @dataclass(slots=True, eq=False)
@@ -325,7 +325,7 @@
     def _write(self, link: Link, attempt: Attempt) -> None:
         node, exchange = attempt.node, attempt.open.ask.exchange
         need = attempt.open.ask.kind.need
-        both = need in (Need.SESSION, Need.FRESH)  # what they show leaves a mark
+        both = need in MARKED
         if link.fresh or node.doubt:
             attempt.question = Question.HISTORY_BOTH if both else Question.HISTORY
         elif need is not Need.ANY:  # which asks for no proof
@@ -397,11 +397,11 @@
                 status = Status.MISS
             elif not attempt.open.final:
                 seen = None
-                if result.after is not None:  # it showed nothing newer than that
-                    offset = self._learn(node, result.after, attempt.asked, None).offset
-                    seen = self.tracks[node.group].seen(node.name, offset, self.now)
-                elif ask.kind.need in MARKED:
+                if writes:
                     seen = self.tracks[node.group].seen(node.name, fact.offset, self.now)
+                elif ask.kind.need in MARKED:  # it showed nothing newer than what stands behind it
+                    after = result.after and self._learn(node, result.after, attempt.asked, None)
+                    seen = self.tracks[node.group].seen(node.name, after.offset if after else None, self.now)
                 served = Served(result.answer, seen)
         complete = len(attempt.frames) >= ask.exchange.frames(attempt.question)
         load = result.standing.load if result.standing is not None else None
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -211,12 +211,12 @@
         """The time of a command is over, and something in front of it has more: that is given up with it."""
         if state.id not in self.clients or place not in state.line:
             return
-        for other in state.line:
+        for other in list(state.line):  # giving up one may end others, and let more be read
             if other.answer is None and other.late is None:
                 self._give_up(other, refusal(0.0, False))
             if other is place:
                 break
-        for group, gate in state.gates.items():
+        for group, gate in list(state.gates.items()):
             self._let(state, group, gate)
         self._flush(state)
 
--- a/banklift/resp/wire.py
+++ b/banklift/resp/wire.py
@@ -105,10 +105,10 @@
             return None
         if self.writes:
             return Result(status(frames[0]), frames[0], _standing(frames[1]))
-        verdict = status(frames[1])
-        if BEHIND[question] and verdict is Status.OK:
-            return Result(verdict, frames[1], _standing(frames[0]), _standing(frames[2])) if len(frames) > 2 else None
-        return Result(verdict, frames[1], _standing(frames[0]))
+        if len(frames) < self.frames(question):
+            return None
+        after = _standing(frames[2]) if BEHIND[question] else None
+        return Result(status(frames[1]), frames[1], _standing(frames[0]), after)
 
     def cut(self, frames: list[bytes], question: Question) -> Result | None:
         if not frames:
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -613,6 +613,23 @@
     assert len(rig.machine.open) == 2
 
 
+def test_a_read_whose_place_behind_it_is_not_told_leaves_a_mark_of_now() -> None:
+    """What stands in front of a read may be older than what it showed, so it makes no mark."""
+    rig = Rig()
+    rig.machine.front.config = msgspec.structs.replace(rig.config, sessions="connection")  # type: ignore[attr-defined]
+    rig.ask("SET", "note:1", "x")
+    link = rig.up("p:1")
+    rig.tell(ev.LinkData(link, b"+OK\r\n" + info(True, 5)))
+    rig.tell(ev.ClientOpened(2))
+    rig.ask("GET", "pick:1", client=2)
+    read = max(rig.data_links("r:1") + rig.data_links("p:1"))
+    rig.tell(ev.LinkUp(read))
+    rig.tell(ev.LinkData(read, info(rig.links[read] == "p:1", 70) + b"$1\r\nx\r\n-NOPERM no\r\n"))
+    assert rig.answer(2) == b"$1\r\nx\r\n" and read in rig.machine.links
+    rig.ask("BANKLIFT.TOKEN", client=2)
+    assert rig.answer(2) == b"$6\r\nwest=?\r\n"
+
+
 # ---- what mutants showed to be unwatched
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -205,3 +205,17 @@
     assert pair.replica.data == {}
     pair.stream(pair.primary.ship(1.0))
     assert pair.replica.data == {b"a": b"1"} and pair.replica.offset == pair.primary.offset
+
+
+def test_a_log_that_is_withheld_and_delayed_goes_out_in_order() -> None:
+    pair = Pair(10_000)
+    pair.link()
+    pair.primary.faults.delay = 0.5
+    pair.stream(pair.write("SET", "a", "1"))  # due at 1.5
+    pair.primary.faults.withhold = True
+    pair.stream(pair.write("SET", "a", "2"))
+    pair.primary.faults.delay = 0.0
+    pair.stream(pair.primary.ship(1.1))
+    assert pair.replica.data == {}
+    pair.stream(pair.primary.wake_up(1.5))
+    assert pair.replica.data == {b"a": b"2"} and pair.replica.offset == pair.primary.offset
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -14,6 +14,7 @@
 from banklift.proxy import events as ev
 from banklift.proxy.timers import FEW, Timer, Timers
 from banklift.resp.frames import command
+from banklift.resp.front import Place, RespFront
 from tests.test_machine import Rig, info
 
 
@@ -167,6 +168,26 @@
     assert any(b"\r\nb\r\n" in data for other, data in rig.sent.items() if other != link) or rig.machine.open
 
 
+def test_what_is_given_up_may_end_others_of_its_line() -> None:
+    """While one is given up, the module may answer others of the same client: the line moves under the loop."""
+    rig = Rig()
+    front: RespFront = rig.machine.front  # type: ignore[assignment]
+    state = front.clients[1]
+    places = [Place(request=number) for number in range(901, 907)]
+    state.line.extend(places)
+
+    def abandon(request: int) -> None:
+        for place in places:
+            if place.request == request + 1:
+                place.answer = b"+next\r\n"
+        front._flush(state)
+
+    rig.machine.abandon = abandon  # type: ignore[method-assign]
+    rig.machine.actions = []
+    front._overdue(state, places[-1])
+    assert not state.line and all(place.answer is not None for place in places)
+
+
 def test_a_wait_may_hold_up_what_is_behind_it() -> None:
     rig = Rig()
     rig.ask("SET", "note:1", "a")
