--- a/banklift/net/router.py
+++ b/banklift/net/router.py
@@ -84,6 +84,10 @@
                     self.log(text, fields)
         self.alarm.look()
 
+    def drain(self, end: float) -> None:
+        """Answer whatever comes from now on by `end`, seconds on the surroundings' clock."""
+        self.tell(ev.Drain(end))
+
     def leave(self) -> None:
         """Take no more connections but those that were made; close each as soon as nothing is open on it."""
         self.listener.close()
--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -6,14 +6,16 @@
 code 2. Time is Unix time that never goes back: the platform tells positions and starts in Unix milliseconds, and all
 its machines read one clock.
 
-SIGTERM: for `STILL_COMING` seconds new connections go on coming and are taken; then the listener closes, idle
-connections close, what was taken is answered, and the program ends. SIGHUP: the configuration is read again; a good one
-moves discovery to its new address, a bad one changes nothing and is told in the log.
+SIGTERM: the platform kills no earlier than `KILL` seconds and the longest deadline (`LONGEST` at the most) later. Until
+shortly before that, connections that clients have are served, as they have no other way in, and whatever comes is
+answered by then; then the listener and idle connections close, and the program ends. SIGHUP: the configuration is read
+again; a good one moves discovery to its new address, a bad one changes nothing and is told in the log.
 """
 
 from __future__ import annotations
 
 import gc
+import logging
 import os
 import signal
 import sys
@@ -24,13 +26,12 @@
 
 import anyio
 import msgspec
-import structlog
 
 from banklift.adapter import WireError, parse_settings
 from banklift.discovery import catalogue, client
 from banklift.interface import ListKind, Settings
 from banklift.net.env import Env, Handle, Peer
-from banklift.net.router import RouterHost
+from banklift.net.router import Log, RouterHost
 from banklift.net.sockets import SocketEnv
 from banklift.pg.front import PgFront
 from banklift.pg.wire import PgWire
@@ -39,7 +40,9 @@
 from banklift.proxy.plan import Limits
 
 VARIABLES = ("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG")
-STILL_COMING = 0.55  # seconds after SIGTERM in which connections may still be made
+KILL, LONGEST = 0.7, 3.0  # seconds from SIGTERM to SIGKILL: this, and the longest deadline up to that
+WIND_DOWN = 0.5  # seconds before that from which nothing new is read
+SPARE = 0.1  # seconds before it by which all is answered
 REST = 2.0  # seconds after which an idle client's connection is closed
 MARGIN = 0.005  # seconds of a request's time that are kept for the answer's way back
 IDLE_PART = 0.6  # of the time after which a node closes an idle link: it is closed here before that
@@ -139,7 +142,7 @@
     """Carries out what `client.Client` says, and tells the machine."""
 
     def __init__(self, env: Env, core: client.Client, tell: Callable[[ev.Roster], None],
-                 log: Callable[..., None]) -> None:
+                 log: Log) -> None:
         self.env, self.core, self.tell, self.log = env, core, tell, log
         self.wire: _Line | None = None
         self.carrying = False
@@ -170,7 +173,7 @@
                     self.wire = None
                 case client.Tell(roster, reason):
                     if reason:
-                        self.log("discovery failed", reason=reason)
+                        self.log("discovery failed", {"reason": reason})
                     self.tell(roster)
         self.carrying = False
         if self.core.due < float("inf"):
@@ -212,7 +215,9 @@
 async def serve(start: Start, environment: dict[str, str]) -> None:
     """Run until SIGTERM or SIGINT, and until what was taken is answered. Errors: `OSError` if the address can't be
     had."""
-    log = structlog.get_logger().bind(router=start.name)
+    def log(event: str, fields: dict[str, object]) -> None:
+        logging.info(msgspec.json.encode({"router": start.name, "event": event, **fields}).decode())
+
     zero = time.time() - time.monotonic()
     machine = build(start)
     gc.collect()  # what is there by now stays for good; what requests leave behind has no cycles
@@ -221,12 +226,11 @@
     async with anyio.create_task_group() as tasks:
         env = SocketEnv(tasks, lambda: time.monotonic() + zero, alone=True)
         core = client.Client(start.discovery, version=start.known.rev if start.known is not None else None)
-        discovery = Discovery(env, core, lambda roster: host.tell(roster), log.warning)
-        host = RouterHost(env, machine, start.listen, lambda event, fields: log.info(event, **fields),
-                          ask=discovery.ask)
+        discovery = Discovery(env, core, lambda roster: host.tell(roster), log)
+        host = RouterHost(env, machine, start.listen, log, ask=discovery.ask)
         host.tell(catalogue.roster(start.known, ListKind.CACHED) if start.known is not None
                   else ev.Roster((), ListKind.CACHED))
-        log.info("listening", address=host.address)
+        log("listening", {"address": host.address})
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async for number in signals:
                 if number != signal.SIGHUP:
@@ -234,26 +238,25 @@
                 try:
                     again = read(environment)
                 except BadConfig as error:
-                    log.error("configuration refused, the old one stays", reason=str(error))
+                    log("configuration refused, the old one stays", {"reason": str(error)})
                 else:
-                    log.info("configuration read again", discovery=again.discovery)
+                    log("configuration read again", {"discovery": again.discovery})
                     discovery.move(again.discovery)
-            log.info("leaving", signal=signal.Signals(number).name)
-            await anyio.sleep(STILL_COMING)
+            log("leaving", {"signal": signal.Signals(number).name})
+            left = KILL + min(LONGEST, max(kind.deadline for kind in start.settings.classes))
+            host.drain(env.now() + left - SPARE)
+            await anyio.sleep(left - WIND_DOWN)
             host.leave()
-            longest = max(kind.deadline for kind in start.settings.classes)
-            with anyio.move_on_after(max(3.0, longest)):
+            with anyio.move_on_after(WIND_DOWN):
                 while host.clients:
                     await anyio.sleep(0.02)
-            log.info("left", unanswered=len(machine.open))
+            log("left", {"unanswered": len(machine.open)})
         tasks.cancel_scope.cancel()
 
 
 def main() -> int:
-    structlog.configure(
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.processors.JSONRenderer()],
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr), cache_logger_on_first_use=True)
+    # not structlog, which takes half of all the time until the router listens
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     environment = dict(os.environ)
     try:
         start = read(environment)
--- a/banklift/pg/front.py
+++ b/banklift/pg/front.py
@@ -220,7 +220,7 @@
                         self.core.actions.append(ev.ToClient(state.id, frames.error(
                             "57P05", "nothing asked, or half a message, for too long", severity="FATAL")))
                     self._close(state)
-            elif rested >= self.rest:
+            elif rested >= self.rest and self.core.end == math.inf:  # while this router ends, nobody can come again
                 self._close(state)
         self.looking = bool(self.clients)
         if self.looking:
--- a/banklift/proxy/events.py
+++ b/banklift/proxy/events.py
@@ -60,6 +60,12 @@
     reason: str
 
 
+class Drain(msgspec.Struct, frozen=True, gc=False):
+    """This router ends soon: whatever comes from now on is answered by `end`."""
+
+    end: float
+
+
 class Leave(msgspec.Struct, frozen=True, gc=False):
     """This router ends: what is open is answered, and connections go as soon as nothing is open on them."""
 
@@ -87,7 +93,7 @@
 
 
 Event = (ClientOpened | ClientData | ClientEof | ClientLost | ClientFull | ClientFree | LinkUp | LinkData | LinkLost
-         | Leave | Wake | Roster)
+         | Drain | Leave | Wake | Roster)
 
 
 class ToClient(msgspec.Struct, frozen=True, gc=False):
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -142,6 +142,7 @@
         self.actions: list[ev.Action] = []
         self.front = front(self)
         self.sweeping = False
+        self.end = math.inf  # by when all is answered
 
     # ---- events
 
@@ -173,6 +174,8 @@
             case ev.LinkLost(link, reason):
                 if link in self.links:
                     self._link_lost(self.links[link], reason)
+            case ev.Drain(end):
+                self.end = end
             case ev.Leave():
                 self.front.leave()
             case ev.Roster(members, kind):
@@ -201,7 +204,7 @@
             self.front.done(ask, Refused(full))
             return self.ids
         deadline = ask.arrived + self.patience(kind) if ask.deadline is None else ask.deadline
-        request = Open(self.ids, ask, now, deadline)
+        request = Open(self.ids, ask, now, min(deadline, self.end))
         self.open[request.id] = request
         ask.ids.append(request.id)
         self._decide(io.Request(request.id, kind.name, ask.group, request.deadline, ask.tenant, ask.session,
