--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -28,6 +28,7 @@
 PATIENCE = 3.0  # usual latencies before a safe attempt gets help elsewhere; one in twenty takes longer
 CROWDED = 0.2  # of the aim: expected latency up to which a member is not crowded
 LAST_CALL = 1.6  # usual latencies before the end of worth, at most 0.6 of the time left: later is late
+HOLD = 0.45  # of a request's time: held that long and sent nowhere, its client is better told to come back
 TARGET = 0.5  # of the aim: work given to a crowded member, by the rate at which it answers this router
 PACE_TARGET = 0.75  # of the aim: the same by reported load, for the class with the best worth for its work
 TURN = 4  # held requests of a class that may be tried in vain for one fact: thousands may be held
@@ -84,11 +85,13 @@
     group: Group
     floor: float  # position that a member must have; for a bounded read it moves with the clock
     last_call: float  # clock time at which worth is out of reach
+    hold_end: float  # ... up to which it is held, as long as it was sent nowhere
     luck: float  # drawn once for each request: a cold member takes it if it is warm to that share
     order: list[Member]  # the draw: replicas in the order in which this request considers them
     tried: list[Member] = field(default_factory=list)
     flying: dict[int, Member] = field(default_factory=dict)
     maybe_ran: float | None = None  # when the first attempt that may have run was sent
+    reached: bool = False  # an attempt found a connection
     ending: bool = False  # its last call is among those of its group
 
 
@@ -233,6 +236,7 @@
             return
         sent = self.learn(member, event, pending)
         if pending is not None and pending.flying.pop(event.attempt, None) is not None:
+            pending.reached |= event.status not in (Status.CONNECT_FAILED, Status.MOOT)
             if event.status not in io.NEVER_RAN and pending.maybe_ran is None:
                 pending.maybe_ran = sent
             if event.finished:
@@ -298,7 +302,8 @@
         order = self.random.sample(group.members, len(group.members))
         if kind.need is Need.ANY and self.usual[kind.name] > LONG * min(self.usual.values()):
             order.sort(key=lambda member: member.name)
-        pending = Pending(ask, kind, group, floor, last_call, self.random.random(), order)
+        hold_end = min(last_call, self.now + HOLD * (ask.deadline - self.now))
+        pending = Pending(ask, kind, group, floor, last_call, hold_end, self.random.random(), order)
         self.requests[ask.id] = pending
         if group.primary is None:
             self.probe_all(group, math.inf)  # those never probed
@@ -406,12 +411,13 @@
 
     def hold(self, pending: Pending) -> None:
         group, step = pending.group, STEP * self.shortest
-        if self.now + step >= pending.last_call:
+        end = pending.last_call if pending.reached else pending.hold_end
+        if self.now + step >= end:
             return self.give_up(pending)
         group.held[pending.kind.name][pending.ask.id] = pending
         if not pending.ending:
             pending.ending = True
-            heappush(group.ends, (pending.last_call, pending.ask.id))
+            heappush(group.ends, (end, pending.ask.id))
         self.watch(group)
 
     def watch(self, group: Group) -> None:
@@ -429,7 +435,7 @@
             if pending is not None:
                 pending.ending = False  # one that is out there is held no more when it comes back
                 if pending.ask.id in group.held[pending.kind.name]:
-                    self.give_up(pending)
+                    self.hold(pending)  # which gives it up if this is its end
         self.release(group, SWEEP)
         if any(group.held.values()):
             return self.watch(group)
--- a/banklift/emulator/platform.py
+++ b/banklift/emulator/platform.py
@@ -85,6 +85,7 @@
         self.handle: Handle | None = None
         self.reader = frames.ClientReader(1 << 20)
         self.open = 0
+        self.asked = 0  # statements that came on it
 
     def up(self, handle: Handle) -> None:
         self.handle = handle
@@ -104,6 +105,7 @@
                 self.node.seen.append(body[:-1])
                 self.node.open += 1
                 self.open += 1
+                self.asked += 1
                 self.begin(body[:-1])
 
     def begin(self, statement: bytes) -> None:
--- a/banklift/pg/frames.py
+++ b/banklift/pg/frames.py
@@ -147,38 +147,49 @@
 
 
 class NodeReader:
-    """Splits what a node sends into whole answers. `limit`: bytes of one answer at most."""
+    """Splits what a node sends into whole answers. `limit`: bytes of one answer at most. Whole answers in front of what
+    can't be read are good; the reader refuses the next read."""
 
-    __slots__ = ("buffer", "limit", "pos")
+    __slots__ = ("broken", "buffer", "limit", "pos")
 
     def __init__(self, limit: int) -> None:
+        self.broken = ""
         self.buffer = b""
         self.limit = limit
         self.pos = 0  # of the buffer, whole messages end here
 
     @property
     def clean(self) -> bool:
-        return not self.buffer
+        return not self.buffer and not self.broken
 
     def feed(self, data: bytes) -> list[bytes]:
         """The answers that are whole now. Errors: `FrameError`."""
+        frames = [] if self.broken else self._split(data)
+        if self.broken and not frames:
+            raise FrameError(self.broken)
+        return frames
+
+    def _split(self, data: bytes) -> list[bytes]:
         buffer = self.buffer + data if self.buffer else data
         frames: list[bytes] = []
         start, pos, size = 0, self.pos, len(buffer)
         while pos < size:
             kind = buffer[pos]
             if kind not in FROM_NODES:
-                raise FrameError(f"no message of a node has the type {kind}")
+                self.broken = f"no message of a node has the type {kind}"
+                break
             if size - pos < 5:
                 break
             (length,) = _LENGTH.unpack_from(buffer, pos + 1)
             end = pos + 1 + length
             if length < 4 or end - start > self.limit:
-                raise FrameError(f"a message of {length} bytes")
+                self.broken = f"a message of {length} bytes"
+                break
             if end > size:
                 break
             if kind == 90 and length != 5:
-                raise FrameError("a ReadyForQuery that is none")
+                self.broken = "a ReadyForQuery that is none"
+                break
             pos = end
             if kind == 90 or (kind == 69 and b"VFATAL\0" in buffer[end - length:end]):
                 frames.append(buffer[start:end])
--- a/banklift/pg/wire.py
+++ b/banklift/pg/wire.py
@@ -156,7 +156,7 @@
             fields = frames.fields_of(failure)
         except FrameError:
             return SPOILT
-        code, closes = fields.get("C", ""), fields.get("V") == "FATAL"
+        code, closes = fields.get("C", ""), fields.get("V") == "FATAL" or described is not None
         status = Status.ERROR
         if described is None:
             status = Status.MISS if code in MISSES else Status.FULL if code == FULL else Status.ERROR
--- /dev/null
+++ b/tests/platform_site.py
@@ -0,0 +1,144 @@
+"""A router on the platform with stand-ins for all that it meets, in virtual time."""
+
+from __future__ import annotations
+
+import struct
+from typing import Any
+
+from banklift.adapter import parse_settings
+from banklift.discovery import catalogue, client
+from banklift.emulator.platform import Catalogue, PgNode
+from banklift.emulator.world import World
+from banklift.interface import ListKind
+from banklift.net.env import Handle, Peer
+from banklift.net.router import RouterHost
+from banklift.net.service import Discovery, Start, build
+from banklift.pg import frames
+from banklift.pg.front import PgFront
+
+SETTINGS: dict[str, Any] = {
+    "services": [
+        {"name": "view", "semantics": "retryable", "aim_s": 0.5, "deadline_s": 2.0, "points": 1, "late_worth": 0},
+        {"name": "own", "semantics": "retryable", "aim_s": 0.5, "deadline_s": 1.2, "points": 3, "late_worth": 0},
+        {"name": "any", "semantics": "retryable", "aim_s": 0.5, "deadline_s": 1.2, "points": 3, "late_worth": 0},
+        {"name": "save", "semantics": "fragile", "aim_s": 1.0, "deadline_s": 2.0, "points": 6, "late_worth": 0.3}],
+    "family_info": {"class_read": ["recent", "own_writes", "loose", "update"],
+                    "staleness_bound_s": [0.8, 0, 0, 0], "role_in_list": "initial", "stamps": True,
+                    "token_mode": "client"},
+    "tenants": [{"name": "acme", "share": 1.0}], "membership_mode": "subscribe", "balancers": 1,
+    "allowed": {"max_attempts": 6, "may_cancel": True, "probing": True, "retry_after": True, "max_retry_after_s": 1.0,
+                "conn_idle_s": 30.0, "connect_timeout_s": 0.25},
+    "rules": {"ask_within_s": 10.0, "drain_grace_s": 2.0, "cold_share": 0.3, "cold_s": 10.0, "fall_multiple": 3.0,
+              "fall_s": 3.0, "grace_to_answer_s": 0.0}}
+
+
+class Caller(Peer):
+    """A client's connection: what it was told, message by message."""
+
+    def __init__(self, site: Site, start: bool = True) -> None:
+        self.site = site
+        self.data_in = b""
+        self.ended = False
+        self.handle: Handle = site.world.connect(site.host.address, self)
+        if start:
+            self.say(frames.startup("backend", "store"))
+            assert [kind for kind, _ in self.told()][-1] == "Z"
+
+    def up(self, handle: Handle) -> None:
+        pass
+
+    def data(self, data: bytes) -> None:
+        self.data_in += data
+
+    def eof(self) -> None:
+        self.ended = True
+
+    def lost(self, reason: str) -> None:
+        self.ended = True
+
+    def say(self, data: bytes, wait: float = 0.01) -> None:
+        self.site.run(0.001)
+        self.handle.send(data)
+        self.site.run(wait)
+
+    def told(self) -> list[tuple[str, bytes]]:
+        """The messages since the last call, by type and body."""
+        data, self.data_in = self.data_in, b""
+        found, pos = [], 0
+        while pos < len(data):
+            (length,) = struct.unpack_from("!I", data, pos + 1)
+            found.append((chr(data[pos]), data[pos + 5:pos + 1 + length]))
+            pos += 1 + length
+        return found
+
+    def ask(self, text: str, wait: float = 0.01) -> list[tuple[str, bytes]]:
+        self.say(frames.query(text.encode()), wait)
+        return self.told()
+
+
+class Site:
+    """One group: a primary p and two replicas r1, r2; one router."""
+
+    def __init__(self, sockets: int = 256, delay: float = 0.0) -> None:
+        self.world = World(1)
+        self.ids = 0
+        store: dict[bytes, bytes] = {}
+        self.nodes = {name: PgNode(self.world, f"10.0.0.{place}:6432", name == "p", delay, store).start()
+                      for place, name in enumerate(("p", "r1", "r2"), 1)}
+        self.catalogue = Catalogue(self.world, "10.9.0.1:8500").start()
+        for name, node in self.nodes.items():
+            self.catalogue.list(name, node.address, writes=node.primary)
+        known = catalogue.convert(self.catalogue.whole())
+        self.start = Start("n0", "10.1.0.1:6432", self.catalogue.address, 5, sockets, known,
+                           parse_settings(SETTINGS), 30.0, 0.25, 0.25)
+        self.machine = build(self.start)
+        assert isinstance(self.machine.front, PgFront)
+        self.front = self.machine.front
+        self.notes: list[tuple[str, dict[str, object]]] = []
+        self.core = client.Client(self.catalogue.address, version=known.rev)
+        self.discovery = Discovery(self.world, self.core, lambda roster: self.host.tell(roster), self.note)
+        self.host = RouterHost(self.world, self.machine, self.start.listen, self.note, ask=self.discovery.ask)
+        self.host.tell(catalogue.roster(known, ListKind.CACHED))
+        self.run(0.05)
+
+    def note(self, event: str, fields: dict[str, object]) -> None:
+        self.notes.append((event, fields))
+
+    def run(self, seconds: float) -> None:
+        self.world.run(self.world.now() + seconds)
+
+    def comment(self, kind: str, patience: int = 2000, **more: object) -> str:
+        self.ids += 1
+        rest = "".join(f",{name}={value}" for name, value in more.items() if name not in ("id", "cluster", "t"))
+        return (f"/* id={more.get('id', f'{self.ids:016x}')},c={kind},t={more.get('t', 'acme')},d={patience},"
+                f"cluster={more.get('cluster', 0)}{rest} */")
+
+    def read(self, kind: str = "view", key: str = "k", patience: int = 2000, **more: object) -> str:
+        return f"SELECT content FROM kv WHERE name = '{key}' {self.comment(kind, patience, **more)}"
+
+    def write(self, key: str = "k", value: str = "9f03", kind: str = "save", patience: int = 2000,
+              **more: object) -> str:
+        return (f"INSERT INTO kv (name, content) VALUES ('{key}', '\\x{value}') RETURNING content "
+                f"{self.comment(kind, patience, **more)}")
+
+    def balanced(self) -> None:
+        """What the router believes to be out there is what the nodes hold, and it has forgotten the rest."""
+        for name, node in self.nodes.items():
+            member = self.machine.balancer.members.get(name)
+            assert (len(member.flying) if member is not None else 0) == node.open, name
+        assert len(self.machine.flying) == sum(node.open for node in self.nodes.values())
+        if not self.machine.flying:
+            assert not self.machine.open and not self.front.places and not self.front.ids
+            assert not self.machine.balancer.requests
+
+
+def code(told: list[tuple[str, bytes]]) -> str:
+    """The SQLSTATE of the one error among the messages."""
+    (body,) = [body for kind, body in told if kind == "E"]
+    return frames.fields_of(body)["C"]
+
+
+def value(told: list[tuple[str, bytes]]) -> bytes:
+    """The value of a whole answer."""
+    assert [kind for kind, _ in told] == ["T", "D", "C", "Z"], told
+    return frames.column_of(told[0][1], told[1][1])
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -265,6 +265,28 @@
     assert targets(bench.do(Probed("r2", True, 0.001, Report(position=bench.now, primary=True)))) == ["r2"]
 
 
+@pytest.mark.parametrize("left", [2.0, 0.8])
+def test_what_reached_nobody_is_held_for_less_than_half_of_its_time(left: float) -> None:
+    """Its client is told when to come back, and the connection on which it waits is free for others."""
+    bench = Bench()
+    bench.positions()
+    bench.ask("write", left)
+    bench.answer(1, "p", Status.CONNECT_FAILED)
+    assert not of(Refuse, bench.run(0.3 * left))
+    (refused,) = of(Refuse, bench.run(0.2 * left))
+    assert refused.retry_after == SETTINGS.max_retry_after
+
+
+def test_what_reached_somebody_is_held_to_its_last_call() -> None:
+    bench = Bench()
+    bench.positions()
+    bench.ask("write")
+    bench.answer(1, "p", Status.MISS, primary=False)
+    for attempt, replica in enumerate(("r1", "r2", "r3"), 1):
+        bench.answer(1, replica, Status.MISS, attempt, primary=False)
+    assert not of(Refuse, bench.run(1.2)) and of(Refuse, bench.run(0.6))
+
+
 def test_with_no_role_known_a_write_tries_each_member_in_turn_then_waits() -> None:
     bench = Bench(replace(SETTINGS, lists_roles=False), [replace(entry, primary=False) for entry in MEMBERS])
     tried = targets(bench.ask("write"))
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,116 @@
+"""The catalogue's client, event by event."""
+
+from __future__ import annotations
+
+import pytest
+
+from banklift.discovery.catalogue import BadList, convert, read
+from banklift.discovery.client import GRACE, WAIT, Client, Close, Connect, Send, Tell
+from banklift.interface import ListKind, State
+
+GOOD = (b'{"rev":43,"all":true,"targets":[{"uid":"s1","endpoint":"10.1.0.18:6432","az":"a","model":"m2","pod_group":3,'
+        b'"state":"DRAINING","capacity_hint":1.0,"boot_ms":1500,"access":"writer"}]}')
+
+
+def answer(body: bytes, status: bytes = b"200 OK", more: bytes = b"") -> bytes:
+    return b"HTTP/1.1 %b\r\nContent-Length: %d\r\n%b\r\n%b" % (status, len(body), more, body)
+
+
+def calling(version: int | None = 41) -> Client:
+    client = Client("10.2.0.1:8500", version=version)
+    client.ask(100.0, True)
+    assert client.actions == [Connect("10.2.0.1:8500")]
+    client.actions.clear()
+    client.connected(100.0)
+    return client
+
+
+def sent(client: Client) -> bytes:
+    (action,) = [action for action in client.actions if isinstance(action, Send)]
+    client.actions.clear()
+    return action.data
+
+
+def told(client: Client) -> Tell:
+    (action,) = [action for action in client.actions if isinstance(action, Tell)]
+    return action
+
+
+def test_a_watch_goes_on_at_once_on_the_same_connection() -> None:
+    client = calling()
+    assert sent(client).startswith(b"GET /catalog/members?after=41&wait_ms=4000 HTTP/1.1\r\n")
+    data = answer(GOOD)
+    for place in range(len(data)):
+        client.data(100.5, data[place:place + 1])
+    roster = told(client).roster
+    assert roster.kind is ListKind.FULL
+    (member,) = roster.members
+    assert (member.name, member.group, member.address, member.state, member.primary, member.started) == (
+        "s1", 3, "10.1.0.18:6432", State.DRAINING, True, 1.5)
+    assert not any(isinstance(action, Connect | Close) for action in client.actions)
+    assert b"after=43" in sent(client)
+    client.data(101.0, answer(GOOD.replace(b'"all":true', b'"all":false')))
+    assert told(client).roster.kind is ListKind.CHANGES
+
+
+def test_without_a_version_and_for_a_fetch_the_whole_list_is_asked() -> None:
+    assert sent(calling(None)).startswith(b"GET /catalog/members HTTP/1.1\r\n")
+    client = Client("10.2.0.1:8500", version=41)
+    client.ask(100.0, False)
+    client.connected(100.0)
+    assert sent(client).startswith(b"GET /catalog/members HTTP/1.1\r\n")
+    client.data(100.0, answer(GOOD))
+    assert told(client).roster.members and not any(isinstance(action, Send) for action in client.actions)
+
+
+@pytest.mark.parametrize("data", [
+    answer(b"", b"503 Service Unavailable"), answer(GOOD[:-1]), answer(b"[]"), answer(b'{"rev":43}'), b"noise\r\n\r\n",
+    answer(GOOD.replace(b"DRAINING", b"RESTING")), answer(GOOD.replace(b'"pod_group":3', b'"pod_group":"x"')),
+    answer(GOOD.replace(b"10.1.0.18:6432", b"somewhere")), answer(GOOD.replace(b'"rev":43', b'"rev":-1')),
+    answer(b"\xff\xfe" * 20), b""])
+def test_an_answer_that_is_none_fails_the_call_once(data: bytes) -> None:
+    client = calling()
+    client.actions.clear()
+    client.data(100.1, data)
+    client.data(100.1, b"")
+    client.lost(100.1, "reset")
+    assert told(client).roster.kind is ListKind.FAILED and told(client).reason
+    assert [type(action) for action in client.actions] == [Close, Tell]
+    client.actions.clear()
+    client.ask(101.0, True)  # when to ask again is not decided here
+    assert client.actions == [Connect("10.2.0.1:8500")]
+
+
+def test_a_silent_catalogue_fails_the_call_in_time() -> None:
+    client = calling()
+    client.actions.clear()
+    client.tick(100.0 + WAIT + GRACE - 0.01)
+    assert client.actions == []
+    client.tick(100.0 + WAIT + GRACE)
+    assert told(client).roster.kind is ListKind.FAILED
+
+
+def test_a_connection_that_closes_behind_its_answer_is_opened_anew() -> None:
+    client = calling()
+    client.actions.clear()
+    client.data(100.1, answer(GOOD, more=b"Connection: close\r\n"))
+    assert [type(action) for action in client.actions] == [Close, Connect, Tell]
+
+
+def test_a_catalogue_that_moves_is_asked_at_its_new_address_at_once() -> None:
+    client = calling()
+    client.actions.clear()
+    client.move(100.2, "10.2.0.2:8500")
+    assert client.actions == [Close(), Connect("10.2.0.2:8500")]
+    client.connected(100.3)
+    assert b"after=41" in sent(client)
+    client.move(100.4, "10.2.0.2:8500")
+    assert client.actions == []
+
+
+def test_a_member_that_stands_twice_is_refused_by_its_name() -> None:
+    entry = {"uid": "s1", "endpoint": "10.1.0.18:6432", "pod_group": 0, "state": "SERVING"}
+    with pytest.raises(BadList, match="s1 stands there twice"):
+        convert({"rev": 1, "all": True, "targets": [entry, entry]})
+    with pytest.raises(BadList, match="rev"):
+        read(b'{"all": true, "targets": []}')
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,545 @@
+"""The router on the platform: clients, nodes and discovery, with the troubles that each of them makes."""
+
+from __future__ import annotations
+
+import random
+import re
+from collections.abc import Callable
+
+import pytest
+
+from banklift.emulator.platform import PgNode, row
+from banklift.interface import State
+from banklift.pg import frames
+from banklift.pg.statement import BadStatement, parse
+from tests.platform_site import Caller, Site, code, value
+
+# ---- clients
+
+
+def test_a_write_goes_to_the_primary_and_reads_see_it() -> None:
+    site = Site()
+    caller = Caller(site)
+    assert value(caller.ask(site.write("k", "9f03"))) == b"\x9f\x03"
+    assert len(site.nodes["p"].seen) == 1
+    after = int(site.world.now() * 1000)
+    assert value(caller.ask(site.read("own", "k", after=after), 0.2)) == b"\x9f\x03"
+    assert value(caller.ask(site.read("any", "k"))) == b"\x9f\x03"
+    site.balanced()
+
+
+def test_a_statement_passes_unchanged_but_for_how_long_its_sender_waits() -> None:
+    site = Site()
+    text = site.write("k", "9f03", patience=1500)
+    Caller(site).ask(text)
+    (seen,) = site.nodes["p"].seen
+    before, behind = text.encode().split(b"d=1500")
+    assert seen.startswith(before + b"d=1") and seen.endswith(behind)
+    left = int(seen[len(before) + 2:].split(b",")[0])
+    assert 1400 < left <= 1495
+
+
+def test_every_byte_may_come_alone() -> None:
+    site = Site()
+    caller = Caller(site, start=False)
+    for byte in frames.startup("backend", "store") + frames.query(site.write().encode()):
+        caller.say(bytes([byte]), 0.0005)
+    site.run(0.05)
+    assert [kind for kind, _ in caller.told()][-4:] == ["T", "D", "C", "Z"]
+
+
+def test_a_query_right_behind_the_startup_and_the_refusal_of_encryption() -> None:
+    site = Site()
+    caller = Caller(site, start=False)
+    caller.say(b"\0\0\0\x08\x04\xd2\x16\x2f")  # SSLRequest
+    assert caller.data_in == b"N"
+    caller.data_in = b""
+    caller.say(frames.startup("backend", "store") + frames.query(site.write().encode()))
+    assert [kind for kind, _ in caller.told()][-4:] == ["T", "D", "C", "Z"]
+
+
+def test_an_empty_query_a_cancel_request_and_terminate() -> None:
+    site = Site()
+    caller = Caller(site)
+    assert [kind for kind, _ in caller.ask("")] == ["I", "Z"]
+    caller.say(frames.message(b"X", b""))
+    assert caller.ended
+    other = Caller(site, start=False)
+    other.say(b"\0\0\0\x10\x04\xd2\x16\x2e" + b"\0" * 8)
+    assert other.ended and not site.front.clients
+
+
+def test_answers_go_out_in_the_order_of_the_commands() -> None:
+    site = Site(delay=0.02)
+    caller = Caller(site)
+    site.nodes["p"].answers.append(lambda node, statement: None)  # the first write stays silent
+    first, second = site.write("a", "01"), site.read("any", "b")
+    caller.say(frames.query(first.encode()) + frames.query(second.encode()) + frames.query(b""), 0.3)
+    assert caller.told() == []  # the read was answered long ago
+    site.run(2.0)
+    told = caller.told()
+    assert [kind for kind, _ in told] == ["E", "Z", "T", "D", "C", "Z", "I", "Z"]
+    assert code(told) == "40003"
+
+
+def test_hundreds_of_commands_at_once_are_read_a_few_at_a_time() -> None:
+    site = Site(delay=0.02)
+    caller = Caller(site)
+    caller.say(b"".join(frames.query(site.read("any", f"k{place}").encode()) for place in range(300)), 0.01)
+    assert 0 < len(site.machine.open) <= 16
+    site.run(3.0)
+    assert len([kind for kind, _ in caller.told() if kind == "Z"]) == 300
+    site.balanced()
+
+
+BAD_STATEMENTS: list[tuple[str, Callable[[Site], str]]] = [
+    ("22023", lambda site: site.read("nonsense")),
+    ("22023", lambda site: site.read(t="nobody")),
+    ("22023", lambda site: site.read(cluster=77)),
+    ("22023", lambda site: site.read("save")),
+    ("22023", lambda site: site.write(kind="view")),
+    ("22023", lambda site: site.read(patience=10 ** 9)),
+    ("22023", lambda site: site.read().replace("d=2000", "d=-5")),
+    ("22023", lambda site: site.read().replace("d=2000", "d=soon")),
+    ("22023", lambda site: site.read().replace("d=2000", "d=1e3")),
+    ("22023", lambda site: site.read(after=10 ** 14)),
+    ("22023", lambda site: site.read().replace("id=", "ix=")),
+    ("42601", lambda site: site.read(id="a,id=b")),
+    ("42601", lambda site: site.read(id="")),
+    ("42601", lambda site: "SELECT 1"),
+    ("42601", lambda site: "DROP TABLE kv"),
+    ("42601", lambda site: site.read() + "; " + site.read()),
+    ("42601", lambda site: site.read(key="it''s")),
+    ("42601", lambda site: site.write(value="9f0")),
+    ("42601", lambda site: site.write(value="zz")),
+    ("22001", lambda site: site.write(value="00" * (64 * 1024 + 1))),
+]
+
+
+@pytest.mark.parametrize(("expected", "text"), BAD_STATEMENTS)
+def test_a_bad_statement_gets_an_error_and_reaches_no_node(expected: str, text: Callable[[Site], str]) -> None:
+    site = Site()
+    caller, other = Caller(site), Caller(site)
+    assert code(caller.ask(text(site))) == expected
+    assert not any(node.seen for node in site.nodes.values())
+    assert value(caller.ask(site.write()))  # its connection is still good, and so is everybody else's
+    assert value(other.ask(site.write()))
+    site.balanced()
+
+
+def test_a_client_that_asks_nonsense_again_and_again_is_closed() -> None:
+    site = Site()
+    caller = Caller(site)
+    for _ in range(2):
+        assert code(caller.ask("SELECT 1")) == "42601" and not caller.ended
+    caller.ask("SELECT 1")
+    assert caller.ended
+
+
+def test_the_id_of_an_open_request_is_refused_to_another_client() -> None:
+    site = Site(delay=0.1)
+    first, second = Caller(site), Caller(site)
+    first.say(frames.query(site.write("a", "01", id="feed").encode()))
+    assert code(second.ask(site.write("b", "02", id="feed"))) == "42710"
+    site.run(0.2)
+    assert value(first.told()) == b"\x01"
+    assert value(second.ask(site.write("b", "02", id="feed"), 0.2)) == b"\x02"  # it is over
+    assert len(site.nodes["p"].seen) == 2
+
+
+@pytest.mark.parametrize("data", [
+    b"\0\0\0\0", b"\0\0\0\x07\0\0\0", b"\xff\xff\xff\xff", b"GET / HTTP/1.1\r\n\r\n",
+    frames.startup("backend", "store") + b"Q\0\0\0\x03", frames.startup("backend", "store") + b"Q\xff\xff\xff\xff",
+    frames.startup("backend", "store") + b"Q\x03\x93\x87\0" + b"x" * 100,  # 60 MB are announced
+    frames.startup("backend", "store") + b"\x80\0\0\0\x05x",
+    frames.startup("backend", "store") + b"QQQQQQQQQQQQQQQQQQ",
+    frames.startup("backend", "store") + frames.message(b"P", b"\0SELECT 1\0\0\0"),
+    frames.startup("backend", "store") + frames.message(b"Q", b"SELECT 1"),
+    frames.startup("backend", "store") + frames.message(b"Q", b"SELECT\x001\0"),
+    b"\0\0\0\x08\0\x02\0\0",
+], ids=range(13))
+def test_broken_framing_is_told_and_closed_at_once(data: bytes) -> None:
+    site = Site()
+    caller = Caller(site, start=False)
+    caller.say(data)
+    assert caller.ended and caller.data_in.count(b"VFATAL\0") == 1
+    assert not site.front.clients and not any(node.seen for node in site.nodes.values())
+
+
+START = frames.startup("backend", "store")
+
+
+@pytest.mark.parametrize("data", [b"", b"\0\0", START[:9], START, START + b"Q\0\0\x01"])
+def test_who_says_nothing_or_half_a_word_is_closed_within_three_seconds(data: bytes) -> None:
+    site = Site()
+    caller = Caller(site, start=False)
+    caller.say(data)
+    site.run(1.5)
+    assert not caller.ended
+    site.run(1.0)
+    assert caller.ended and not site.front.clients
+
+
+def test_half_a_command_behind_a_good_one_is_closed_too() -> None:
+    site = Site()
+    caller = Caller(site)
+    caller.say(frames.query(site.write().encode()) + b"Q\0\0\x01")
+    assert value(caller.told())
+    site.run(2.5)
+    assert caller.ended
+
+
+def test_hundreds_that_say_nothing_keep_nobody_out() -> None:
+    site = Site(sockets=128)
+    silent = [Caller(site, start=False) for _ in range(200)]
+    site.run(0.01)
+    assert len(site.front.clients) == site.machine.limits.clients < 64
+    usual = Caller(site)
+    assert value(usual.ask(site.write()))
+    assert sum(caller.ended for caller in silent) > 140
+
+
+def test_one_too_many_is_refused_while_all_others_are_asking() -> None:
+    site = Site(sockets=64, delay=0.5)
+    callers = [Caller(site) for _ in range(site.machine.limits.clients)]
+    for caller in callers:
+        caller.say(frames.query(site.read("any").encode()), 0.001)
+    late = Caller(site, start=False)
+    late.say(frames.startup("backend", "store"))
+    assert late.ended and code(late.told()) == "53300"
+    assert len(site.front.clients) == len(callers)
+
+
+def test_a_client_that_leaves_takes_its_read_with_it_but_not_the_place_of_its_write() -> None:
+    site = Site(delay=0.2)
+    caller = Caller(site)
+    caller.say(frames.query(site.write("k", "01").encode()))
+    assert site.nodes["p"].open == 1
+    caller.handle.close()
+    site.run(0.05)
+    assert not site.machine.open and not site.front.clients
+    site.run(0.5)
+    assert len(site.nodes["p"].seen) == 1  # and it was written once
+    site.balanced()
+
+
+def test_idle_clients_go_after_a_while() -> None:
+    site = Site()
+    caller = Caller(site)
+    assert value(caller.ask(site.write()))
+    site.run(1.7)
+    assert value(caller.ask(site.write()))
+    site.run(1.7)
+    assert not caller.ended
+    site.run(0.8)
+    assert caller.ended
+
+
+# ---- refusals
+
+
+def test_a_refusal_says_when_to_come_back() -> None:
+    site = Site()
+    for node in site.nodes.values():
+        node.stop()
+    (told,) = [body for kind, body in Caller(site).ask(site.write(), 1.5) if kind == "E"]
+    fields = frames.fields_of(told)
+    assert (fields["C"], fields["D"]) == ("53300", "1000")
+
+
+def test_what_was_sent_nowhere_is_refused_before_half_of_its_time() -> None:
+    site = Site()
+    for node in site.nodes.values():
+        node.stop()
+    caller = Caller(site)
+    caller.say(frames.query(site.write().encode()), 0.5)
+    assert caller.told() == []
+    site.run(0.45)
+    assert code(caller.told()) == "53300"
+    site.balanced()
+
+
+# ---- nodes
+
+SPOILT: list[tuple[str, bytes]] = [
+    ("noise", random.Random(3).randbytes(400)),
+    ("noise behind a row", row(b"01")[:-12] + random.Random(4).randbytes(100)),
+    ("no end", b"x" * 200_000),
+    ("three gigabytes", row(b"1")[:40] + b"D\xc0\0\0\0" + b"y" * 90_000),
+    ("a negative length", b"T\xff\xff\xff\xff" + b"z" * 50),
+    ("a length too small", b"T\0\0\0\x03zz"),
+    ("a column too many", frames.message(b"T", b"\0\x02" + b"a\0" + b"\0" * 18 + b"b\0" + b"\0" * 18)
+     + frames.message(b"D", b"\0\x02\0\0\0\x01x\0\0\0\x01y") + frames.message(b"C", b"SELECT 1\0") + frames.READY),
+    ("a row too many", row(b"1")[:-14] + row(b"2") + frames.READY),
+    ("no row", frames.message(b"C", b"SELECT 0\0") + frames.READY),
+    ("a value that is shorter than its row", row(b"12345678").replace(b"\0\0\0\x0812345678", b"\0\0\0\x0412345678")
+     + frames.READY),
+    ("a value of a negative length",
+     row(b"").replace(b"D\0\0\0\x0a\0\x01\0\0\0\0", b"D\0\0\0\x0a\0\x01\xff\xff\xff\xff") + frames.READY),
+    ("an error without an end", frames.message(b"E", b"C53300") + frames.READY),
+    ("an error behind a row", row(b"1")[:-14] + frames.error("53300", "full") + frames.READY),
+    ("an authentication", frames.AUTHENTICATED + frames.READY),
+]
+
+
+@pytest.mark.parametrize("answer", [answer for _, answer in SPOILT], ids=[name for name, _ in SPOILT])
+def test_a_spoilt_answer_may_have_run_and_its_link_carries_nothing_more(answer: bytes) -> None:
+    site = Site()
+    caller = Caller(site)
+    assert value(caller.ask(site.write("k", "01")))
+    site.run(0.01)
+    links = {peer for peer in site.nodes["p"].connections if peer.asked}
+    site.nodes["p"].answers.append(lambda node, statement: answer)
+    told = caller.ask(site.write("k", "02"), 0.1)
+    if not told:  # the rest of it might still come: its time ends it
+        site.run(2.0)
+        told = caller.told()
+    assert code(told) == "40003"
+    assert len(site.nodes["p"].seen) == 2  # an unsafe write is not sent again
+    assert links and not links & site.nodes["p"].connections
+    site.balanced()
+
+
+def test_a_spoilt_answer_to_a_read_is_asked_for_elsewhere() -> None:
+    site = Site()
+    caller = Caller(site)
+    spoilt = [b"\0noise"]
+    for node in site.nodes.values():
+        node.answers.append(lambda node, statement: spoilt.pop() if spoilt else node.answer(statement))
+    assert value(caller.ask(site.read("any"), 0.2)) == b"none"
+    assert sum(len(node.seen) for node in site.nodes.values()) == 2
+
+
+@pytest.mark.parametrize("more", [row(b"theirs") + frames.READY, b"noise", frames.READY, b"S"])
+@pytest.mark.parametrize("later", [False, True])
+def test_a_good_answer_with_more_behind_it_is_served_and_its_link_closed(more: bytes, later: bool) -> None:
+    site = Site()
+    caller = Caller(site)
+    primary = site.nodes["p"]
+
+    def answer(node: PgNode, statement: bytes) -> bytes:
+        usual = node.answer(statement)
+        if not later:
+            return usual + more
+        (peer,) = [peer for peer in node.connections if peer.open]
+        node.env.at(node.env.now() + 0.001, lambda: peer.say(more))
+        return usual
+
+    primary.answers.append(answer)
+    caller.say(frames.query(site.write("k", "01").encode()) + frames.query(site.write("k", "02").encode()), 0.0012)
+    site.run(0.2)
+    told = caller.told()
+    assert [kind for kind, _ in told] == ["T", "D", "C", "Z"] * 2
+    assert frames.column_of(told[4][1], told[5][1]) == b"\x02"  # its own answer
+    site.balanced()
+
+
+def test_an_unreadable_load_report_spoils_nothing() -> None:
+    site = Site()
+    site.nodes["p"].answers.append(lambda node, statement: node.answer(statement)[:-6]
+                                   + frames.parameter("usage", "inflight=x") + frames.READY)
+    assert value(Caller(site).ask(site.write("k", "01"))) == b"\x01"
+
+
+def test_a_position_ahead_of_the_clock_proves_nothing() -> None:
+    site = Site()
+    ahead = frames.parameter("commit_clock", str(int((site.world.now() + 60) * 1000)))
+    for node in site.nodes.values():
+        node.answers.append(lambda node, statement: row(b"x") + ahead + frames.READY)
+    caller = Caller(site)
+    caller.ask(site.read("any"), 0.1)
+    assert all(member.position <= site.world.now() for member in site.machine.balancer.members.values())
+
+
+OUTCOMES = [("25006", "53300"), ("72000", "53300"), ("53300", "53300"), ("XX000", "40003"), ("08P01", "40003")]
+
+
+@pytest.mark.parametrize(("error", "expected"), OUTCOMES)
+def test_what_a_nodes_error_means_for_a_write(error: str, expected: str) -> None:
+    site = Site()
+    for node in site.nodes.values():
+        node.answers.extend([lambda node, statement: frames.error(error, "no") + frames.READY] * 20)
+    caller = Caller(site)
+    told = caller.ask(site.write("k", "01"), 2.2)
+    assert code(told) == expected
+    assert (len(site.nodes["p"].seen) == 1) or expected == "53300"
+    site.balanced()
+
+
+def test_a_write_whose_link_breaks_may_have_run() -> None:
+    site = Site(delay=0.05)
+    caller = Caller(site)
+    caller.say(frames.query(site.write().encode()))
+    site.nodes["p"].stop()
+    site.run(0.1)
+    assert code(caller.told()) == "40003"
+    site.balanced()
+
+
+def test_a_silent_primary_fails_its_writes_in_time_and_a_late_answer_reaches_nobody() -> None:
+    site = Site()
+    caller = Caller(site)
+    assert value(caller.ask(site.write("k", "01")))
+    peers: list[Callable[[], None]] = []
+
+    def silent(node: PgNode, statement: bytes) -> bytes | None:
+        (peer,) = [peer for peer in node.connections if peer.open]
+        peers.append(lambda: peer.say(node.answer(statement)))
+        return None
+
+    site.nodes["p"].answers.append(silent)
+    told = caller.ask(site.write("k", "02"), 2.0)
+    assert code(told) == "40003"
+    peers[0]()  # it comes after all
+    assert value(caller.ask(site.write("k", "03"), 0.5)) == b"\x03"
+    site.balanced()
+
+
+def test_a_node_that_drains_gets_nothing_more_and_its_idle_links_close() -> None:
+    site = Site()
+    caller = Caller(site)
+    for _ in range(8):
+        assert value(caller.ask(site.read("any"))) == b"none"
+    site.catalogue.list("r1", site.nodes["r1"].address, state="DRAINING")
+    site.run(0.05)
+    before = len(site.nodes["r1"].seen)
+    for _ in range(8):
+        assert value(caller.ask(site.read("any"))) == b"none"
+    assert len(site.nodes["r1"].seen) == before
+    assert all(peer.open == 0 for peer in site.nodes["r1"].connections)
+    site.catalogue.list("r1", site.nodes["r1"].address, state="DELETED")
+    site.run(0.05)
+    assert "r1" not in site.machine.nodes and "r1" not in site.machine.balancer.members
+    assert not site.nodes["r1"].connections
+
+
+def test_a_new_id_at_an_old_address_starts_afresh_and_a_moved_one_is_asked_where_it_is() -> None:
+    site = Site()
+    caller = Caller(site)
+    caller.ask(site.read("any"))
+    address = site.nodes["r1"].address
+    site.catalogue.list("r1", address, state="DELETED")
+    site.catalogue.list("r9", address)
+    moved = PgNode(site.world, "10.0.0.77:6432").start()
+    site.catalogue.list("r2", moved.address)
+    site.run(0.1)
+    assert sorted(site.machine.nodes) == ["p", "r2", "r9"]
+    assert site.machine.nodes["r2"].address == moved.address
+    for _ in range(30):
+        assert value(caller.ask(site.read("any"))) == b"none"
+    assert moved.seen and not site.nodes["r2"].connections
+    assert len(site.machine.balancer.members) == 3
+
+
+def test_links_stay_within_the_budget_whatever_is_asked() -> None:
+    site = Site(sockets=64, delay=0.3)
+    most = site.machine.limits.all_links
+    callers = [Caller(site) for _ in range(site.machine.limits.clients)]
+    for turn in range(3):
+        for caller in callers:
+            caller.say(frames.query(site.read("any", f"k{turn}").encode()), 0.001)
+        assert len(site.machine.links) <= most
+        site.run(0.7)
+        assert len(site.machine.links) <= most
+    site.balanced()
+
+
+def test_nothing_grows_with_what_is_over() -> None:
+    site = Site()
+    for turn in range(40):
+        caller = Caller(site)
+        assert value(caller.ask(site.write(f"key{turn}")))
+        caller.ask(site.read("own", f"key{turn}"), 0.05)
+        caller.handle.close()
+        site.catalogue.list(f"n{turn}", "10.0.0.3:6432")
+        site.run(0.02)
+        site.catalogue.list(f"n{turn}", "10.0.0.3:6432", state="DELETED")
+        site.run(0.02)
+    site.run(30.0)
+    site.balanced()
+    machine, balancer = site.machine, site.machine.balancer
+    assert len(machine.nodes) == len(machine.aliases) == len(balancer.members) == 3
+    assert not machine.open and not site.front.clients and not balancer.sessions
+    assert len(machine.links) <= 3 and len(site.host.links) == len(machine.links)
+    assert len(balancer.timers) <= 3 and len(machine.timers) <= 12
+
+
+# ---- discovery
+
+
+def test_discovery_that_fails_is_asked_again_and_what_it_says_then_holds() -> None:
+    site = Site()
+    site.catalogue.failing = True
+    site.catalogue.list("r1", site.nodes["r1"].address, state="DRAINING")
+    site.run(1.0)
+    assert any(event == "discovery failed" for event, _ in site.notes)
+    calls = len(site.catalogue.calls)
+    site.catalogue.failing = False
+    site.run(10.0)
+    assert site.machine.nodes["r1"].state is State.DRAINING
+    assert len(site.catalogue.calls) - calls < 12  # it is not overrun
+
+
+def test_discovery_that_moves_is_followed() -> None:
+    from banklift.emulator.platform import Catalogue
+
+    site = Site()
+    other = Catalogue(site.world, "10.9.0.2:8500", version=50).start()
+    for name, node in site.nodes.items():
+        other.list(name, node.address, writes=node.primary)
+    other.list("r2", site.nodes["r2"].address, state="DRAINING")
+    site.discovery.move(other.address)
+    site.run(0.1)
+    assert site.machine.nodes["r2"].state is State.DRAINING
+    assert site.machine.nodes["r1"].state is State.READY
+
+
+# ---- the end
+
+
+def test_what_comes_while_the_router_drains_is_answered_by_its_end() -> None:
+    site = Site()
+    caller, idle = Caller(site), Caller(site)
+    assert value(idle.ask(site.write())) and value(caller.ask(site.write()))
+    site.host.drain(site.world.now() + 2.6)
+    site.run(2.3)
+    assert not idle.ended  # nobody could come again
+    site.nodes["p"].answers.append(lambda node, statement: None)
+    caller.say(frames.query(site.write().encode()), 0.1)
+    site.host.leave()
+    site.run(0.01)
+    assert idle.ended and not caller.ended
+    site.run(0.3)
+    assert code(caller.told()) == "40003" and caller.ended
+    site.balanced()
+
+
+# ---- the codec and the statements, fuzzed
+
+
+def test_statements_are_read_or_refused_and_never_changed() -> None:
+    site, chance = Site(), random.Random(5)
+    for turn in range(3000):
+        text = bytearray((site.write() if turn % 2 else site.read()).encode())
+        for _ in range(chance.randrange(4)):
+            place = chance.randrange(len(text))
+            text[place:place + chance.randrange(3)] = chance.randbytes(chance.randrange(3))
+        try:
+            statement = parse(bytes(text))
+        except BadStatement:
+            continue
+        passed = re.sub(rb"(?<=[ ,])d=0*(?=[0-9])", b"d=", bytes(text))
+        assert statement.text(statement.patience) == passed
+
+
+def test_a_client_of_random_bytes_harms_nobody() -> None:
+    site, chance = Site(), random.Random(6)
+    usual = Caller(site)
+    for turn in range(200):
+        caller = Caller(site, start=False)
+        data = frames.startup("backend", "store") if turn % 2 else b""
+        caller.say(data + chance.randbytes(chance.randrange(1, 200)))
+        if turn % 40 == 0:
+            assert value(usual.ask(site.write()))
+    site.run(3.0)
+    assert not site.front.clients and not any(b"SELECT" in seen for node in site.nodes.values() for seen in node.seen)
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,239 @@
+"""The service as the platform starts it: a process, real sockets, psycopg as its client, signals, bad files."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import anyio
+import anyio.from_thread
+import psycopg
+import pytest
+
+from banklift.emulator.platform import Catalogue, PgNode
+from banklift.net.sockets import SocketEnv
+from tests.platform_site import SETTINGS
+
+COMMENT = "/* id={id},c={kind},t=acme,d=20000,cluster=0 */"
+PATIENT = {**SETTINGS, "services": [{**service, "aim_s": 10.0, "deadline_s": 20.0} for service in SETTINGS["services"]]}
+
+
+class Platform:
+    """Stand-ins on sockets, in a thread of their own, and the router's process."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.ready = threading.Event()
+        self.ended = anyio.Event
+        self.ids = 0
+        self.thread = threading.Thread(target=lambda: anyio.run(self._serve), daemon=True)
+        self.thread.start()
+        assert self.ready.wait(30)
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.listen = f"127.0.0.1:{free.getsockname()[1]}"
+        self.config: dict[str, Any] = {
+            "name": "n0", "listen": self.listen, "discovery": self.catalogue.address, "seed": "8c1f",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": self.catalogue.whole(),
+            "settings": PATIENT}
+        self.process: subprocess.Popen[str] | None = None
+
+    async def _serve(self) -> None:
+        self.stopping = False
+        async with anyio.create_task_group() as tasks:
+            env = self.env = SocketEnv(tasks, time.time)
+            store: dict[bytes, bytes] = {}
+            self.nodes = [PgNode(env, primary=place == 0, store=store).start() for place in range(3)]
+            self.catalogue, self.other = Catalogue(env).start(), Catalogue(env).start()
+            for catalogue in (self.catalogue, self.other):
+                for place, node in enumerate(self.nodes):
+                    catalogue.list(f"s{place}", node.address, writes=node.primary)
+            self.ready.set()
+            while not self.stopping:
+                await anyio.sleep(0.02)
+            tasks.cancel_scope.cancel()
+
+    def write(self) -> Path:
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(self.config))
+        return path
+
+    def environment(self) -> dict[str, str]:
+        return {**os.environ, "ROUTER_NAME": "n0", "ROUTER_LISTEN": self.listen,
+                "ROUTER_DISCOVERY": self.catalogue.address, "ROUTER_CONFIG": str(self.write())}
+
+    def start(self) -> None:
+        self.process = subprocess.Popen([sys.executable, "-m", "banklift.net.service"], env=self.environment(),
+                                        stderr=subprocess.PIPE, text=True)
+        self.said("listening")
+
+    def said(self, word: str) -> str:
+        """Wait for a line of the log that has this word."""
+        assert self.process is not None and self.process.stderr is not None
+        for line in self.process.stderr:
+            if word in line:
+                return line
+        raise AssertionError(f"ended without saying {word!r}")
+
+    def connect(self) -> psycopg.Connection[tuple[bytes]]:
+        host, _, port = self.listen.partition(":")
+        return psycopg.connect(host=host, port=port, user="backend", dbname="store", autocommit=True,
+                               connect_timeout=20, cursor_factory=psycopg.ClientCursor, sslmode="prefer")
+
+    def comment(self, kind: str) -> str:
+        self.ids += 1
+        return COMMENT.format(id=f"{self.ids:016x}", kind=kind)
+
+    def stop(self) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait(20)
+        self.stopping = True
+        self.thread.join(20)
+
+
+@pytest.fixture
+def platform(tmp_path: Path) -> Iterator[Platform]:
+    platform = Platform(tmp_path)
+    yield platform
+    platform.stop()
+
+
+def eventually(true: Callable[[], bool]) -> None:
+    """Wait for it; what is waited for is an event of the other thread or process."""
+    end = time.monotonic() + 20
+    while not true():
+        assert time.monotonic() < end
+        time.sleep(0.005)
+
+
+def save(platform: Platform, connection: psycopg.Connection[tuple[bytes]], key: str, text: str) -> bytes:
+    row = connection.execute(f"INSERT INTO kv (name, content) VALUES ('{key}', '\\x{text}') RETURNING content "
+                             f"{platform.comment('save')}").fetchone()
+    assert row is not None
+    return row[0]
+
+
+def test_psycopg_writes_reads_and_hears_of_its_faults(platform: Platform) -> None:
+    platform.start()
+    with platform.connect() as connection:
+        assert save(platform, connection, "k", "9f03") == b"\x9f\x03"
+        row = connection.execute(f"SELECT content FROM kv WHERE name = 'k' {platform.comment('any')}").fetchone()
+        assert row is not None and row[0] == b"\x9f\x03"
+        with pytest.raises(psycopg.errors.SyntaxError):
+            connection.execute("SELECT 1")
+        with pytest.raises(psycopg.errors.InvalidParameterValue):
+            connection.execute(f"SELECT content FROM kv WHERE name = 'k' {platform.comment('nonsense')}")
+        assert save(platform, connection, "k", "01") == b"\x01"
+
+
+def test_sigterm_answers_what_is_open_and_ends(platform: Platform) -> None:
+    platform.config["settings"] = {**SETTINGS}  # whose longest deadline says how long it may take
+    platform.start()
+    assert platform.process is not None
+    with platform.connect() as connection:
+        assert save(platform, connection, "k", "01") == b"\x01"
+        platform.process.send_signal(signal.SIGTERM)
+        platform.said("leaving")
+        assert save(platform, connection, "k", "02") == b"\x02"  # it has no other way in
+        with platform.connect() as late:
+            assert save(platform, late, "k", "03") == b"\x03"
+        platform.said('"left","unanswered":0')
+    assert platform.process.wait(20) == 0
+
+
+def test_sighup_moves_discovery_and_a_bad_file_changes_nothing(platform: Platform) -> None:
+    platform.start()
+    assert platform.process is not None
+    with platform.connect() as connection:
+        assert save(platform, connection, "k", "01") == b"\x01"
+        platform.config["discovery"] = 5
+        platform.write()
+        platform.process.send_signal(signal.SIGHUP)
+        assert "discovery: host:port is needed" in platform.said("refused")
+        assert not platform.other.calls
+        platform.config["discovery"] = platform.other.address
+        platform.write()
+        platform.process.send_signal(signal.SIGHUP)
+        platform.said("read again")
+        eventually(lambda: bool(platform.other.calls))
+        assert save(platform, connection, "k", "02") == b"\x02"
+
+
+def test_a_kill_and_a_restart_on_the_same_address(platform: Platform) -> None:
+    platform.start()
+    assert platform.process is not None
+    with platform.connect() as connection:
+        assert save(platform, connection, "k", "01") == b"\x01"
+        platform.process.kill()
+        platform.process.wait(20)
+        with pytest.raises(psycopg.OperationalError):
+            save(platform, connection, "k", "02")
+    platform.start()
+    with platform.connect() as connection:
+        assert save(platform, connection, "k", "03") == b"\x03"
+
+
+def change(*path: str, to: object) -> Callable[[dict[str, Any]], None]:
+    def apply(config: dict[str, Any]) -> None:
+        for name in path[:-1]:
+            config = config[name]
+        if to is None:
+            del config[path[-1]]
+        else:
+            config[path[-1]] = to
+    return apply
+
+
+@pytest.mark.parametrize(("spoil", "reason"), [
+    (change("discovery", to="nowhere"), "discovery: host:port is needed, not 'nowhere'"),
+    (change("listen", to="127.0.0.1:99999"), "listen: host:port is needed"),
+    (change("settings", to=None), "settings: an object is needed"),
+    (change("settings", "services", to=None), "settings: boot_info: services, class_read and staleness_bound_s differ"),
+    (change("limits", "sockets", to="many"), "limits.sockets: a number from 64 is needed, not 'many'"),
+    (change("known", "targets", to=[{"uid": 5}]), "the list of members"),
+    (change("seed", to="xyz"), "seed"),
+    (change("listen", to="192.0.2.1:6432"), "listen: 192.0.2.1:6432"),
+])
+def test_a_bad_configuration_ends_it_with_one_line(platform: Platform, spoil: Callable[[dict[str, Any]], None],
+                                                   reason: str) -> None:
+    platform.config = json.loads(json.dumps(platform.config))
+    spoil(platform.config)
+    ended = subprocess.run([sys.executable, "-m", "banklift.net.service"], env=platform.environment(),
+                           capture_output=True, text=True, timeout=60, check=False)
+    assert ended.returncode == 2
+    assert reason in ended.stderr and "Traceback" not in ended.stderr
+    assert ended.stderr.count("\n") == 1
+
+
+@pytest.mark.parametrize("variable", ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG"])
+def test_a_missing_variable_is_named(platform: Platform, variable: str) -> None:
+    environment = platform.environment()
+    del environment[variable]
+    ended = subprocess.run([sys.executable, "-m", "banklift.net.service"], env=environment, capture_output=True,
+                           text=True, timeout=60, check=False)
+    assert (ended.returncode, ended.stderr) == (2, f"banklift: the variable {variable} is not set\n")
+
+
+@pytest.mark.parametrize(("content", "reason"), [
+    (None, "No such file"), ("{", "not JSON"), ("[]", "an object is needed")])
+def test_an_unreadable_file_is_named(platform: Platform, content: str | None, reason: str) -> None:
+    environment = platform.environment()
+    path = Path(environment["ROUTER_CONFIG"])
+    if content is None:
+        path.unlink()
+    else:
+        path.write_text(content)
+    ended = subprocess.run([sys.executable, "-m", "banklift.net.service"], env=environment, capture_output=True,
+                           text=True, timeout=60, check=False)
+    assert ended.returncode == 2
+    assert ended.stderr.startswith(f"banklift: {path}: ") and reason in ended.stderr and ended.stderr.count("\n") == 1
