--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -20,6 +20,7 @@
 LATENCY_WEIGHT = 0.05  # weight of one answer in a class's usual latency: some twenty answers
 FIRST_LATENCY = 0.25  # of the aim: usual latency of a class until it has answers
 FORGIVEN = 4.0  # shortest aims for which a member is set aside after a failure; honest ones are rare
+HONEST = 8.0  # good answers lately, over about that time, for which one failure counts for nothing
 LONG = 3.0  # times the least usual latency: reads above it are packed onto the first replicas
 LOOK = 0.3  # of the shortest aim: age from which a member is asked again before it is sent to
 CATCH_UP = 0.5  # seconds before one that is a second too far behind is asked again
@@ -54,7 +55,8 @@
     load: float = 0.0  # requests there, by its last report and by what was sent and answered since
     behind: float = 0.0  # how far when last seen, as long as that is more than the age of a report
     refused: float = -math.inf  # last attempt that found no connection, with no answer since
-    failed: float = -math.inf  # last failed attempt
+    failed: float = -math.inf  # last failed attempt that counts
+    good: float = 0.0  # good answers since the last failure, older ones fading
     rate: float = 0.0  # work answered a second, as usual latency, as of ...
     rated: float = 0.0
     probed: float = -math.inf
@@ -257,11 +259,13 @@
         if status is Status.CONNECT_FAILED:
             member.refused = self.now
         elif status not in (Status.TIMEOUT, Status.CANCELLED, Status.MOOT):
+            member.good *= math.exp((member.alive - self.now) / (FORGIVEN * self.shortest))
             member.alive, member.seen, member.refused = self.now, self.now, -math.inf
             member.base, member.lag = self.now, 0.0
         member.load = max(0.0, member.load - 1)
-        if status in (Status.ERROR, Status.RESET):
-            member.failed = self.now
+        if status in (Status.ERROR, Status.RESET):  # one now and then, among many good ones, tells nothing
+            member.failed, member.good = self.now if member.good < HONEST else member.failed, 0.0
+        member.good += status is Status.OK
         if event.primary:
             self.crown(member, sent)
             member.position, member.behind = max(member.position, sent), 0.0  # it stands at the present
--- a/banklift/pg/wire.py
+++ b/banklift/pg/wire.py
@@ -13,7 +13,7 @@
 | 25006, 72000 | MISS | no |
 | 53300 | FULL | no |
 | any other error; a row of another shape, or more than one | ERROR | it may have |
-| bytes that are no messages, lengths that can't be | the link is lost: RESET | it may have |
+| no messages, lengths that can't be, half an answer that stands still | the link is lost: RESET | it may have |
 """
 
 from __future__ import annotations
@@ -33,6 +33,7 @@
 USAGE = frames.query(b"SHOW usage")
 AHEAD = 0.05  # seconds that a position may be ahead of this router's clock
 REST = 0.002  # seconds; what is sent right behind an answer has come by then
+WHOLE = 0.15  # seconds; an answer is small and leaves its node in one piece, so what stands still is spoilt
 MISSES, FULL, NO_PRIMARY = ("25006", "72000"), "53300", "25006"
 SPOILT = Result(Status.ERROR, closes=True)
 
@@ -86,6 +87,10 @@
     def rest(self) -> float:
         return REST
 
+    @property
+    def whole_within(self) -> float:
+        return WHOLE
+
     def proofs(self, core: Machine, groups: int) -> PgProofs:
         return PgProofs(core)
 
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -97,6 +97,7 @@
     link: Link | None = None
     question: Question = Question.NONE
     frames: list[bytes] = field(default_factory=list)
+    begun: bool = False  # a part of its answer is there
     ended: bool = False
     timers: list[Timer] = field(default_factory=list)
 
@@ -549,8 +550,19 @@
                 return
         if link.attempt is None and link.id in self.links and not clean:  # noise where nothing was asked
             self._close(link)
-        elif link.attempt is not None and len(link.attempt.frames) == 1 and link.attempt.question:
-            self.proofs.early(link.attempt)
+        attempt = link.attempt
+        if attempt is None:
+            return
+        if not clean and not attempt.begun and self.wire.whole_within < math.inf:
+            attempt.begun = True
+            attempt.timers.append(self.at(self.now + self.wire.whole_within, lambda: self._stuck(link, attempt)))
+        if len(attempt.frames) == 1 and attempt.question:
+            self.proofs.early(attempt)
+
+    def _stuck(self, link: Link, attempt: Attempt) -> None:
+        """An answer has begun and does not end."""
+        if link.attempt is attempt and link.id in self.links:
+            self._link_lost(link, "an answer stood still")
 
     def _link_lost(self, link: Link, reason: str) -> None:
         was_up = link.up and not link.greeting
--- a/banklift/proxy/wire.py
+++ b/banklift/proxy/wire.py
@@ -108,6 +108,11 @@
     def rest(self) -> float:
         """Seconds that a link rests after an answer; what comes meanwhile was not asked for, and it is closed."""
 
+    @property
+    def whole_within(self) -> float:
+        """Seconds from an answer's first byte until all of it is there; infinite where that says nothing. After that
+        its link is lost."""
+
     def proofs(self, core: Machine, groups: int) -> Proofs:
         """What is known of the members of this router, by this protocol."""
 
--- a/banklift/resp/wire.py
+++ b/banklift/resp/wire.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, replace
 
 from banklift.decide.offsets import Standing
@@ -79,6 +80,10 @@
     def rest(self) -> float:
         return 0.0
 
+    @property
+    def whole_within(self) -> float:
+        return math.inf
+
     def proofs(self, core: Machine, groups: int) -> RespProofs:
         return RespProofs(core, groups)
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -577,3 +577,28 @@
     assert "write" not in tried
     bench.do(Probed("p", True, 0.001, Report(bench.now, True, in_flight=0.0)))
     assert "write" in tried
+
+
+def answered(bench: Bench, member: str, count: int, gap: float) -> None:
+    """So many good answers of a member, so far apart."""
+    for _ in range(count):
+        bench.now += gap
+        bench.do(Outcome(0, 0, member, Status.OK, True, 0.01))
+
+
+@pytest.mark.parametrize(("count", "gap", "aside"), [(40, 0.02, False), (40, 1.0, True), (4, 0.02, True)])
+def test_one_failure_among_many_good_answers_sets_nobody_aside(count: int, gap: float, aside: bool) -> None:
+    """Answers are spoilt now and then, whoever gives them; a quiet router takes that for a sick member."""
+    bench = Bench()
+    answered(bench, "r1", count, gap)
+    bench.do(Outcome(0, 0, "r1", Status.ERROR, False, 0.01))
+    assert bench.balancer.healthy(bench.balancer.members["r1"]) is not aside
+
+
+def test_a_second_failure_soon_after_sets_it_aside() -> None:
+    bench = Bench()
+    answered(bench, "r1", 40, 0.02)
+    bench.do(Outcome(0, 0, "r1", Status.ERROR, False, 0.01))
+    answered(bench, "r1", 3, 0.02)
+    bench.do(Outcome(0, 0, "r1", Status.RESET, False, 0.01))
+    assert not bench.balancer.healthy(bench.balancer.members["r1"])
