--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -263,7 +263,7 @@
             member.alive, member.seen, member.refused = self.now, self.now, -math.inf
             member.base, member.lag = self.now, 0.0
         member.load = max(0.0, member.load - 1)
-        if status in (Status.ERROR, Status.RESET):  # one now and then, among many good ones, tells nothing
+        if status is Status.ERROR:  # one now and then, among many good ones, tells nothing
             member.failed, member.good = self.now if member.good < HONEST else member.failed, 0.0
         member.good += status is Status.OK
         if event.primary:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -600,5 +600,14 @@
     answered(bench, "r1", 40, 0.02)
     bench.do(Outcome(0, 0, "r1", Status.ERROR, False, 0.01))
     answered(bench, "r1", 3, 0.02)
+    bench.do(Outcome(0, 0, "r1", Status.ERROR, False, 0.01))
+    assert not bench.balancer.healthy(bench.balancer.members["r1"])
+
+
+def test_a_connection_that_breaks_accuses_nobody_and_a_refused_one_does() -> None:
+    """Kept connections are reset on the way; where the member is gone the next connect tells at once."""
+    bench = Bench()
     bench.do(Outcome(0, 0, "r1", Status.RESET, False, 0.01))
+    assert bench.balancer.healthy(bench.balancer.members["r1"])
+    bench.do(Outcome(0, 0, "r1", Status.CONNECT_FAILED, False, 0.01))
     assert not bench.balancer.healthy(bench.balancer.members["r1"])
