--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -46,6 +46,7 @@
 REST = 2.0  # seconds after which an idle client's connection is closed
 MARGIN = 0.005  # seconds of a request's time that are kept for the answer's way back
 IDLE_PART = 0.6  # of the time after which a node closes an idle link: it is closed here before that
+PROBE = 0.25  # seconds in which a probe is answered; the settings don't tell
 OTHERS = 16  # descriptors for the listener, discovery, logs, the event loop
 CLIENTS_PART = 0.5  # of the other descriptors; nodes have the rest
 
@@ -84,6 +85,15 @@
     return text
 
 
+def _seconds(table: dict[str, Any], name: str, default: float) -> float:
+    value = table.get(name)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < 86_400:
+        raise BadConfig(f"settings.allowed.{name}: seconds above 0 are needed, not {value!r}")
+    return float(value)
+
+
 def read(environment: dict[str, str]) -> Start:
     """Errors: `BadConfig`."""
     for variable in VARIABLES:
@@ -117,6 +127,7 @@
     except (WireError, KeyError, TypeError, ValueError) as error:
         text = f"lacks {error}" if isinstance(error, KeyError) else str(error)
         raise BadConfig(f"settings: {text}") from None
+    allowed = _object(settings.get("allowed") or {}, "settings.allowed")
     try:
         seed = int(str(config.get("seed", "0")), 16)
         known = catalogue.convert(config["known"]) if config.get("known") else None
@@ -126,7 +137,8 @@
         name=str(config.get("name") or environment["ROUTER_NAME"]),
         listen=_address(config.get("listen", environment["ROUTER_LISTEN"]), "listen"),
         discovery=_address(config.get("discovery", environment["ROUTER_DISCOVERY"]), "discovery"),
-        seed=seed, sockets=sockets, known=known, settings=parsed, idle=30.0, connect=0.25, probe=0.25)
+        seed=seed, sockets=sockets, known=known, settings=parsed, idle=_seconds(allowed, "conn_idle_s", 30.0),
+        connect=_seconds(allowed, "connect_timeout_s", 0.25), probe=PROBE)
 
 
 def build(start: Start) -> Machine:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -202,6 +202,7 @@
     (change("limits", "sockets", to="many"), "limits.sockets: a number from 64 is needed, not 'many'"),
     (change("known", "targets", to=[{"uid": 5}]), "the list of members"),
     (change("seed", to="xyz"), "seed"),
+    (change("settings", "allowed", "conn_idle_s", to=-1), "settings.allowed.conn_idle_s: seconds above 0 are needed"),
     (change("listen", to="192.0.2.1:6432"), "listen: 192.0.2.1:6432"),
 ])
 def test_a_bad_configuration_ends_it_with_one_line(platform: Platform, spoil: Callable[[dict[str, Any]], None],
