Thousands of tiny commands no longer end the router; links, probes, discovery mended

(1) Some thousand empty queries in one piece ended the process with a RecursionError: pg/front.py, _flush() and _read() called each other once for every sixteen; answers are now written within the loop. (2) Requests that found one resting link all waited for it, whole exchanges long, instead of opening their own (machine.py, _send()). (3) Noise behind a probe's answer closed its link and left the next probe unanswered for good. (5) A whole list asked for during a watch was lost. (6) A link that never came up did not give its place to others that wait.

--- a/banklift/discovery/client.py
+++ b/banklift/discovery/client.py
@@ -59,6 +59,8 @@
         self.due = math.inf
         self.watching = False
         self.fetching = False
+        self.whole = False  # the call that is out asks for the whole list
+        self.wanted = False  # a watch was asked for, ever
         self.calling = False  # a call is out, or waits for its connection
         self.open = False  # there is a connection, or one is on its way
         self.up = False
@@ -69,18 +71,19 @@
     def ask(self, now: float, watch: bool) -> None:
         """Watch from now on, or ask for the whole list once."""
         if watch:
-            self.watching = True
+            self.watching = self.wanted = True
         else:
             self.fetching = True
         if not self.calling:
             self._call(now)
 
     def move(self, now: float, address: str) -> None:
-        """The catalogue is elsewhere from now on; what was asked is asked there."""
+        """The catalogue is elsewhere from now on; what was asked is asked there, and a watch that failed as well."""
         if address == self.address:
             return
         self.address = address
         self._drop()
+        self.watching = self.wanted
         if self.watching or self.fetching:
             self._call(now)
 
@@ -137,6 +140,7 @@
     def _request(self) -> None:
         self.status = 0
         self.body = bytearray()
+        self.whole = self.fetching
         news = not self.fetching and self.version is not None
         query = f"?after={self.version}&wait_ms={int(WAIT * 1000)}" if news else ""
         request = h11.Request(method="GET", target=self.path + query,
@@ -152,12 +156,13 @@
             return self._fail(now, str(error))
         self.body = bytearray()
         self.version = catalogue.rev
-        self.calling, self.fetching, self.due = False, False, math.inf
+        self.fetching = self.fetching and not self.whole
+        self.calling, self.due = False, math.inf
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
         else:
             self._drop()
-        if self.watching:  # at once: the watch goes on only then
+        if self.watching or self.fetching:  # at once: the watch goes on only then
             self._call(now)
         self.actions.append(Tell(roster(catalogue)))
 
--- a/banklift/pg/front.py
+++ b/banklift/pg/front.py
@@ -153,6 +153,8 @@
     def _read(self, state: Client) -> None:
         try:
             while not state.closing:
+                if len(state.line) >= self.limits.pipeline:
+                    self._write(state)  # what is answered makes room at once
                 if len(state.line) >= self.limits.pipeline or state.full:
                     self._pause(state)
                     break
@@ -172,10 +174,10 @@
     def _fatal(self, state: Client, code: str, text: str) -> None:
         state.line.append(Place(frames.error(code, text, severity="FATAL")))
         state.closing = True
+        self._pause(state)  # whatever else it sends is not even looked at
 
-    def _flush(self, state: Client) -> None:
-        if state.id not in self.clients:
-            return
+    def _write(self, state: Client) -> None:
+        """Send the answers that are due."""
         line, out = state.line, []
         while line and (answer := line[0].answer) is not None:
             out.append(answer)
@@ -185,13 +187,22 @@
             state.since = self.core.now
         if line:
             self.idle.pop(state.id, None)
-        elif state.closing or (self.leaving and not len(state.reader)):
-            self._close(state)
-            return
         elif out:
             self.idle[state.id] = state
             self.idle.move_to_end(state.id)
-        if state.paused and not state.full and len(line) <= self.limits.pipeline // 2:
+
+    def _flush(self, state: Client) -> None:
+        """Send the answers that are due; then close it, or read on, if it is time."""
+        if state.id not in self.clients:
+            return
+        self._write(state)
+        if state.closing:
+            if not state.line:
+                self._close(state)
+            return
+        if self.leaving and not state.line and not len(state.reader):
+            self._close(state)
+        elif state.paused and not state.full and len(state.line) <= self.limits.pipeline // 2:
             state.paused = False
             self.core.actions.append(ev.ResumeClient(state.id))
             self._read(state)
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -321,7 +321,7 @@
         node.queued += 1
         soon = min(end, self.now + self.limits.connect)
         attempt.timers.append(self.at(soon, lambda: self._not_connected(request, number)))
-        if idle:  # in a moment
+        if idle and len(idle) >= len(node.waiting[flavour]):  # in a moment there is one for each that waits
             self.at(idle[-1].since + self.wire.rest, lambda: self._feed_rested(node, flavour))
         elif len(node.links) < self.limits.links:
             if self._room():
@@ -549,7 +549,10 @@
                 self._close(link)
                 return
         if link.attempt is None and link.id in self.links and not clean:  # noise where nothing was asked
-            self._close(link)
+            if link.flavour == PROBES and link.node.probes:  # it would take a probe's answer with it
+                self._link_lost(link, "noise behind an answer")
+            else:
+                self._close(link)
         attempt = link.attempt
         if attempt is None:
             return
@@ -589,6 +592,7 @@
                 self._end(waiting, Status.CONNECT_FAILED)
         # others that wait have a link of their own on the way, or wait for one that is busy
         self._feed(node)
+        self._feed_others()
 
     def _feed(self, node: Node) -> None:
         """Attempts may wait although no link is on its way: open one."""
@@ -601,9 +605,13 @@
             self._drop(link)
             self.actions.append(ev.CloseLink(link.id))
             self._feed(link.node)
-            if len(self.links) == self.limits.all_links - 1:  # others may have waited for a place
-                for node in list(self.nodes.values()):
-                    self._feed(node)
+            self._feed_others()
+
+    def _feed_others(self) -> None:
+        """A link has gone, for whose place others may have waited."""
+        if len(self.links) == self.limits.all_links - 1:
+            for node in list(self.nodes.values()):
+                self._feed(node)
 
     def _drop(self, link: Link) -> None:
         """It is no more."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -114,3 +114,22 @@
         convert({"rev": 1, "all": True, "targets": [entry, entry]})
     with pytest.raises(BadList, match="rev"):
         read(b'{"all": true, "targets": []}')
+
+
+def test_a_catalogue_that_moves_is_asked_though_the_old_one_has_failed() -> None:
+    """Whoever decides when to ask again may still be waiting; at the new place there is nothing to wait for."""
+    client = calling()
+    client.data(100.1, answer(b"", b"503 Service Unavailable"))
+    client.actions.clear()
+    client.move(100.2, "10.2.0.2:8500")
+    assert client.actions == [Connect("10.2.0.2:8500")]
+
+
+def test_the_whole_list_is_asked_for_after_the_call_that_is_out() -> None:
+    client = calling()
+    client.ask(100.1, False)
+    client.actions.clear()
+    client.data(100.2, answer(GOOD))
+    assert sent(client).startswith(b"GET /catalog/members HTTP/1.1\r\n")
+    client.data(100.3, answer(GOOD))
+    assert b"after=43" in sent(client)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,7 @@
 from banklift.interface import State
 from banklift.pg import frames
 from banklift.pg.statement import BadStatement, parse
+from banklift.proxy import events as ev
 from tests.platform_site import Caller, Site, code, value
 
 # ---- clients
@@ -553,3 +554,38 @@
             assert value(usual.ask(site.write()))
     site.run(3.0)
     assert not site.front.clients and not any(b"SELECT" in seen for node in site.nodes.values() for seen in node.seen)
+
+
+def test_thousands_of_tiny_commands_in_one_piece_are_answered_one_by_one() -> None:
+    """Each of them is answered at once, so the line is empty again before more is read: no depth may come of that."""
+    site = Site()
+    caller = Caller(site)
+    caller.say(frames.query(b"") * 20_000, 0.1)
+    assert [kind for kind, _ in caller.told()] == ["I", "Z"] * 20_000
+    assert value(caller.ask(site.write()))
+
+
+def test_requests_open_links_of_their_own_rather_than_wait_for_the_one_that_rests() -> None:
+    site = Site(delay=0.1)
+    callers = [Caller(site) for _ in range(4)]
+    assert value(callers[0].ask(site.write("a"), 0.2))
+    callers[0].say(frames.query(site.write("b").encode()), 0.1009)  # its link has just begun to rest
+    for caller in callers:
+        caller.handle.send(frames.query(site.write("c").encode()))
+    site.run(0.13)
+    assert len(site.nodes["p"].seen) == 6
+    site.run(0.2)
+    site.balanced()
+
+
+def test_a_probe_that_waits_behind_a_spoilt_one_ends_too() -> None:
+    site = Site()
+    node = site.machine.nodes["r1"]
+    site.machine.probe(node)
+    assert node.prober is not None
+    for event in (ev.LinkUp(node.prober.id), ev.LinkData(node.prober.id, frames.AUTHENTICATED + frames.READY)):
+        site.machine.handle(site.world.now(), event)
+    site.machine.probe(node)
+    usage = site.nodes["r1"].usage() + frames.READY
+    site.machine.handle(site.world.now(), ev.LinkData(node.prober.id, usage + b"\0noise"))
+    assert not node.probes and node.prober is None
