--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -1,5 +1,4 @@
-"""Every decision of banklift: one Balancer for each router. Settings, events and actions: interface.py.
-The design: docs/design.md. Below: tuned values, the record, facts, the rule, the guards."""
+"""Every decision of banklift, one Balancer for each router: interface.py. Its design: docs/design.md."""
 
 from __future__ import annotations
 
@@ -38,6 +37,7 @@
 COLD_PART = 0.4  # of what the falling rule allows a cold member; the rest is for uneven load and retries
 SESSIONS = 10_000  # sessions remembered; those dropped count as having written at the last one dropped
 FEW = 8  # routers up to which each may ask a member before it sends: more of them would ask it all the time
+STRAINS = (Status.FULL, Status.TIMEOUT, Status.CANCELLED, Status.CONNECT_FAILED)  # which tell of no room
 SELDOM = 4.0  # ... lapses between looks of one of them
 WATCH_RETRY = 0.05  # of ask_within: first wait after a failed call to the list, doubled each time
 
@@ -114,8 +114,7 @@
         self.timers: dict[int, Callable[[], None]] = {}
         self.crowd = settings.balancers > FEW
         self.primaries = 1.0  # part of requests that only a primary takes
-        self.tokens = self.watch_failures = 0
-        self.now = 0.0
+        self.now, self.tokens, self.watch_failures = 0.0, 0, 0
         self.pace_load, self.pace_time = FIRST_PACE, FIRST_LATENCY * self.shortest
         self.actions: list[io.Action] = []
         self.handlers: dict[type, Callable[..., None]] = {
@@ -181,7 +180,8 @@
         member.state = state
         if state is State.GONE:  # kept only while attempts are out there
             member.group.members = [other for other in member.group.members if other is not member]
-            self.bury(member)
+            if not member.flying:
+                self.members.pop(member.name, None)
         elif member not in member.group.members:
             member.group.members.append(member)
 
@@ -209,10 +209,6 @@
         elif report.primary is False and at is not None:
             self.demote(member, at)
 
-    def bury(self, member: Member) -> None:
-        if member.state is State.GONE and not member.flying:
-            self.members.pop(member.name, None)
-
     def crown(self, member: Member, at: float) -> None:
         group = member.group
         if at < max(group.crowned, member.role_at) or member.state is not State.READY:
@@ -255,7 +251,8 @@
                 self.forget(pending)
             elif not pending.flying:
                 self.route(pending)
-        self.bury(member)
+        if member.state is State.GONE and not member.flying:
+            self.members.pop(member.name, None)
         self.release(member.group, TURN, member)
 
     def learn(self, member: Member, event: io.Outcome, pending: Pending | None) -> float:
@@ -273,11 +270,10 @@
             member.alive, member.seen, member.refused = self.now, self.now, -math.inf
             member.base, member.lag = self.now, 0.0
         member.load = max(0.0, member.load - 1)
-        if pending is not None:
-            if status in (Status.FULL, Status.TIMEOUT) or event.latency > pending.kind.aim:
-                member.strained = self.now
-            elif status is Status.OK and event.latency < TARGET * pending.kind.aim:
-                member.strained = -math.inf
+        if pending is not None and (status in STRAINS or event.latency > pending.kind.aim):
+            member.strained = self.now
+        elif pending is not None and status is Status.OK and event.latency < TARGET * pending.kind.aim:
+            member.strained = -math.inf
         if status is Status.ERROR:  # one now and then, among many good ones, tells nothing
             member.failed, member.good = self.now if member.good < HONEST else member.failed, 0.0
         member.good += status is Status.OK
@@ -318,16 +314,18 @@
             floor = self.now + 0.001 - ask.since_write
         aim = self.now + kind.aim + kind.aim_stretch * (ask.cost or 0.0)
         end = ask.deadline if kind.late_worth > 0 else min(aim, ask.deadline)
-        last_call = end - min(LAST_CALL * self.usual[kind.name], 0.6 * (end - self.now))
-        order = self.random.sample(group.members, len(group.members))
-        if kind.need is Need.ANY and self.usual[kind.name] > LONG * min(self.usual.values()):
-            order.sort(key=lambda member: member.name)
-        hold_end = min(last_call, self.now + HOLD * (ask.deadline - self.now))
-        luck = self.random.random()
-        pending = self.requests[ask.id] = Pending(ask, kind, group, floor, last_call, hold_end, luck, order)
+        last = end - min(LAST_CALL * self.usual[kind.name], 0.6 * (end - self.now))
+        draw = self.random.sample(group.members, len(group.members))
+        if self.long(kind):
+            draw.sort(key=lambda member: member.name)
+        held = min(last, self.now + HOLD * (ask.deadline - self.now))
+        new = self.requests[ask.id] = Pending(ask, kind, group, floor, last, held, self.random.random(), draw)
         if group.primary is None:
             self.probe_all(group, math.inf)  # those never probed
-        self.route(pending)
+        self.route(new)
+
+    def long(self, kind: io.RequestClass) -> bool:
+        return kind.need is Need.ANY and self.usual[kind.name] > LONG * min(self.usual.values())
 
     def route(self, pending: Pending) -> None:
         """Send it, hold it, or give it its final answer."""
@@ -346,39 +344,41 @@
     def choose(self, pending: Pending) -> Member | None:
         group, primary = pending.group, pending.group.primary
         if pending.kind.need in (Need.WRITE, Need.FRESH):
-            again = self.crowd or primary not in pending.tried[-1:]
-            if primary is not None and again and self.usable(pending, primary):
-                return None if self.look(primary) or not self.room(pending, primary) else primary
-            named = primary is not None and not (self.crowd and self.sick(primary))  # a sick one may be none
-            if named or pending.kind.need is Need.FRESH:
+            lost = primary is None or (self.crowd and (self.sick(primary) or primary.refused > -math.inf))
+            to = primary if self.crowd or primary not in pending.tried[-1:] else None
+            if to is not None and self.usable(pending, to) and not self.look(to) and self.room(pending, to):
+                return to
+            if not lost or pending.kind.need is Need.FRESH:
                 return None
-            if not self.crowd:  # one round of tries
-                unasked = [m for m in group.members if m.role_at <= group.lost and m not in pending.tried]
-            else:  # again and again, as nobody probes; the last try is kept for one that is known
-                since = max(group.lost, self.now - SELDOM * LOOK * self.shortest)
-                left = pending.order if len(pending.tried) < self.settings.max_attempts - 1 else []
-                unasked = [m for m in left if m.role_at <= since and m not in (primary, *pending.tried[-2:])]
+            # one round of tries; in a crowd, where nobody probes, again and again but for the last
+            since = max(group.lost, self.now - SELDOM * LOOK * self.shortest) if self.crowd else group.lost
+            past = (primary, *pending.tried[-2:]) if self.crowd else pending.tried
+            spent = self.crowd and len(pending.tried) >= self.settings.max_attempts - 1
+            unasked = (m for m in pending.order if m.role_at <= since and m not in past and not spent)
             return next((m for m in unasked if self.usable(pending, m)), None)
         floor = self.floor(pending, self.now)
         fresh = [m for m in pending.order if m not in (primary, *pending.tried) and self.open(pending, m)]
-        if self.crowd:  # what needs proof goes past the one with the long reads, as these may block its log
-            packed = min((m.name for m in fresh), default="") if floor > -math.inf else ""
-            fresh.sort(key=lambda member: (member.strained > -math.inf, member.name == packed))
-        # asked in vain once: the primary rather than one probe more, if it has room for more than writes
+        if self.crowd:  # long reads may block a log, so they stay with one, and what needs proof goes past it
+            packed, proof = min((m.name for m in fresh), default=""), floor > -math.inf
+            fresh = [m for m in fresh if m.name == packed or not self.long(pending.kind)]
+            fresh.sort(key=lambda m: (m.strained > 0, not self.recent(m, floor), proof and m.name == packed))
+        # proof asked for once in vain: the primary rather than one probe more, if it has room
         free = self.crowd and primary is not None and self.warm(primary) >= 1 and primary.strained < 0
         pair: list[Member] = []
         for member in fresh:  # the first two that are healthy and known recent enough
             if pair and (len(pair) == 2 or self.crowd or self.expected(pair[0]) < CROWDED * pending.kind.aim):
                 break  # where the first is idle no other is asked
-            if self.healthy(member) and self.look(member, floor):
+            well = self.healthy(member)
+            asked = well and self.look(member, floor)
+            if asked and not (self.crowd and member.strained > member.reported):
                 return None
-            if self.healthy(member) and self.recent(member, floor) and self.room(pending, member):
+            if well and not asked and self.recent(member, floor) and self.room(pending, member):
                 pair.append(member)
             elif free and not self.recent(member, floor):
                 break
         if pair:
             return min(pair, key=self.load)
-        able = [member for member in fresh if self.recent(member, floor)]
+        able = [m for m in fresh if self.recent(m, floor) and not (self.crowd and m.strained > m.reported)]
         spare = primary if primary not in pending.tried else None  # what only it can serve comes first
         free = not self.crowd and spare is not None and self.expected(spare) < CROWDED * pending.kind.aim
         if spare is not None and (free or not able) and self.usable(pending, spare):
@@ -392,14 +392,14 @@
         return self.crowd and self.now - member.reported > FORGIVEN * self.shortest
 
     def look(self, member: Member, floor: float = -math.inf) -> bool:
-        """Whether to wait for a report: who sees little asks before, not after, and one far behind later."""
+        """Whether to wait for a report: who sees little asks before, not after."""
         catch_up = min(FORGIVEN * self.shortest, CATCH_UP * max(0.0, floor - member.position))
         lapse = (SELDOM if self.crowd else 1.0) * LOOK * self.shortest + catch_up
         seen, strained = (member.reported, member.strained) if self.crowd else (member.seen, -math.inf)
         told = member.reported >= max(member.probed, strained) and self.now - member.probed < lapse
-        # a crowd asks only for proof, and for room where there was none
-        calm = (self.crowd and strained == -math.inf) or (seen > strained and self.now - seen < lapse)
-        if told or (calm and self.recent(member, floor)) or not self.settings.may_probe:
+        calm = self.crowd and strained == -math.inf and member is not member.group.primary
+        known = self.recent(member, floor) and (calm or (seen > strained and self.now - seen < lapse))
+        if known or told or not self.settings.may_probe:
             return False
         self.probe(member, lapse)
         return member.reported < strained or self.now - member.probed < STEP * self.shortest
--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -152,7 +152,7 @@
 def build(start: Start) -> Machine:
     clients = max(8, int((start.sockets - OTHERS) * CLIENTS_PART))
     links = max(8, start.sockets - OTHERS - clients)
-    limits = Limits(clients=clients, pipeline=16, links=links, all_links=links, waiting=256, queue=4096,
+    limits = Limits(clients=clients, pipeline=16, links=links, all_links=links, waiting=1024, queue=4096,
                     connect=start.connect, probe=start.probe, margin=MARGIN, idle=IDLE_PART * start.idle)
     return Machine(start.settings, limits, 0, start.seed, PgWire(),
                    lambda core: PgFront(core, start.settings, limits, REST))
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -134,6 +134,8 @@
         self.nodes: dict[str, Node] = {}
         self.aliases: dict[str, Node] = {}
         self.links: dict[int, Link] = {}
+        self.idle: OrderedDict[int, Link] = OrderedDict()  # links that rest, the longest idle first
+        self.hungry: dict[Node, None] = {}  # members with attempts that wait for a link
         self.open: dict[int, Open] = {}
         self.flying: dict[tuple[int, int], Attempt] = {}
         self.now = 0.0
@@ -355,7 +357,7 @@
             self._write(link, attempt)
             return
         node.waiting.setdefault(flavour, OrderedDict())[attempt] = None
-        node.queued += 1
+        self._wait(node, 1)
         soon = min(end, self.now + self.limits.connect)
         attempt.timers.append(self.at(soon, lambda: self._not_connected(request, number)))
         if idle and len(idle) >= len(node.waiting[flavour]):  # in a moment there is one for each that waits
@@ -370,21 +372,27 @@
         """Whether one more link may be opened, of all; one that rests elsewhere makes room."""
         if len(self.links) < self.limits.all_links:
             return True
-        for node in self.nodes.values():
-            for links in node.idle.values():
-                if links:
-                    self._close(links[0])
-                    return len(self.links) < self.limits.all_links
-        return False
+        if not self.idle:
+            return False
+        self._close(next(iter(self.idle.values())))
+        return len(self.links) < self.limits.all_links
 
     def _next_waiting(self, node: Node, flavour: int) -> Attempt | None:
         """Take the first attempt that waits for a link of this flavour out of the queue."""
         queue = node.waiting.get(flavour)
         if not queue:
             return None
-        node.queued -= 1
+        self._wait(node, -1)
         return queue.popitem(last=False)[0]
 
+    def _wait(self, node: Node, more: int) -> None:
+        """So many attempts more wait for a link to it."""
+        node.queued += more
+        if node.queued:
+            self.hungry[node] = None
+        else:
+            self.hungry.pop(node, None)
+
     def _write(self, link: Link, attempt: Attempt) -> None:
         fresh, link.fresh = link.fresh, False
         link.attempt, attempt.link, attempt.asked = attempt, link, self.now
@@ -420,7 +428,7 @@
             queue = node.waiting.get(open_.ask.exchange.flavour)
             if queue is not None and attempt in queue:
                 del queue[attempt]
-                node.queued -= 1
+                self._wait(node, -1)
         else:
             link.attempt = None
             if status in (Status.TIMEOUT, Status.CANCELLED) and link.id in self.links:
@@ -546,6 +554,7 @@
             return
         link.since = self.now
         node.idle.setdefault(link.flavour, []).append(link)
+        self.idle[link.id] = link
         if resting and node.queued:
             self.at(self.now + self.wire.rest, lambda: self._feed_rested(node, link.flavour))
 
@@ -553,7 +562,9 @@
         """Take the idle link that was used last, of those that have rested."""
         for place in range(len(idle) - 1, -1, -1):
             if idle[place].fresh or idle[place].since + self.wire.rest <= self.now:
-                return idle.pop(place)
+                link = idle.pop(place)
+                del self.idle[link.id]
+                return link
         return None
 
     def _feed_rested(self, node: Node, flavour: int) -> None:
@@ -654,7 +665,7 @@
     def _feed_others(self) -> None:
         """A link has gone, for whose place others may have waited."""
         if len(self.links) == self.limits.all_links - 1:
-            for node in list(self.nodes.values()):
+            for node in list(self.hungry):
                 self._feed(node)
 
     def _drop(self, link: Link) -> None:
@@ -668,8 +679,8 @@
         node.links.pop(link.id, None)
         if not link.up or link.greeting:
             node.opening -= 1
-        if link in (idle := node.idle.get(link.flavour, [])):
-            idle.remove(link)
+        if self.idle.pop(link.id, None) is not None:
+            node.idle[link.flavour].remove(link)
 
     def _sweep(self) -> None:
         """Close links that were not used for long."""
--- /dev/null
+++ b/tests/test_many_members.py
@@ -0,0 +1,95 @@
+"""A fleet of 1,100 members in 60 groups, through the configuration, discovery and traffic."""
+
+from __future__ import annotations
+
+import json
+from typing import cast
+
+from banklift.adapter import parse_settings
+from banklift.discovery import catalogue as lists
+from banklift.emulator.platform import Catalogue, PgNode
+from banklift.emulator.world import World
+from banklift.net.service import Service, Start, parse
+from banklift.net.sockets import SocketEnv
+from tests.platform_site import SETTINGS, Caller, Site, value
+
+MEMBERS, GROUPS, SOCKETS = 1100, 60, 512
+
+
+class Fleet(Site):
+    """One router before all of them; `known` tells whether they stand in its configuration."""
+
+    def __init__(self, known: bool) -> None:
+        self.world = World(1)
+        self.ids = 0
+        self.notes = []
+        self.catalogue = Catalogue(self.world, "10.9.0.1:8500").start()
+        self.nodes = {}
+        for place in range(MEMBERS):
+            name, primary = f"s-{place:08x}", place < GROUPS
+            node = PgNode(self.world, f"10.0.{place // 250}.{place % 250 + 1}:6432", primary).start()
+            self.nodes[name] = node
+            self.catalogue.list(name, node.address, place % GROUPS, writes=primary)
+        whole = self.catalogue.whole()
+        environment = {"ROUTER_NAME": "n0", "ROUTER_LISTEN": "10.1.0.1:6432", "ROUTER_DISCOVERY": "10.9.0.1:8500"}
+        config = {"settings": {**SETTINGS, "balancers": 230}, "limits": {"sockets": SOCKETS}, "seed": "5",
+                  "known": json.loads(json.dumps(whole)) if known else None}
+        self.start: Start = parse({key: found for key, found in config.items() if found is not None}, environment)
+        assert self.start.settings == parse_settings({**SETTINGS, "balancers": 230})
+        self.service = Service(cast(SocketEnv, self.world), self.start, {}, self.note)
+        self.machine, self.host = self.service.machine, self.service.host
+        self.core, self.discovery = self.service.core, self.service.discovery
+        self.run(0.05)
+
+
+def serves(fleet: Fleet) -> None:
+    """Every group takes a write, and reads go to hundreds of members."""
+    caller = Caller(fleet)
+    for group in range(GROUPS):
+        assert value(caller.ask(fleet.write(f"k{group}", cluster=group), 0.1))
+    for turn in range(10):
+        for group in range(GROUPS):
+            assert value(caller.ask(fleet.read("any", f"k{group}-{turn}", cluster=group), 0.1))
+    assert sum(bool(node.seen) for node in fleet.nodes.values()) > 400
+    assert len(fleet.machine.links) <= fleet.machine.limits.all_links < 300
+
+
+def test_all_of_them_stand_in_the_configuration() -> None:
+    fleet = Fleet(known=True)
+    assert len(fleet.machine.nodes) == len(fleet.machine.balancer.members) == MEMBERS
+    serves(fleet)
+
+
+def test_all_of_them_come_by_discovery_and_change_at_once() -> None:
+    fleet = Fleet(known=False)
+    assert len(fleet.machine.nodes) == MEMBERS
+    for name, node in list(fleet.nodes.items())[GROUPS:]:
+        fleet.catalogue.list(name, node.address, int(name[2:], 16) % GROUPS, state="DRAINING")
+    fleet.run(1.0)
+    draining = [node for node in fleet.machine.nodes.values() if node.state.name == "DRAINING"]
+    assert len(draining) == MEMBERS - GROUPS
+    for name, node in list(fleet.nodes.items())[GROUPS:]:
+        fleet.catalogue.list(name, node.address, int(name[2:], 16) % GROUPS)
+    fleet.run(1.0)
+    serves(fleet)
+    assert lists.read(json.dumps(fleet.catalogue.whole()).encode()).targets[-1].uid == f"s-{MEMBERS - 1:08x}"
+
+
+def test_the_link_that_has_rested_longest_makes_room() -> None:
+    fleet = Fleet(known=True)
+    caller = Caller(fleet)
+    most = fleet.machine.limits.all_links
+    for turn in range(12):
+        for group in range(GROUPS):
+            assert value(caller.ask(fleet.read("any", f"k{turn}", cluster=group)))
+    assert len(fleet.machine.links) == most
+    used = [link.since for link in fleet.machine.idle.values()]
+    assert used == sorted(used)
+    kept = {link.node.name for link in fleet.machine.links.values()}
+    first = next(iter(fleet.machine.idle.values())).node.name
+    fresh = next(name for name in fleet.nodes if name not in kept)
+    fleet.machine.at(fleet.world.now(), lambda: fleet.machine.probe(fleet.machine.nodes[fresh]))
+    fleet.host.alarm.look()
+    fleet.run(0.05)
+    now = {link.node.name for link in fleet.machine.links.values()}
+    assert fresh in now and first not in now and len(fleet.machine.links) == most
