--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -39,7 +39,7 @@
 from banklift.interface import ListKind, Settings
 from banklift.net.env import Env, Handle, Peer
 from banklift.net.router import Log, RouterHost
-from banklift.net.sockets import SocketEnv
+from banklift.net.sockets import ENDING, SocketEnv
 from banklift.pg.front import PgFront
 from banklift.pg.wire import PgWire
 from banklift.proxy import events as ev
@@ -55,7 +55,7 @@
 MARGIN = 0.005  # seconds of a request's time that are kept for the answer's way back
 IDLE_PART = 0.6  # of the time after which a node closes an idle link: it is closed here before that
 PROBE = 0.25  # seconds in which a probe is answered; the settings don't tell
-OTHERS = 16  # descriptors for the listener, discovery, logs, the event loop
+OTHERS = 16 + ENDING  # descriptors for the listener, discovery, logs, the event loop, connections that end
 CLIENTS_PART = 0.5  # of the other descriptors; nodes have the rest
 
 
--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -46,7 +46,7 @@
 END = 0.5  # seconds in which the other end of a finished connection may end its side; from when all was sent
 SLOW_END = 3.0  # ... and in which it may read what is unsent: longer than anybody waits for the rest of an answer
 AWAY = 256 * 1024  # bytes that are read away of one that is finished
-ENDING = 64  # finished connections that are waited for; they hold descriptors, so beyond that the first one goes
+ENDING = 32  # finished connections that are waited for; they hold descriptors, so beyond that the first one goes
 TICK = 0.001  # seconds that timers may be late, so that many ring together
 BIND_ADDRESS_NO_PORT = 24  # of IP: the port is chosen at connect, so many connections share a source
 IN, OUT, GONE = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
@@ -234,6 +234,31 @@
                 self._shut()
 
 
+class NoHandle:
+    """A connection for which there was no descriptor: its peer hears that it could not be opened."""
+
+    source = ""
+
+    def __init__(self, env: SocketEnv, peer: Peer, reason: str) -> None:
+        self.closed = False
+        env.at(0.0, lambda: None if self.closed else peer.lost(reason))
+
+    def send(self, data: bytes) -> None:
+        return
+
+    def finish(self, away: bool = False) -> None:
+        self.closed = True
+
+    def close(self) -> None:
+        self.closed = True
+
+    def pause(self) -> None:
+        return
+
+    def resume(self) -> None:
+        return
+
+
 class SocketListener:
     def __init__(self, env: SocketEnv, sock: socket.socket, accept: Callable[[], Peer]) -> None:
         self._env, self._sock, self._accept = env, sock, accept
@@ -427,9 +452,12 @@
             raise
         return SocketListener(self, sock, accept)
 
-    def connect(self, address: str, peer: Peer, source: str | None = None) -> SocketHandle:
+    def connect(self, address: str, peer: Peer, source: str | None = None) -> SocketHandle | NoHandle:
         host, _, port = address.rpartition(":")
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            return NoHandle(self, peer, str(error))
         sock.setblocking(False)
         handle = SocketHandle(self, peer, sock, True)
         self.handles.add(handle)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import itertools
 import os
 import signal
@@ -13,8 +14,9 @@
 from banklift.emulator.world import World
 from banklift.net.service import KILL, LONGEST, Signals
 from banklift.pg import frames
-from tests.platform_site import SETTINGS, Caller, Site, code
+from tests.platform_site import SETTINGS, Caller, Site, code, value
 
+COST = 0.002  # seconds
 DEADLINE = 2.0  # the longest of the site's classes
 
 
@@ -90,6 +92,50 @@
     assert 0 < world.ended <= came + KILL + DEADLINE
 
 
+class Slow(Leaving):
+    """Every event takes `COST` of processor time: about ten times what it takes a router on a whole core."""
+
+    def run(self, until: float) -> None:
+        while self.queue and self.queue[0][0] <= until:
+            when, _, callback = heapq.heappop(self.queue)
+            self.clock = max(self.clock, when)
+            callback()
+            self.clock += COST
+        self.clock = max(self.clock, until)
+
+
+@pytest.mark.parametrize("discovery", [True, False])
+def test_all_is_answered_before_the_kill_on_a_clock_ten_times_too_fast(discovery: bool) -> None:
+    site = Site(world=Slow(1), sockets=512)
+    world = cast(Leaving, site.world)
+    if not discovery:
+        assert site.catalogue.listener is not None
+        site.catalogue.listener.close()
+        site.catalogue.failing = True
+    resting = [Caller(site) for _ in range(8)]
+    for caller in resting:
+        assert value(caller.ask(site.read("any", "k"), 0.1))
+    waiting = [Caller(site) for _ in range(16)]
+    for node in site.nodes.values():
+        node.answers.extend([lambda node, statement: None] * 24)
+    for place, caller in enumerate(waiting):  # writes, of which some wait for a link, and reads that are moved about
+        caller.handle.send(frames.query((site.write() if place % 2 else site.read("view", "k")).encode()))
+    site.run(0.1)
+    came = world.now()
+    site.service.signalled(signal.SIGTERM, came)
+    site.run(0.65)
+    late = Caller(site, start=False)
+    late.say(frames.startup("backend", "store") + frames.query(site.write().encode()), 0.0)
+    half = Caller(site, start=False)
+    half.say(frames.startup("backend", "store") + frames.query(site.write().encode())[:40], 0.0)
+    site.run(came + KILL + DEADLINE - world.now())
+    assert not site.machine.open and 0 < world.ended <= came + KILL + DEADLINE
+    for caller in waiting:
+        assert [kind for kind, _ in caller.told()] == ["E", "Z"] and caller.ended  # silent nodes
+    assert [kind for kind, _ in late.told()][-2:] in (["C", "Z"], ["E", "Z"])
+    assert half.ended and late.ended and all(caller.ended for caller in resting)
+
+
 REPORTS: dict[str, Any] = {
     **SETTINGS, "services": [*SETTINGS["services"], {
         "name": "report", "semantics": "retryable", "aim_s": 4.0, "deadline_s": 8.0, "points": 6, "late_worth": 0}],
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Callable
 
@@ -10,7 +11,7 @@
 import pytest
 
 from banklift.net.env import Handle, Peer
-from banklift.net.sockets import AWAY, SocketEnv
+from banklift.net.sockets import AWAY, ENDING, SocketEnv
 
 ANSWER = b"answered"
 
@@ -102,3 +103,82 @@
     assert caller.recv(100) == ANSWER
     assert caller.recv(100) == b""  # and an end in order, no reset
     caller.close()
+
+
+class Told(Peer):
+    """Notes why it was lost."""
+
+    reason = ""
+
+    def up(self, handle: Handle) -> None:
+        raise AssertionError("there is no connection")
+
+    def data(self, data: bytes) -> None:
+        raise AssertionError("there is no connection")
+
+    def eof(self) -> None:
+        raise AssertionError("there is no connection")
+
+    def lost(self, reason: str) -> None:
+        self.reason = reason
+
+
+async def connect_without_descriptors(monkeypatch: pytest.MonkeyPatch, close: bool) -> str:
+    async with anyio.create_task_group() as tasks:
+        env, peer = SocketEnv(tasks, alone=True), Told()
+
+        def none(*arguments: object) -> socket.socket:
+            raise OSError(errno.EMFILE, "no descriptors left")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(socket, "socket", none)
+            handle = env.connect("127.0.0.1:9", peer)
+        handle.send(b"never sent")
+        if close:
+            handle.close()
+        env.at(env.now() + 0.005, env.stop)
+    return peer.reason
+
+
+def test_without_a_descriptor_a_connection_fails_and_nothing_else(monkeypatch: pytest.MonkeyPatch) -> None:
+    with anyio.from_thread.start_blocking_portal() as portal:
+        assert "no descriptors left" in portal.call(connect_without_descriptors, monkeypatch, False)
+        assert portal.call(connect_without_descriptors, monkeypatch, True) == ""  # who closed it hears nothing
+
+
+def test_connections_that_end_hold_few_descriptors() -> None:
+    """Clients that never close, one after another: the first go when more than `ENDING` are waited for."""
+    callers: list[socket.socket] = []
+    most = 0
+
+    async def crowd() -> None:
+        nonlocal most
+        async with anyio.create_task_group() as tasks:
+            env, count = SocketEnv(tasks, alone=True), 0
+
+            def one() -> None:
+                nonlocal count
+                count += 1
+
+            listener = env.listen("127.0.0.1:0", lambda: Answering(one))
+            host, _, port = listener.address.partition(":")
+            for _ in range(3 * ENDING):
+                caller = socket.create_connection((host, int(port)), timeout=10)
+                caller.sendall(b"question")
+                callers.append(caller)
+
+            def look() -> None:
+                nonlocal most
+                most = max(most, len(env.ending))
+                if count == 3 * ENDING:
+                    env.stop()
+                else:
+                    env.at(env.now() + 0.001, look)
+
+            look()
+
+    with anyio.from_thread.start_blocking_portal() as portal:
+        portal.call(crowd)
+    assert 0 < most <= ENDING
+    for caller in callers:
+        caller.close()
