--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -344,18 +344,22 @@
     def choose(self, pending: Pending) -> Member | None:
         group, primary = pending.group, pending.group.primary
         if pending.kind.need in (Need.WRITE, Need.FRESH):
-            lost = primary is None or (self.crowd and (self.sick(primary) or primary.refused > -math.inf))
             to = primary if self.crowd or primary not in pending.tried[-1:] else None
             if to is not None and self.usable(pending, to) and not self.look(to) and self.room(pending, to):
                 return to
-            if not lost or pending.kind.need is Need.FRESH:
+            if primary is not None or pending.kind.need is Need.FRESH:
                 return None
             # one round of tries; in a crowd, where nobody probes, again and again but for the last
             since = max(group.lost, self.now - SELDOM * LOOK * self.shortest) if self.crowd else group.lost
-            past = (primary, *pending.tried[-2:]) if self.crowd else pending.tried
+            past = pending.tried[-2:] if self.crowd else pending.tried
             spent = self.crowd and len(pending.tried) >= self.settings.max_attempts - 1
-            unasked = (m for m in pending.order if m.role_at <= since and m not in past and not spent)
-            return next((m for m in unasked if self.usable(pending, m)), None)
+            for member in () if spent else pending.order:
+                if member.role_at <= since and member not in past:
+                    if self.crowd and self.settings.may_probe and self.warm(member) < 1:
+                        self.probe(member, SELDOM * LOOK * self.shortest)  # its word costs it less than a try
+                    elif self.usable(pending, member):
+                        return member
+            return None
         floor = self.floor(pending, self.now)
         fresh = [m for m in pending.order if m not in (primary, *pending.tried) and self.open(pending, m)]
         if self.crowd:  # long reads may block a log, so they stay with one, and what needs proof goes past it
@@ -386,10 +390,7 @@
         return next((m for m in able if self.room(pending, m)), None)  # if all look bad, as if none did
 
     def load(self, member: Member) -> float:
-        return len(member.flying) if self.unknown(member) else max(len(member.flying), member.load)
-
-    def unknown(self, member: Member) -> bool:  # what others have out there, most of its load in a crowd
-        return self.crowd and self.now - member.reported > FORGIVEN * self.shortest
+        return max(len(member.flying), member.load)
 
     def look(self, member: Member, floor: float = -math.inf) -> bool:
         """Whether to wait for a report: who sees little asks before, not after."""
@@ -415,8 +416,7 @@
         usual, number = self.usual[pending.kind.name], len(pending.tried)
         pending.flying[number] = member
         member.load = max(member.load, len(member.flying)) + 1
-        load = 0.0 if self.unknown(member) else member.load
-        member.flying[pending.ask.id, number] = self.now, usual, load
+        member.flying[pending.ask.id, number] = self.now, usual, member.load
         member.work, member.haste = member.work + usual, member.haste + 1 / usual
         member.base = self.now if member.base == -math.inf else member.base
         member.lag += (self.now - member.base) / usual
@@ -506,7 +506,7 @@
         warmed up to. The draw stays with the request: all routers together keep to it, no wait draws anew."""
         warm = self.warm(member)
         part = COLD_PART * self.settings.fall_multiple * warm
-        if self.crowd and pending.kind.need in (Need.WRITE, Need.FRESH):  # all that a cold primary gets there
+        if self.crowd and pending.kind.need in (Need.WRITE, Need.FRESH):
             part /= min(1.0, max(0.5, self.primaries * len(member.group.members)))
         return (warm >= 1 or pending.luck < part) and member.state is State.READY
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -58,6 +58,7 @@
         self.sent: dict[str, deque[float]] = {}
         self.crush = 0.0  # the most that a cold member was sent, in parts of what the rule allows
         self.asked, self.served, self.probes, self.probed_at = Counter[str](), Counter[str](), 0, Counter[str]()
+        self.sent_writes = Counter[str]()
         self.kinds: dict[tuple[int, int], str] = {}
         for router in range(routers):
             self.tell(router, Listing(ListKind.CACHED, tuple(Entry(name, 1, primary=name == "p")
@@ -119,6 +120,7 @@
         kind = self.kinds[router, request]
         sent = self.sent.setdefault(member, deque())
         sent.append(self.now)
+        self.sent_writes[member] += kind == "write"
         while sent[0] < self.now - SETTINGS.fall_time:
             sent.popleft()
         if self.part(member) < 1:
@@ -262,3 +264,45 @@
     bench.ask("write", 0.6)
     actions = bench.do(Probed("p", True, 0.005, Report(bench.now - 0.5, True, 2.0)))  # now it stands still
     assert not of(Send, actions + bench.run(0.05))
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_writes_that_look_for_a_primary_push_no_cold_replica_over(seed: int) -> None:
+    """They are turned away there, but what is sent counts; each write asks every member, in all routers at once."""
+    fleet = Fleet(seed)
+    fleet.offer(12.0, 2.0)
+    fleet.run(3.0)
+    fleet.members["r3"], started = fleet.now, fleet.now  # it was started anew, and is no primary
+    fleet.primary = "nobody"
+    fleet.sent["r3"].clear()
+    fleet.sent_writes.clear()
+    for router in range(ROUTERS):
+        fleet.tell(router, Listing(ListKind.CHANGES, (Entry("p", 1, State.GONE), Entry("r3", 1, started=started))))
+    fleet.run(5.0)
+    assert fleet.crush < 0.5  # 0.9 to 1.0 where it is tried like the others
+    assert fleet.sent_writes["r1"] > 100 and not fleet.sent_writes["r3"]
+    assert fleet.probed_at["r3"] > 0
+
+
+@pytest.mark.parametrize("status", [Status.CONNECT_FAILED, Status.FULL])
+def test_a_named_primary_that_refuses_is_asked_again_and_nobody_else(status: Status) -> None:
+    """Where connections are scarce all members refuse some: a write that goes round them takes the places of others,
+    and no replica can serve it. What tells of another primary is a member's own word."""
+    bench = Bench(replace(SETTINGS, balancers=ROUTERS))
+    bench.ask("write")
+    bench.run(0.01)
+    (send,) = of(Send, bench.do(Probed("p", True, 0.01, Report(bench.now, True, 2.0))))
+    actions = bench.do(Outcome(1, 0, send.member, status, False, 0.002))
+    for _ in range(4):
+        actions += bench.run(0.05)
+    actions += bench.do(Probed("p", True, 0.002, Report(bench.now, True, 0.0))) + bench.run(0.2)
+    assert [again.member for again in of(Send, actions)] == ["p"]
+
+
+def test_an_old_report_still_counts_as_load() -> None:
+    """A report says most of what a member has in a crowd; that it is old makes nobody idle."""
+    bench = Bench(replace(SETTINGS, balancers=ROUTERS))
+    member = bench.balancer.members["r1"]
+    bench.do(Probed("r1", True, 0.01, Report(bench.now, False, 40.0)))
+    bench.run(30.0)
+    assert bench.balancer.load(member) == 40.0
