--- a/banklift/cli/main.py
+++ b/banklift/cli/main.py
@@ -14,7 +14,8 @@
 import typer
 from rich.console import Console
 
-from banklift.config.load import EXAMPLE, ConfigError, load, split_address
+from banklift.cli import fleet
+from banklift.config.load import EXAMPLE, ConfigError, load, split_address, warnings
 from banklift.emulator.stand import RouterProcesses, Stand
 from banklift.judge.day import load_day
 from banklift.judge.day import play as play_day
@@ -28,6 +29,8 @@
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                   help="A database proxy: writes to primaries, reads over replicas, by RESP with offsets.")
+app.add_typer(fleet.app, name="policy")
+app.command("fleet")(fleet.fleet)
 ConfigFile = Annotated[Path, typer.Option("--config", help="The operator's file (Jsonnet).", show_default=False)]
 
 
@@ -59,6 +62,9 @@
     set_up_logs()
     try:
         run(daemon.serve, read(config), config.resolve().parent)
+    except daemon.Ousted as error:
+        typer.echo(f"banklift router: {error}", err=True)
+        raise typer.Exit(2) from None
     except (OSError, ConfigError) as error:
         typer.echo(f"banklift router: {error}", err=True)
         raise typer.Exit(1) from None
@@ -69,6 +75,8 @@
     """Validate a configuration and explain what is wrong with it."""
     config = read(file)
     members = sum(len(group.members) for group in config.groups)
+    for text in warnings(config):
+        typer.echo(f"{file}: {text}", err=True)
     typer.echo(f"{file}: fine: {len(config.groups)} groups, {members} members, {len(config.classes)} classes")
 
 
--- a/banklift/config/build.py
+++ b/banklift/config/build.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from banklift import interface as io
+from banklift.config.policy import Policy, under
 from banklift.interface import RequestClass, State
-from banklift.proxy.events import Listed, Roster
+from banklift.proxy.events import Adopt, Listed, Roster
 from banklift.proxy.machine import Machine
 from banklift.proxy.plan import Config, Group
 from banklift.resp.front import RespFront
@@ -30,6 +31,13 @@
                    lambda core: RespFront(config, core))
 
 
+def adopt(config: Config, policy: Policy) -> Adopt:
+    """The machine goes on under this policy."""
+    plan = under(config, policy)
+    classes = tuple(Routes(plan).classes.values())
+    return Adopt(settings(plan, classes), plan.limits, plan)
+
+
 def roster(config: Config, groups: list[Group], epoch: float) -> Roster:
     """`epoch`: the router's clock at the start of the Unix epoch."""
     places = {group.name: place for place, group in enumerate(config.groups)}
--- a/banklift/config/load.py
+++ b/banklift/config/load.py
@@ -101,12 +101,45 @@
         split_address(config.listen)
     except ValueError as error:
         problems.append(f"$.listen: {error}")
+    problems += check_fleet(config)
     users = [user.name for user in config.users]
     if len(set(users)) < len(users):
         problems.append("$.users: a name occurs twice")
     return problems
 
 
+def check_fleet(config: Config) -> list[str]:
+    fleet, problems = config.fleet, []
+    if fleet is None:
+        return []
+    seen: dict[str, str] = {}
+    for name, address in fleet.voters.items():
+        where = f"$.fleet.voters.{name}"
+        try:
+            split_address(address)
+        except ValueError as error:
+            problems.append(f"{where}: {error}")
+        if address in seen:
+            problems.append(f"{where}: {address} is {seen[address]!r} too")
+        seen[address] = name
+    if fleet.listen is not None:
+        try:
+            split_address(fleet.listen)
+        except ValueError as error:
+            problems.append(f"$.fleet.listen: {error}")
+    if config.name in fleet.voters and fleet.folder is None:
+        problems.append(f"$.fleet.folder: {config.name!r} is a voter, and has no folder for its state")
+    return problems
+
+
+def warnings(config: Config) -> list[str]:
+    """What works and is not what one would want, with its place."""
+    if config.fleet is not None and len(config.fleet.voters) % 2 == 0:
+        count = len(config.fleet.voters)
+        return [f"$.fleet.voters: {count} voters bear the loss of no more than {count - 1} do"]
+    return []
+
+
 def check_groups(groups: list[Group]) -> list[str]:
     problems: list[str] = []
     owner: dict[int, str] = {}
--- /dev/null
+++ b/banklift/config/policy.py
@@ -0,0 +1,93 @@
+"""The part of the operator's file that may change while a fleet runs: a policy, in one form by which all know it.
+
+A policy file is Jsonnet or JSON with the keys of `Policy`. What it leaves out has its default, as in the whole file.
+What a router can't change while it runs (where it listens, the groups' members, its fleet) is refused with the reason.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from banklift.config.load import ConfigError, check, evaluate
+from banklift.proxy.plan import Class, Config, Limits, Route, Rules, Strict, User
+
+FIXED = {
+    "listen": "a router listens where it was started", "name": "a router keeps its name",
+    "groups": "members come from the roster", "roster": "the roster's file is watched from the start",
+    "source": "links to members are there already", "sessions": "sessions are under way",
+    "member_user": "links to members are there already", "member_password": "links to members are there already",
+    "fleet": "voters are changed one at a time, not by a policy"}
+
+
+class Policy(Strict, kw_only=True, frozen=True):
+    classes: list[Class]
+    routes: list[Route] = msgspec.field(default_factory=list)
+    default_read: str
+    default_write: str
+    users: list[User] = msgspec.field(default_factory=list)
+    limits: Limits = msgspec.field(default_factory=Limits)
+    rules: Rules = msgspec.field(default_factory=Rules)
+
+
+_encoder = msgspec.json.Encoder(order="deterministic")
+
+
+def encode(policy: Policy) -> bytes:
+    """Its one form: keys in order, without those that say what is the default anyway."""
+    raw = msgspec.to_builtins(policy)
+    for name, default in (("limits", Limits()), ("rules", Rules())):
+        usual = msgspec.to_builtins(default)
+        raw[name] = {key: value for key, value in raw[name].items() if value != usual[key]}
+    return _encoder.encode({key: value for key, value in raw.items() if value not in ([], {})})
+
+
+def of(config: Config) -> bytes:
+    """The policy in a whole file."""
+    return encode(Policy(**{name: getattr(config, name) for name in Policy.__struct_fields__}))
+
+
+def under(config: Config, policy: Policy) -> Config:
+    """The file as it would be with this policy."""
+    return msgspec.structs.replace(config, **{name: getattr(policy, name) for name in Policy.__struct_fields__})
+
+
+def decode(text: bytes) -> Policy:
+    """Errors: `ValueError` with place and reason."""
+    try:
+        raw: Any = msgspec.json.decode(text)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ValueError(f"$: not JSON: {error}") from None
+    if isinstance(raw, dict):
+        for name, reason in FIXED.items():
+            if name in raw:
+                raise ValueError(f"$.{name}: a policy can't change it: {reason}")
+    try:
+        return msgspec.convert(raw, Policy)
+    except msgspec.ValidationError as error:
+        reason, _, place = str(error).partition(" - at ")
+        raise ValueError(f"{place.strip('`') or '$'}: {reason}") from None
+
+
+def against(config: Config, text: bytes, descriptors: int) -> tuple[str, ...]:
+    """All that this router has against a policy, each with its place; nothing if it can serve it. `descriptors`: how
+    many this process may hold."""
+    try:
+        policy = decode(text)
+    except ValueError as error:
+        return (str(error),)
+    problems = check(under(config, policy))
+    if policy.limits.clients != Limits().clients and policy.limits.clients >= descriptors:  # where it is stated
+        problems.append(f"$.limits.clients: {policy.limits.clients} clients, and this process may hold {descriptors} "
+                        "descriptors")
+    return tuple(problems)
+
+
+def load(path: Path) -> bytes:
+    """A policy file in its one form. Errors: `ConfigError` with file, place and reason."""
+    try:
+        return encode(decode(evaluate(path)))
+    except ValueError as error:
+        raise ConfigError(f"{path}: {error}") from None
--- a/banklift/decide/queues.py
+++ b/banklift/decide/queues.py
@@ -48,6 +48,10 @@
         wait = self.most / 2 / rate if rate > 0 else math.inf
         return min(self.longest, max(LEAST, wait))
 
+    def adopt(self, most: int, longest: float) -> None:
+        """Other bounds from now on; what is open stays."""
+        self.most, self.longest = most, longest
+
     def leave(self, group: int, kind: str, now: float) -> None:
         """One that came in has ended."""
         self.queues[group, kind].ended(now)
--- /dev/null
+++ b/banklift/fleet/messages.py
@@ -0,0 +1,248 @@
+"""What routers of one fleet say to one another: structs as msgpack, in frames with their length in front.
+
+Every message goes over a link on which both ends have said who they are (`Hello`), which is good for one incarnation of
+each. What each handler does with a message that is late, doubled or from an older incarnation is said where it is
+handled. Durations are seconds; no point in time is ever sent, as clocks are not compared.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from banklift.fleet.state import Outcome, State
+
+VERSION = 1  # of these messages; another one ends the link
+LENGTH = 4  # bytes in front of each frame
+FRAME_LIMIT = 4 * 1024 * 1024  # bytes of one frame
+Ballot = tuple[int, str]  # round and voter, compared in that order
+NO_BALLOT: Ballot = (0, "")
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    pass
+
+
+class Hello(Message, frozen=True):
+    """First on a link, from both ends. An operator's tool has no name."""
+
+    version: int
+    fleet: str
+    name: str
+    incarnation: int
+    voters: tuple[str, ...]
+    lease: float
+
+
+class Bye(Message, frozen=True):
+    """Last on a link, with the reason. `clash`: the name belongs to somebody else."""
+
+    reason: str
+    clash: bool = False
+
+
+# ---- the register, between voters
+
+
+class Prepare(Message, frozen=True):
+    ballot: Ballot
+
+
+class Promise(Message, frozen=True):
+    ballot: Ballot
+    accepted: Ballot
+    state: State | None
+    incarnations: dict[str, int]
+
+
+class Accept(Message, frozen=True):
+    ballot: Ballot
+    state: State
+
+
+class Accepted(Message, frozen=True):
+    ballot: Ballot
+    incarnations: dict[str, int]
+
+
+class Nack(Message, frozen=True):
+    ballot: Ballot
+    promised: Ballot
+
+
+class Learn(Message, frozen=True):
+    """A state that was chosen."""
+
+    state: State
+
+
+class Rejoin(Message, frozen=True):
+    """A voter has started and asks what it may have promised."""
+
+    incarnation: int
+
+
+class Rejoined(Message, frozen=True):
+    """`standing`: voting; whole, of a voter that asks itself and whose disk was whole; blank, of one whose was not.
+    `founding`: the incarnations that all had nothing when this fleet began."""
+
+    incarnation: int  # of the voter that asked
+    standing: str
+    promised: Ballot
+    accepted: Ballot
+    state: State | None
+    incarnations: dict[str, int]
+    founding: dict[str, int]
+    absent: bool  # the sender has never had a state in this folder
+
+
+class Survey(Message, frozen=True):
+    """How far the voter's routers are with the change in this state, which was chosen."""
+
+    state: State
+    number: int
+
+
+class Holder(msgspec.Struct, frozen=True, array_like=True):
+    """One router as a voter knows it."""
+
+    name: str
+    incarnation: int
+    epoch: int
+    verdict: tuple[str, ...] | None  # reasons against the change; none: it accepts; None: it has not said
+    heard: float  # seconds since it was last heard of
+    left: float  # seconds until its lease has ended for certain
+
+
+class Surveyed(Message, frozen=True):
+    change: str
+    number: int
+    holders: tuple[Holder, ...]
+    sealed: bool  # all of them accept, and nobody else gets a lease until the change is decided
+    turned: bool  # this voter grants the new epoch alone
+
+
+# ---- leases, between a router and a voter
+
+
+class Ask(Message, frozen=True):
+    """`number` counts up within an incarnation. `held`: the grant that the router counts; it counts no older one of
+    this voter any more. `have`: policies whose text it has, by digest."""
+
+    number: int
+    held: int
+    epoch: int  # it serves; 0: none
+    change: str  # the one that `verdict` is on
+    verdict: tuple[str, ...] | None
+    have: tuple[str, ...]
+
+
+class Grant(Message, frozen=True):
+    """The answer to an ask. `ttl`: the lease on `epoch` holds so long, from when it was asked for; 0: no new lease, one
+    that is held goes on. `begin`: seconds from its coming until the lease on `next_epoch` begins, which holds for
+    `next_ttl` from when it was asked for. `policies`: texts that the router lacks."""
+
+    number: int
+    epoch: int
+    ttl: float
+    next_epoch: int
+    begin: float
+    next_ttl: float
+    digests: tuple[str, str]  # of the policies of both epochs; empty: none
+    change: str  # that is to be checked ...
+    subject: str  # ... and its policy's digest
+    policies: tuple[bytes, ...]
+    reason: str = ""  # for no lease
+
+
+class Nudge(Message, frozen=True):
+    """Something has changed: ask again now."""
+
+
+# ---- operators
+
+
+class Set(Message, frozen=True):
+    change: str
+    policy: bytes
+    patience: float
+    dry: bool = False
+
+
+class Show(Message, frozen=True):
+    pass
+
+
+class Trouble(msgspec.Struct, frozen=True, array_like=True):
+    who: str
+    what: str
+
+
+class Shown(Message, frozen=True):
+    state: State | None
+    voter: str
+    standing: str
+    voters: dict[str, bool]  # whether this one is linked with them
+    holders: tuple[Holder, ...]
+    trouble: tuple[Trouble, ...]
+
+
+class Progress(Message, frozen=True):
+    change: str
+    stage: str
+    waiting: tuple[str, ...]  # for whom, and why
+
+
+class Ended(Message, frozen=True):
+    outcome: Outcome
+
+
+class Unmade(Message, frozen=True):
+    """It was not proposed. `busy`: another change is under way."""
+
+    change: str
+    reason: str
+    busy: bool
+
+
+Any_ = (Hello | Bye | Prepare | Promise | Accept | Accepted | Nack | Learn | Rejoin | Rejoined | Survey | Surveyed | Ask
+        | Grant | Nudge | Set | Show | Shown | Progress | Ended | Unmade)
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Any_)
+
+
+class Garbage(Exception):
+    """The other end does not speak as it should; the link ends."""
+
+
+def encode(message: Message) -> bytes:
+    body = _encoder.encode(message)
+    return len(body).to_bytes(LENGTH, "big") + body
+
+
+class Frames:
+    """Splits what comes on a link into messages."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Message]:
+        """Errors: `Garbage`."""
+        self.buffer += data
+        found: list[Message] = []
+        while len(self.buffer) >= LENGTH:
+            length = int.from_bytes(self.buffer[:LENGTH], "big")
+            if length > FRAME_LIMIT:
+                raise Garbage(f"a frame of {length} bytes")
+            if len(self.buffer) < LENGTH + length:
+                break
+            body = bytes(self.buffer[LENGTH:LENGTH + length])
+            del self.buffer[:LENGTH + length]
+            try:
+                found.append(_decoder.decode(body))
+            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                raise Garbage(f"a frame that can't be read: {error}") from None
+        return found
+
+
--- /dev/null
+++ b/banklift/fleet/voter.py
@@ -0,0 +1,573 @@
+"""A voter: its part of the register, its book of leases, and the changes that it drives. Pure.
+
+What has to be on disk before a word leaves is `Save`; the words wait until `saved` says that it is there. While a write
+is under way more may come; they wait for the next one together. A write that fails takes its words with it: who asked
+hears nothing, as from a voter that is gone, and the voter tries the disk again later.
+
+| standing | event | next |
+| --- | --- | --- |
+| rejoining | enough others have told what it may have promised (register.py) | voting, once that is written |
+| voting | it has read the register | in step: it grants leases |
+| any of these | a write fails | the same, but silent until one goes through |
+
+Driving a change. The voter that an operator asked drives it; if it falls silent, any other one does, after a while that
+is drawn. Two that drive at once do no harm: every step is a compare-and-set. While it drives, it surveys all voters:
+
+- checking: a majority is sealed (book.py): `agree`; somebody refused, or `patience` is over: `abort`;
+- agreed: a majority has turned: `settle`.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
+
+from banklift.fleet import register
+from banklift.fleet.book import Book
+from banklift.fleet.messages import (
+    Accept,
+    Accepted,
+    Ask,
+    Ballot,
+    Ended,
+    Grant,
+    Learn,
+    Message,
+    Nack,
+    Prepare,
+    Progress,
+    Promise,
+    Rejoin,
+    Rejoined,
+    Set,
+    Shown,
+    Survey,
+    Surveyed,
+    Trouble,
+    Unmade,
+)
+from banklift.fleet.register import BLANK, VOTING, Proposal, Record, Rejoining, majority
+from banklift.fleet.state import Change, Stage, State, Unfit, abort, agree, found, outcome, propose, settle
+
+ROUND = 0.5  # seconds that a proposal waits for answers before it is tried again; grows with each try ...
+ROUND_MOST = 4.0  # ... up to this
+POLL = 0.1  # seconds between surveys while a change is driven
+GRACE = 1.0  # seconds after the first refusal in which others may still be told of
+REJOIN = 0.3  # seconds between questions of a voter that has started
+DISK_RETRY = 1.0  # seconds after a write that failed
+TAKEOVER_PART = 1 / 4  # of a lease: silence of who drives a change, after which another may
+
+
+@dataclass(frozen=True, slots=True)
+class ToVoter:
+    voter: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class ToOperator:
+    operator: int
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Save:
+    number: int
+    record: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class NudgeAll:
+    """Every router that is linked is to ask again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    event: str
+    fields: dict[str, object]
+
+
+Action = ToVoter | ToOperator | Save | NudgeAll | Note
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """A change of the register that is wanted, and what is done once it was made or can't be."""
+
+    change: Callable[[State | None], State]
+    done: Callable[[State], None]
+    unfit: Callable[[Unfit], None]
+    tries: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Drive:
+    """A change that this voter takes further."""
+
+    change: str
+    since: float
+    operators: set[int] = field(default_factory=set)
+    answers: dict[str, Surveyed] = field(default_factory=dict)
+    number: int = 0
+    refused: float = math.inf  # when the first refusal was seen
+    deciding: bool = False  # a compare-and-set is under way
+
+
+class Voter:
+    """`policy`: what the fleet begins with, should there be nothing yet. `record`: what the disk held, or None;
+    `absent`: there was never anything."""
+
+    def __init__(self, fleet: str, name: str, voters: tuple[str, ...], lease: float, drift: float, policy: bytes,
+                 record: Record | None, absent: bool, incarnation: int, random: Random) -> None:
+        self.fleet, self.name, self.voters, self.policy = fleet, name, voters, policy
+        self.random = random
+        blank = Record(fleet, name, 0)
+        base = blank if record is None else record
+        incarnation = max(incarnation, base.incarnation + 1)
+        base = msgspec.structs.replace(
+            base, incarnation=incarnation, incarnations=register.merged(base.incarnations, {name: incarnation}))
+        self.record = base
+        self.rejoining: Rejoining | None = Rejoining(base, voters, record is not None, absent)
+        self.in_step = False  # it has read the register since it started
+        self.book = Book(lease, drift)
+        self.linked: dict[str, bool] = {other: False for other in voters if other != name}
+        self.operators: set[int] = set()
+        self.durable: Record | None = None  # what was written last
+        self.waiting: list[Callable[[], None]] = []  # to be told once the record as it stands is written
+        self.in_flight: list[Callable[[], None]] = []  # ... once the write that is under way is done
+        self.saving = 0  # number of the write under way; 0: none
+        self.saves = 0
+        self.disk = ""  # what is wrong with it
+        self.disk_retry = math.inf
+        self.tasks: deque[Task] = deque()
+        self.proposal: Proposal | None = None
+        self.round_ends = math.inf
+        self.highest: Ballot = (0, "")
+        self.drive: Drive | None = None
+        self.driven = -math.inf  # when somebody was last heard to drive the change
+        self.takeover = TAKEOVER_PART * lease * random.uniform(1.0, 2.0)
+        self.polled = -math.inf
+        self.rejoin_at = -math.inf
+        self.now = 0.0
+        self.actions: list[Action] = []
+
+    # ---- events
+
+    def start(self, now: float) -> list[Action]:
+        self.now = now
+        assert self.rejoining is not None
+        if (done := self.rejoining.done()) is not None:  # the only voter
+            self._voting(done)
+        return self._out()
+
+    def link(self, now: float, voter: str, up: bool) -> list[Action]:
+        self.now = now
+        self.linked[voter] = up
+        if up and self.rejoining is not None:
+            self.actions.append(ToVoter(voter, Rejoin(self.rejoining.record.incarnation)))
+        if up and self.book.state is not None:
+            self.actions.append(ToVoter(voter, Learn(self.book.state)))
+        return self._out()
+
+    def operator(self, now: float, operator: int, up: bool) -> list[Action]:
+        self.now = now
+        if up:
+            self.operators.add(operator)
+        else:
+            self.operators.discard(operator)
+            if self.drive is not None:
+                self.drive.operators.discard(operator)
+        return self._out()
+
+    def message(self, now: float, voter: str, message: Message) -> list[Action]:
+        self.now = now
+        self._message(voter, message)
+        return self._out()
+
+    def saved(self, now: float, number: int, error: str) -> list[Action]:
+        """The write of that number is on disk, or failed with `error`."""
+        self.now = now
+        if number != self.saving:
+            return self._out()
+        self.saving = 0
+        told, self.in_flight = self.in_flight, []
+        if error:
+            if error != self.disk:
+                self.actions.append(Note("disk in trouble, this voter is silent", {"reason": error}))
+            self.disk, self.disk_retry = error, now + DISK_RETRY
+            self.waiting.clear()
+        else:
+            if self.disk:
+                self.actions.append(Note("disk written again", {}))
+            self.disk, self.disk_retry = "", math.inf
+            for call in told:
+                call()
+            if self.waiting:
+                self._save()
+        return self._out()
+
+    def ask(self, now: float, name: str, incarnation: int, ask: Ask) -> tuple[Grant | None, list[Action]]:
+        """A router asks for a lease."""
+        self.now = now
+        if self.rejoining is not None:
+            grant: Grant | None = Grant(ask.number, 0, 0.0, 0, 0.0, 0.0, ("", ""), "", "", (),
+                                        f"this voter does not vote: {self.rejoining.waiting()}")
+        else:
+            grant = self.book.ask(now, name, incarnation, ask)
+        return grant, self._out()
+
+    def set(self, now: float, operator: int, wanted: Set) -> list[Action]:
+        """An operator wants a change, or asks what became of it."""
+        self.now = now
+        if self.rejoining is not None:
+            self._unmade(operator, wanted.change, f"voter {self.name} does not vote: {self.rejoining.waiting()}", True)
+            return self._out()
+
+        def change(state: State | None) -> State:
+            if state is None:
+                raise Unfit("this fleet has no policy yet", busy=True)
+            return propose(state, wanted.change, wanted.policy, self.name, wanted.patience, wanted.dry)
+
+        self._task(change, lambda state: self._follow(operator, wanted.change),
+                   lambda unfit: self._unmade(operator, wanted.change, str(unfit), unfit.busy))
+        return self._out()
+
+    def show(self, now: float) -> Shown:
+        standing = VOTING if self.rejoining is None else self.rejoining.standing
+        return Shown(self.book.state, self.name, standing, {**self.linked, self.name: True}, self.book.holders(now),
+                     tuple(self.trouble()))
+
+    def trouble(self) -> list[Trouble]:
+        found = [Trouble(name, "no link") for name, up in self.linked.items() if not up]
+        if self.rejoining is not None:
+            found.append(Trouble(self.name, f"does not vote: {self.rejoining.waiting()}"))
+        if self.disk:
+            found.append(Trouble(self.name, f"disk: {self.disk}"))
+        return found
+
+    def wake(self, now: float) -> list[Action]:
+        self.now = now
+        if self.rejoining is not None and now >= self.rejoin_at:
+            self.rejoin_at = now + REJOIN * self.random.uniform(0.8, 1.2)
+            for voter, up in self.linked.items():
+                if up and voter not in self.rejoining.answers:
+                    self.actions.append(ToVoter(voter, Rejoin(self.rejoining.record.incarnation)))
+        if now >= self.disk_retry:
+            self.disk_retry = math.inf
+            self._save()
+        if now >= self.round_ends:
+            self._again()
+        granting = self.book.granting
+        self.book.tick(now)
+        if self.book.granting != granting:
+            self.actions.append(NudgeAll())
+        change = self.book.change
+        if self.rejoining is None and change is not None and self.drive is None \
+                and now - self.driven >= self.takeover:
+            self.drive = Drive(change.id, now)
+        if self.drive is not None and now >= self.polled + POLL:
+            self._poll(self.drive)
+        return self._out()
+
+    def due(self, now: float) -> float:
+        times = [self.round_ends, self.disk_retry, self.book.due(now)]
+        if self.rejoining is not None:
+            times.append(self.rejoin_at)
+        if self.drive is not None:
+            times.append(self.polled + POLL)
+        elif self.book.change is not None:
+            times.append(self.driven + self.takeover)
+        return min(times)
+
+    # ---- between voters
+
+    def _message(self, voter: str, message: Message) -> None:
+        match message:
+            case Rejoin():
+                self._rejoin(voter, message)
+            case Rejoined():
+                self._rejoined(voter, message)
+            case Learn(state):
+                self._learn(state)
+            case _ if self.rejoining is not None:
+                return  # it does not vote, and nothing of an earlier incarnation is its own
+            case Prepare():
+                self.record, answer = register.prepare(self.record, message)
+                self._answer(voter, answer)
+            case Accept():
+                self.record, reply = register.accept(self.record, message)
+                self._answer(voter, reply)
+            case Promise() | Accepted() | Nack():
+                self._proposing(voter, message)
+            case Survey(state, number):
+                self.driven = self.now
+                self._learn(state)
+                if state.change is not None:
+                    self._send(voter, self._survey(state.change, number))
+            case Surveyed():
+                if self.drive is not None and message.change == self.drive.change:
+                    self.drive.answers[voter] = message
+                    self._decide(self.drive)
+
+    def _send(self, voter: str, message: Message) -> None:
+        if voter == self.name:
+            self._message(voter, message)
+        else:
+            self.actions.append(ToVoter(voter, message))
+
+    def _all(self, message: Message) -> None:
+        for voter in self.voters:
+            self._send(voter, message)
+
+    def _answer(self, voter: str, message: Message) -> None:
+        """Send it once the record as it stands is on disk."""
+        self._once_written(lambda: self._send(voter, message))
+
+    def _once_written(self, call: Callable[[], None]) -> None:
+        if self.record == self.durable and not self.saving and not self.disk:
+            call()
+            return
+        self.waiting.append(call)
+        if not self.saving and not self.disk:
+            self._save()
+
+    def _save(self) -> None:
+        self.saves += 1
+        self.saving = self.saves
+        self.in_flight, self.waiting = self.waiting, []
+        record = self.record
+
+        def written() -> None:
+            self.durable = record
+
+        self.in_flight.insert(0, written)
+        self.actions.append(Save(self.saving, msgspec.msgpack.encode(record)))
+
+    # ---- starting
+
+    def _rejoin(self, voter: str, message: Rejoin) -> None:
+        if self.rejoining is None:
+            self.record, answer = register.rejoin(self.record, voter, message, VOTING, False)
+            self._answer(voter, answer)
+            return
+        own = self.rejoining
+        own.record, answer = register.rejoin(own.record, voter, message, own.standing, own.absent)
+        if own.standing == BLANK:  # a record of nothing is not written: it would look whole after the next start
+            self._send(voter, answer)
+            return
+        self.record = own.record
+        self._answer(voter, answer)
+
+    def _rejoined(self, voter: str, message: Rejoined) -> None:
+        own = self.rejoining
+        if own is None:
+            return
+        done = own.answered(voter, message)
+        if own.outlived:
+            own.again(own.outlived + 1)
+            for other, up in self.linked.items():
+                if up:
+                    self.actions.append(ToVoter(other, Rejoin(own.record.incarnation)))
+        elif done is not None:
+            self._voting(done)
+
+    def _voting(self, record: Record) -> None:
+        """Write what it knows, then vote; then learn what was chosen last, or begin the fleet."""
+        own = self.rejoining
+        self.record = record
+
+        def begin() -> None:
+            if self.rejoining is not own:
+                return
+            self.rejoining = None
+            self.highest = max(self.highest, record.promised)
+            self.actions.append(Note("votes", {"incarnation": record.incarnation}))
+            self._task(lambda state: state or found(self.fleet, self.policy), self._in_step, lambda unfit: None)
+
+        self._once_written(begin)
+
+    def _in_step(self, state: State) -> None:
+        """It has read the register since it started: from here on it grants leases."""
+        self.in_step = True
+        self.book.anew(self.now, state)
+        self.driven = self.now
+        self.actions.append(NudgeAll())
+
+    # ---- proposing
+
+    def _task(self, change: Callable[[State | None], State], done: Callable[[State], None],
+              unfit: Callable[[Unfit], None]) -> None:
+        self.tasks.append(Task(change, done, unfit))
+        if self.proposal is None and self.round_ends == math.inf:
+            self._begin()
+
+    def _begin(self) -> None:
+        task = self.tasks[0]
+        self.highest = (self.highest[0] + 1, self.name)
+        self.proposal = Proposal(self.highest, self.voters, task.change)
+        self.round_ends = self.now + min(ROUND_MOST, ROUND * 2 ** min(task.tries, 8)) * self.random.uniform(0.8, 1.2)
+        self._all(Prepare(self.highest))
+
+    def _again(self) -> None:
+        """The round got no majority in time, or its pause is over."""
+        self.proposal, self.round_ends = None, math.inf
+        if self.tasks:
+            self.tasks[0].tries += 1
+            self._begin()
+
+    def _proposing(self, voter: str, message: Promise | Accepted | Nack) -> None:
+        if isinstance(message, Nack):
+            self.highest = max(self.highest, message.promised)
+        proposal = self.proposal
+        if proposal is None:
+            return
+        match message:
+            case Promise():
+                try:
+                    asked = proposal.promised(voter, message)
+                except Unfit as unfit:
+                    task = self._over()
+                    task.unfit(unfit)
+                    return
+                if asked is not None:
+                    self._all(asked)
+            case Accepted():
+                state = proposal.accepted(voter, message)
+                if state is not None:
+                    task = self._over()
+                    for other, up in self.linked.items():
+                        if up:
+                            self.actions.append(ToVoter(other, Learn(state)))
+                    self._learn(state)
+                    task.done(state)
+            case Nack():
+                if proposal.nack(message):  # a pause that is drawn, or two proposers beat each other for ever
+                    self.proposal = None
+                    self.round_ends = self.now + self.random.uniform(0.0, 0.1) * 2 ** min(self.tasks[0].tries, 5)
+
+    def _over(self) -> Task:
+        self.proposal, self.round_ends = None, math.inf
+        task = self.tasks.popleft()
+        if self.tasks:
+            self._begin()
+        return task
+
+    def _learn(self, state: State) -> None:
+        before = self.book.state
+        if not self.in_step or not self.book.learn(self.now, state):  # what it reads itself will be as new
+            return
+        self.driven = self.now
+        if before is None or state.change != before.change or state.epoch != before.epoch:
+            self.actions.append(NudgeAll())
+        drive = self.drive
+        if drive is not None and (state.change is None or state.change.id != drive.change):
+            self.drive = None
+            ended = outcome(state, drive.change)
+            if ended is not None:
+                for operator in sorted(drive.operators):
+                    self.actions.append(ToOperator(operator, Ended(ended)))
+
+    # ---- driving
+
+    def _unmade(self, operator: int, change: str, reason: str, busy: bool) -> None:
+        self.actions.append(ToOperator(operator, Unmade(change, reason, busy)))
+
+    def _follow(self, operator: int, change: str) -> None:
+        """It was proposed, or is known: tell how it ended, or take it further."""
+        state = self.book.state
+        assert state is not None
+        ended = outcome(state, change)
+        if ended is not None:
+            self.actions.append(ToOperator(operator, Ended(ended)))
+        elif state.change is not None and state.change.id == change:
+            if self.drive is None or self.drive.change != change:
+                self.drive = Drive(change, self.now)
+            if operator in self.operators:
+                self.drive.operators.add(operator)
+            self._poll(self.drive)
+        else:
+            self._unmade(operator, change, "another change came first", True)
+
+    def _poll(self, drive: Drive) -> None:
+        self.polled = self.now
+        state = self.book.state
+        if state is None or state.change is None or state.change.id != drive.change:
+            self.drive = None
+            return
+        drive.number += 1
+        self.driven = self.now
+        for voter, up in self.linked.items():
+            if up:
+                self.actions.append(ToVoter(voter, Survey(state, drive.number)))
+        drive.answers[self.name] = self._survey(state.change, drive.number)
+        self._decide(drive)
+
+    def _survey(self, change: Change, number: int) -> Surveyed:
+        holders, sealed, turned = self.book.survey(self.now)
+        current = self.book.change
+        if current is None or current.id != change.id:  # decided since
+            sealed = turned = False
+        return Surveyed(change.id, number, holders, sealed, turned)
+
+    def _decide(self, drive: Drive) -> None:
+        change = self.book.change
+        if change is None or change.id != drive.change or drive.deciding:
+            return
+        quorum, answers = majority(len(self.voters)), drive.answers.values()
+        waiting = self._waiting(drive, change)
+        if change.stage is Stage.AGREED:
+            if sum(one.turned for one in answers) >= quorum:
+                self._step(drive, lambda state: settle(state, change.id))
+        elif sum(one.sealed for one in answers) >= quorum:
+            self._step(drive, lambda state: abort(state, change.id, ()) if change.dry else agree(state, change.id))
+        else:
+            refusals = {holder.name: holder.verdict for one in answers for holder in one.holders if holder.verdict}
+            if refusals:
+                drive.refused = min(drive.refused, self.now)
+            asked = [one for one in answers for holder in one.holders if holder.left > 0 and holder.verdict is None]
+            if refusals and (not asked or self.now >= drive.refused + GRACE):
+                reasons = tuple(f"{name}: {reason}" for name, told in sorted(refusals.items()) for reason in told)
+                self._step(drive, lambda state: abort(state, change.id, reasons))
+            elif self.now >= drive.since + change.patience:
+                self._step(drive, lambda state: abort(state, change.id, tuple(waiting) or ("no answer in time",)))
+        for operator in sorted(drive.operators):
+            self.actions.append(ToOperator(operator, Progress(change.id, change.stage, tuple(waiting))))
+
+    def _waiting(self, drive: Drive, change: Change) -> list[str]:
+        """For whom a change waits, and why, in words."""
+        found = [f"voter {name} has not answered" for name in self.voters if name not in drive.answers]
+        worst: dict[str, tuple[float, float]] = {}  # of each router: silence, and end of its lease
+        for one in drive.answers.values():
+            for holder in one.holders:
+                late = holder.verdict is None if change.stage is Stage.CHECKING else holder.epoch != change.epoch
+                if holder.left > 0 and late:
+                    heard, left = worst.get(holder.name, (math.inf, 0.0))
+                    worst[holder.name] = min(heard, holder.heard), max(left, holder.left)
+        found += [f"{name} has not answered for {heard:.1f} s; its lease ends in {left:.1f} s"
+                  for name, (heard, left) in sorted(worst.items())]
+        return found
+
+    def _step(self, drive: Drive, step: Callable[[State], State]) -> None:
+        drive.deciding = True
+
+        def change(state: State | None) -> State:
+            if state is None:
+                raise Unfit("this fleet has no policy")
+            return step(state)
+
+        def done(state: State) -> None:
+            drive.deciding = False
+
+        def unfit(fault: Unfit) -> None:
+            drive.deciding = False
+
+        self._task(change, done, unfit)
+
+    def _out(self) -> list[Action]:
+        done, self.actions = self.actions, []
+        return done
--- a/banklift/pg/front.py
+++ b/banklift/pg/front.py
@@ -152,6 +152,9 @@
                 place.answer = UNKNOWN
         self._flush(state)
 
+    def adopt(self, plan: object) -> None:
+        raise AssertionError("the platform has no policies")
+
     def drain(self) -> None:
         """This router ends at `core.end`: connections that rest go one after another, so that their clients don't
         come to the others all at once, nor ask here when there is no time left to answer."""
--- a/banklift/proxy/events.py
+++ b/banklift/proxy/events.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from banklift.interface import ListKind, State
+from banklift.interface import ListKind, Settings, State
+from banklift.proxy.plan import Limits
 
 
 class ClientOpened(msgspec.Struct, frozen=True, gc=False):
@@ -74,6 +75,22 @@
     pass
 
 
+class Adopt(msgspec.Struct, frozen=True):
+    """Take requests under these settings and limits from now on; what is open keeps what it was taken under. `plan`:
+    what the front of this protocol has for it."""
+
+    settings: Settings
+    limits: Limits
+    plan: object
+
+
+class Until(msgspec.Struct, frozen=True):
+    """Requests may be taken up to that time; later ones are refused at once, to come back after so many seconds."""
+
+    time: float
+    back: float
+
+
 class Listed(msgspec.Struct, frozen=True):
     """One member as a roster tells it."""
 
@@ -93,7 +110,7 @@
 
 
 Event = (ClientOpened | ClientData | ClientEof | ClientLost | ClientFull | ClientFree | LinkUp | LinkData | LinkLost
-         | Drain | Leave | Wake | Roster)
+         | Drain | Leave | Wake | Adopt | Until | Roster)
 
 
 class ToClient(msgspec.Struct, frozen=True, gc=False):
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -27,6 +27,7 @@
 
 from banklift import interface as io
 from banklift.balance import Balancer
+from banklift.decide.adopt import adopt
 from banklift.decide.queues import Queues
 from banklift.interface import Effect, ListKind, State, Status
 from banklift.proxy import events as ev
@@ -151,6 +152,7 @@
         self.sweeping = False
         self.told_in, self.told = 0, 0  # lines on requests that were not served, in this second
         self.end = math.inf  # by when all is answered
+        self.until, self.back = math.inf, 0.0  # requests are taken so long; then refused, to come back after that
 
     # ---- events
 
@@ -186,6 +188,13 @@
                 self._drain(end)
             case ev.Leave():
                 self.front.leave()
+            case ev.Until(until, back):
+                self.until, self.back = until, back
+            case ev.Adopt(settings, limits, plan):
+                adopt(self.balancer, settings)
+                self.limits = limits
+                self.queues.adopt(limits.queue, settings.max_retry_after)
+                self.front.adopt(plan)
             case ev.Roster(members, kind):
                 self._roster(members, kind)
         return self.actions
@@ -219,6 +228,10 @@
         """Take a request; `front.done` will be called once, perhaps before this returns."""
         self.ids += 1
         kind, now = ask.kind, self.now
+        if now >= self.until:  # nobody vouches for the policy any more; nothing of it has gone anywhere
+            ask.ids.append(self.ids)
+            self.front.done(ask, Refused(self.back))
+            return self.ids
         full = self.queues.enter(ask.group, kind.name, now)
         if full is not None:  # nothing of it has gone anywhere
             ask.ids.append(self.ids)
--- a/banklift/proxy/plan.py
+++ b/banklift/proxy/plan.py
@@ -90,6 +90,17 @@
     fall_time: Seconds = 0.0
 
 
+class Fleet(Strict, kw_only=True, frozen=True):
+    """Routers that know one another. All but `folder` and `listen` are the same in every router's file."""
+
+    name: Name
+    voters: Annotated[dict[Name, str], Meta(min_length=1)]  # routers that agree, and where they listen for the others
+    lease: Annotated[float, Meta(ge=0.5, le=3600)] = 10.0  # how long a router serves on without the voters
+    drift: Annotated[float, Meta(ge=0, le=0.2)] = 0.01  # how far clocks may differ in rate, as a part
+    folder: str | None = None  # of a voter's state; beside this file
+    listen: str | None = None  # where a voter listens for the others, if not at its address in `voters`
+
+
 class Config(Strict, kw_only=True, frozen=True):
     groups: Annotated[list[Group], Meta(min_length=1)]
     classes: Annotated[list[Class], Meta(min_length=1)]
@@ -106,3 +117,4 @@
     member_user: str | None = None
     member_password: str | None = None
     roster: str | None = None  # file with the groups as they are now, watched; beside this one
+    fleet: Fleet | None = None
--- a/banklift/proxy/wire.py
+++ b/banklift/proxy/wire.py
@@ -222,6 +222,9 @@
 
     def done(self, ask: Ask, final: Final) -> None: ...
 
+    def adopt(self, plan: object) -> None:
+        """Requests are taken under another plan from now on."""
+
     def drain(self) -> None:
         """This router ends at `core.end`; until `leave` whatever comes is taken."""
 
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -196,6 +196,18 @@
             self._let(state, ask.group, place.gate)
         self._flush(state)
 
+    def adopt(self, plan: object) -> None:
+        """What was read before keeps its class, but for a MULTI, which is taken when its EXEC comes. Who is a user no
+        more, or has another password now, is sent away once what is open is answered."""
+        assert isinstance(plan, Config)
+        self.config = plan
+        self.routes = Routes(plan)
+        before, self.passwords = self.passwords, {user.name: user.password for user in plan.users}
+        for state in list(self.clients.values()):
+            if state.user is not None and self.passwords.get(state.user) != before.get(state.user):
+                state.closing = True
+                self._flush(state)
+
     def drain(self) -> None:
         return
 
@@ -556,7 +568,8 @@
             return self._say(state, place, Error("EXECABORT Transaction discarded because of previous errors."))
         if not units:
             return self._say(state, place, [])
-        kind = strongest([kind for _, _, kind, _ in units])
+        kind = strongest([self.routes.kind(known.name.encode(), known.keys(args), known.kind is Kind.WRITE,
+                                           state.user or "default") for known, args, _, _ in units])
         writes = kind.need is Need.WRITE
         data = tuple(command(*args) for _, args, _, _ in units)
         self._submit(state, place, kind, units[0][3], Unit(state.proto, data, writes))
--- /dev/null
+++ b/banklift/store/__init__.py
@@ -0,0 +1,1 @@
+"""What must survive a crash and a disk that lies."""
--- /dev/null
+++ b/tests/test_adopt.py
@@ -0,0 +1,167 @@
+"""A policy that takes hold between two events: what is open, what waits and who is connected go on."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from banklift.config import build, policy
+from banklift.config.policy import Policy
+from banklift.proxy import events as ev
+from banklift.proxy.plan import Limits, Route, Rules, User
+from tests.test_machine import Rig, info
+
+
+def change(rig: Rig, **changes: object) -> Policy:
+    """The machine goes on under its file with these changes; the policy."""
+    new = msgspec.structs.replace(policy.decode(policy.of(rig.config)), **changes)
+    rig.tell(build.adopt(rig.config, new))
+    return new
+
+
+def without(rig: Rig, name: str) -> dict[str, object]:
+    """Changes that take a class away; its routes go to the class of all other reads."""
+    kept = [kind for kind in rig.config.classes if kind.name != name]
+    return {"classes": kept, "routes": [route for route in rig.config.routes if route.to != name]}
+
+
+def test_a_request_of_a_class_that_goes_away_is_answered() -> None:
+    rig = Rig()
+    rig.ask("GET", "alert:1")
+    link = rig.up("r:1")
+    change(rig, **without(rig, "alert-check"))
+    assert "alert-check" in rig.machine.balancer.kinds  # something of it is open
+    rig.tell(ev.LinkData(link, info(False, 5) + b"$1\r\nx\r\n"))
+    assert rig.answer() == b"$1\r\nx\r\n"
+    assert link not in rig.closed
+    change(rig, **without(rig, "alert-check"))
+    assert "alert-check" not in rig.machine.balancer.kinds
+
+
+def test_a_held_write_of_a_class_that_goes_away_is_refused_in_its_own_time() -> None:
+    rig = Rig()
+    rig.offsets.clear()  # nobody answers probes, and the primary is gone
+    rig.tell(ev.Roster((ev.Listed("r", 0, "r:1"),)))
+    rig.ask("SET", "note:1", "a")
+    changes = without(rig, "note")
+    change(rig, **changes)
+    rig.wait(3.0)
+    assert rig.answer().startswith(b"-TRYAGAIN refused: nothing ran")
+    assert not rig.machine.open
+
+
+def test_a_deadline_that_shrinks_holds_for_new_requests_only() -> None:
+    rig = Rig()
+    rig.ask("SET", "note:1", "a")  # 2 s
+    link = rig.up("p:1")
+    rig.tell(ev.ClientOpened(2))
+    classes = [msgspec.structs.replace(kind, aim=0.2, deadline=0.3) if kind.name == "note" else kind
+               for kind in rig.config.classes]
+    change(rig, classes=classes)
+    rig.ask("SET", "note:2", "b", client=2)
+    rig.wait(0.5)
+    assert rig.answer(2) and not rig.answer(1)
+    rig.tell(ev.LinkData(link, b"+OK\r\n" + info(True, 50)))
+    assert rig.answer(1) == b"+OK\r\n"
+
+
+def test_a_route_that_moves_counts_for_what_comes_after() -> None:
+    rig = Rig()
+    rig.ask("GET", "alert:1")
+    assert rig.data_links("r:1") and not rig.data_links("p:1")  # any member may serve it
+    moved = [Route(to="final", keys="alert:*", commands=["GET"]), *rig.config.routes]
+    change(rig, routes=moved)
+    rig.tell(ev.ClientOpened(2))
+    rig.ask("GET", "alert:2", client=2)
+    assert rig.data_links("p:1")  # only the primary now
+
+
+def test_a_multi_is_taken_when_its_exec_comes() -> None:
+    rig = Rig()
+    rig.ask("MULTI")
+    rig.ask("GET", "alert:1")
+    rig.answer()
+    change(rig, routes=[Route(to="final", keys="alert:*", commands=["GET"]), *rig.config.routes])
+    rig.ask("EXEC")
+    assert rig.data_links("p:1") and not rig.data_links("r:1")
+
+
+def test_a_user_with_another_password_is_sent_away_when_answered() -> None:
+    rig = Rig()
+    before = change(rig, users=[User(name="ann", password="one"), User(name="bob", password="b")])
+    for client, name, password in ((1, "ann", "one"), (2, "bob", "b")):
+        if client > 1:
+            rig.tell(ev.ClientOpened(client))
+        rig.ask("AUTH", name, password, client=client)
+        assert rig.answer(client) == b"+OK\r\n"
+    rig.ask("GET", "alert:1")
+    link = rig.up("r:1")
+    rig.tell(build.adopt(rig.config, msgspec.structs.replace(
+        before, users=[User(name="ann", password="two"), User(name="bob", password="b")])))
+    assert rig.closed_clients == []
+    rig.tell(ev.LinkData(link, info(False, 5) + b"$1\r\nx\r\n"))
+    assert rig.answer() == b"$1\r\nx\r\n" and rig.closed_clients == [1]
+    rig.ask("PING", client=2)
+    assert rig.answer(2) == b"+PONG\r\n"
+
+
+def test_limits_and_rules_change_and_connections_stay() -> None:
+    rig = Rig()
+    rig.ask("GET", "alert:1")
+    link = rig.up("r:1")
+    change(rig, limits=Limits(queue=1), rules=Rules(max_retry_after=0.25))
+    rig.tell(ev.ClientOpened(2))
+    rig.ask("GET", "alert:2", client=2)
+    assert rig.answer(2).endswith(b"retry_after_ms=250\r\n")
+    rig.tell(ev.LinkData(link, info(False, 5) + b"$1\r\nx\r\n"))
+    assert rig.answer() == b"$1\r\nx\r\n" and link not in rig.closed
+
+
+def test_without_a_lease_new_requests_are_refused_at_once_and_open_ones_answered() -> None:
+    rig = Rig()
+    rig.ask("GET", "alert:1")
+    link = rig.up("r:1")
+    rig.tell(ev.ClientOpened(2))
+    rig.tell(ev.Until(rig.now + 1.0, 0.125))
+    rig.ask("GET", "alert:2", client=2)
+    assert not rig.answer(2)
+    rig.now += 1.0
+    rig.tell(ev.ClientOpened(3))
+    rig.ask("GET", "alert:3", client=3)
+    assert rig.answer(3) == b"-TRYAGAIN refused: nothing ran; retry_after_ms=125\r\n"
+    rig.tell(ev.LinkData(link, info(False, 5) + b"$1\r\nx\r\n"))
+    assert rig.answer() == b"$1\r\nx\r\n"
+    rig.tell(ev.Until(rig.now + 1.0, 0.125))
+    rig.tell(ev.ClientOpened(4))
+    rig.ask("GET", "alert:4", client=4)
+    assert b"nothing ran" not in rig.answer(4)
+
+
+@pytest.mark.parametrize(("text", "reason"), [
+    (b"{", "$: not JSON"),
+    (b'{"listen": "x:1"}', "$.listen: a policy can't change it: a router listens where it was started"),
+    (b'{"groups": []}', "$.groups: a policy can't change it: members come from the roster"),
+    (b'{"fleet": {}}', "$.fleet: a policy can't change it"),
+    (b'{"classs": []}', "$: Object contains unknown field `classs`"),
+    (b'{"default_read": "a", "default_write": "b"}', "$: Object missing required field `classes`"),
+    (b'{"classes": [{"name": "a", "effect": "safe", "need": "any", "aim": 2, "deadline": 1}], "default_read": "a", '
+     b'"default_write": "a"}', "$.classes[0].aim: 2 s is beyond the deadline of 1 s"),
+])
+def test_a_bad_policy_is_refused_with_its_place(text: bytes, reason: str) -> None:
+    found = policy.against(Rig().config, text, 1024)
+    assert any(one.startswith(reason) for one in found), found
+
+
+def test_a_policy_cut_anywhere_is_refused() -> None:
+    rig = Rig()
+    whole = policy.of(rig.config)
+    assert policy.against(rig.config, whole, 1024) == ()
+    for cut in range(len(whole)):
+        assert policy.against(rig.config, whole[:cut], 1024) != (), cut
+
+
+def test_clients_that_are_stated_have_to_fit_the_descriptors() -> None:
+    rig = Rig()
+    stated = policy.encode(msgspec.structs.replace(policy.decode(policy.of(rig.config)), limits=Limits(clients=5000)))
+    assert policy.against(rig.config, stated, 1024)[0].startswith("$.limits.clients: 5000 clients, and this process")
+    assert policy.against(rig.config, stated, 65536) == ()
--- /dev/null
+++ b/tests/test_fleet_state.py
@@ -0,0 +1,100 @@
+"""The life of a change as the voters agree on it: every arrow of the table, and whatever comes late or twice."""
+
+from __future__ import annotations
+
+import pytest
+
+from banklift.fleet.state import (
+    HISTORY,
+    POLICY_LIMIT,
+    Result,
+    Stage,
+    State,
+    Unfit,
+    abort,
+    agree,
+    digest,
+    found,
+    outcome,
+    propose,
+    settle,
+)
+
+FIRST = found("f", b"one")
+
+
+def proposed(state: State = FIRST, change: str = "1-a", policy: bytes = b"two", dry: bool = False) -> State:
+    return propose(state, change, policy, "v1", 5.0, dry)
+
+
+def test_a_change_takes_hold() -> None:
+    state = settle(agree(proposed(), "1-a"), "1-a")
+    assert (state.epoch, state.policy, state.change, state.version) == (2, b"two", None, 4)
+    ended = outcome(state, "1-a")
+    assert ended is not None and (ended.result, ended.epoch, ended.digest) == (Result.IN_FORCE, 2, digest(b"two"))
+
+
+def test_a_change_is_aborted_with_its_reasons() -> None:
+    state = abort(proposed(), "1-a", ("r1: $.x: no",))
+    assert (state.epoch, state.policy, state.change) == (1, b"one", None)
+    ended = outcome(state, "1-a")
+    assert ended is not None and (ended.result, ended.reasons) == (Result.ABORTED, ("r1: $.x: no",))
+
+
+def test_what_is_agreed_is_not_taken_back() -> None:
+    state = agree(proposed(), "1-a")
+    assert abort(state, "1-a", ("late",)) is state
+    assert agree(state, "1-a") is state
+
+
+@pytest.mark.parametrize("step", [agree, settle, lambda state, change: abort(state, change, ())])
+def test_steps_of_another_change_or_of_none_leave_it(step: object) -> None:
+    assert callable(step)
+    for state in (FIRST, proposed(), agree(proposed(), "1-a")):
+        assert step(state, "1-b") is state
+    assert settle(proposed(), "1-a").change is not None  # it was not agreed
+
+
+def test_one_at_a_time_and_each_once() -> None:
+    state = proposed()
+    assert proposed(state) is state  # asked for again
+    with pytest.raises(Unfit, match="change 1-a is under way") as caught:
+        proposed(state, "2-b")
+    assert caught.value.busy
+    done = settle(agree(state, "1-a"), "1-a")
+    assert proposed(done) is done
+    with pytest.raises(Unfit, match="made for version 1, and it is 4 now"):
+        proposed(done, "1-c")
+
+
+def test_an_id_that_fell_out_of_the_history_is_never_made_again() -> None:
+    state = settle(agree(proposed(), "1-a"), "1-a")
+    for number in range(HISTORY + 1):
+        change = f"{state.version}-n{number}"
+        state = abort(proposed(state, change, b"three"), change, ("no",))
+    assert outcome(state, "1-a") is None and len(state.history) == HISTORY
+    with pytest.raises(Unfit, match="will not be made any more"):
+        proposed(state)
+
+
+def test_a_dry_run_is_never_in_force() -> None:
+    state = proposed(dry=True)
+    assert agree(state, "1-a") is state
+    fine, refused = abort(state, "1-a", ()), abort(state, "1-a", ("no",))
+    assert [one.history[-1].result for one in (fine, refused)] == [Result.FINE, Result.REFUSED]
+    assert fine.epoch == refused.epoch == 1
+
+
+@pytest.mark.parametrize("change", ["", "a", "x-1", "1-", "1-a b", "1-" + "a" * 65, "-a"])
+def test_no_id_of_a_change(change: str) -> None:
+    with pytest.raises(Unfit, match="not the id of a change"):
+        proposed(change=change)
+
+
+def test_a_policy_is_bounded() -> None:
+    with pytest.raises(Unfit, match="bytes at the most"):
+        proposed(policy=b"x" * (POLICY_LIMIT + 1))
+    assert proposed(policy=b"x" * POLICY_LIMIT).change is not None
+    assert agree(proposed(), "1-a").change is not None
+    change = agree(proposed(), "1-a").change
+    assert change is not None and change.stage is Stage.AGREED
--- /dev/null
+++ b/tests/test_rig_fleet.py
@@ -0,0 +1,135 @@
+"""A fleet of real processes with faults between them, judged from outside: from what clients got and members ran."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+
+from banklift.net.sockets import SocketEnv
+from banklift.rig.judge import Verdict, judge
+from banklift.rig.processes import Refused, Rig
+
+LEASE = 3.0  # seconds
+TIMES = 10.0  # of the usual deadlines: no machine is too slow for them
+
+
+def play(folder: Path, names: list[str], voters: int, act: Callable[[Rig], Awaitable[None]],
+         lease: float = LEASE) -> Verdict:
+    """Start the voters and then the others, let clients ask all of them, act, and judge what was seen."""
+
+    async def main() -> Verdict:
+        async with anyio.create_task_group() as tasks:
+            rig = Rig(SocketEnv(tasks, time.monotonic), folder, names, voters, lease, times=TIMES)
+            try:
+                async with anyio.create_task_group() as starts:
+                    for name in names:
+                        starts.start_soon(rig.start, name)
+                rig.ask()
+                await rig.serves(*names)
+                await act(rig)
+                await rig.quiet()
+                rig.trace.write(folder / "trace.jsonl")
+                return judge(rig.trace.entries)
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await rig.close()
+                tasks.cancel_scope.cancel()
+        raise AssertionError("the day has not ended")
+
+    return anyio.run(main, backend_options={"use_uvloop": True})
+
+
+def test_a_change_takes_hold_everywhere_or_nowhere(tmp_path: Path) -> None:
+    """Five processes, three of them voters: a change that takes hold on all, one that a router refuses, one while a
+    router is down, one while a voter is killed."""
+    names = ["r0", "r1", "r2", "r3", "r4"]
+
+    async def act(rig: Rig) -> None:
+        assert (await rig.set(1))["result"] == "in force"
+        await rig.serves(*names, parity=1)
+
+        await rig.kill("r4")
+        await rig.start("r4", descriptors=256)
+        await rig.serves("r4")
+        refused = await rig.set(0, limits={"clients": 5000})
+        assert (refused["result"], refused["code"]) == ("aborted", 1)
+        assert any(reason.startswith("r4: $.limits.clients: 5000 clients") for reason in refused["reasons"]), refused
+        assert all(reason.startswith("r4: ") for reason in refused["reasons"])
+        await rig.serves(*names, parity=1)
+
+        await rig.kill("r4")
+        assert (await rig.set(0))["result"] == "in force"
+        await rig.start("r4")
+        await rig.serves(*names, parity=0)
+
+        checked = rig.log("r1").count("policy checked")
+
+        async def kill() -> None:  # in the middle of the change
+            await rig.until(lambda: rig.log("r1").count("policy checked") > checked)
+            await rig.kill("r1")
+
+        async with anyio.create_task_group() as both:
+            both.start_soon(kill)
+            assert (await rig.set(1))["result"] == "in force"
+        await rig.serves("r0", "r2", "r3", "r4", parity=1)
+        await rig.start("r1")
+        await rig.serves(*names, parity=1)
+
+    verdict = play(tmp_path, names, 3, act)
+    assert verdict.breaks == []
+    assert verdict.cases["changes in force"] == 3 and verdict.cases["changes not in force"] == 1
+    for case in ("never mixed: sent once the first was served under the new policy", "in force: sent once it was told",
+                 "nowhere: sent during or after a change that did not take hold"):
+        assert verdict.cases[case] > 20, verdict.cases
+
+
+def test_routers_that_do_not_belong_are_turned_away(tmp_path: Path) -> None:
+    """Two of one name, other voters, another fleet, another lease, the state of another voter or of a newer build."""
+    names = ["r0", "r1", "r2", "r3"]
+
+    async def act(rig: Rig) -> None:
+        async def refused(name: str, **changes: Any) -> str:
+            process = rig.processes.get(name)
+            try:
+                await rig.start(name, **changes)
+            except Refused as error:
+                assert error.code == 2, error.text
+                return error.text
+            with anyio.fail_after(60):  # it listened, and was told only then
+                assert await rig.processes[name].wait() == 2
+            text = rig.log(name)
+            if process is not None:
+                rig.processes[name + " twice"], rig.processes[name] = rig.processes[name], process
+            return text
+
+        addresses = dict(rig.addresses)
+        assert "name: a router 'r3' is here already" in await refused("r3", listen="127.0.0.1:0")
+        rig.addresses.update(addresses)
+        voters = {**{name: f"127.0.0.1:{port}" for name, port in rig.ports.items()}}
+        for name, fleet, words in (
+                ("x1", {"voters": {"r0": voters["r0"], "r1": voters["r1"]}},
+                 "fleet.voters: r0, r1; here they are r0, r1, r2"),
+                ("x2", {"name": "other", "voters": voters}, "fleet 'other', here it is 'rig'"),
+                ("x3", {"lease": 9.0, "voters": voters}, "fleet.lease: 9 s, here it is 3 s")):
+            rig.names.append(name)
+            for voter in rig.voters:
+                rig.relays[name, voter] = rig.relays["r3", voter]
+            assert words in await refused(name, fleet=fleet)
+        await rig.kill("r2")
+        await rig.kill("r1")
+        rig.state("r2").rename(rig.folder / "r2.kept")
+        rig.state("r1").rename(rig.state("r2"))
+        before = {path.name: path.read_bytes() for path in rig.state("r2").iterdir()}
+        assert "the state of voter 'r1' of fleet 'rig', and this is 'r2'" in await refused("r2")
+        assert {path.name: path.read_bytes() for path in rig.state("r2").iterdir()} == before  # nothing overwritten
+        rig.state("r2").rename(rig.state("r1"))
+        (rig.folder / "r2.kept").rename(rig.state("r2"))
+        await rig.start("r1")
+        await rig.start("r2")
+        await rig.serves("r0", "r1", "r2", "r3")
+
+    assert play(tmp_path, names, 3, act).breaks == []
