--- a/banklift/cli/fleet.py
+++ b/banklift/cli/fleet.py
@@ -159,7 +159,8 @@
     given = fleet_of(config)
     answer = shown(given)
     if as_json:
-        tell(answer)
+        tell({**msgspec.structs.asdict(answer), "holders": [msgspec.structs.asdict(one) for one in answer.holders],
+              "trouble": [msgspec.structs.asdict(one) for one in answer.trouble]})
         return
     console = Console()
     if answer.state is not None:
--- a/tests/test_rig_fleet.py
+++ b/tests/test_rig_fleet.py
@@ -133,3 +133,87 @@
         await rig.serves("r0", "r1", "r2", "r3")
 
     assert play(tmp_path, names, 3, act).breaks == []
+
+
+def test_stopped_deaf_and_restarted_routers_serve_nothing_old(tmp_path: Path) -> None:
+    """A router stopped by SIGSTOP across the moment and gone on; one that hears nothing though it is heard; all voters
+    killed at once, one of them started on an empty folder and one on the state of before the last change."""
+    names = ["r0", "r1", "r2", "r3", "r4"]
+
+    async def act(rig: Rig) -> None:
+        rig.stop("r4")
+        assert (await rig.set(1))["result"] == "in force"
+        rig.go_on("r4")  # clients had gone on asking it
+        await rig.serves(*names, parity=1)
+
+        rig.cut_off("r3", "back")
+        assert (await rig.set(0))["result"] == "in force"
+        rig.heal()
+        await rig.serves(*names, parity=0)
+
+        yesterday = {path.name: path.read_bytes() for path in rig.state("r1").iterdir()}
+        assert (await rig.set(1))["result"] == "in force"
+        await rig.serves(*names, parity=1)
+        for name in ("r0", "r1", "r2"):
+            await rig.kill(name)
+        for path in rig.state("r1").iterdir():
+            path.write_bytes(yesterday[path.name])
+        async with anyio.create_task_group() as starts:
+            for name in ("r0", "r1", "r2"):
+                starts.start_soon(rig.start, name)
+        await rig.serves(*names, parity=1)
+        assert (await rig.set(0))["result"] == "in force"
+        await rig.serves(*names, parity=0)
+
+        await rig.kill("r0")
+        for path in rig.state("r0").iterdir():
+            path.unlink()
+        await rig.start("r0")
+        await rig.serves(*names, parity=0)
+        assert (await rig.set(1))["result"] == "in force"
+        await rig.serves(*names, parity=1)
+
+    verdict = play(tmp_path, names, 3, act)
+    assert verdict.breaks == []
+    assert verdict.cases["changes in force"] == 5
+    assert verdict.cases["never mixed: sent once the first was served under the new policy"] > 100, verdict.cases
+
+
+def test_an_answer_that_is_lost_is_had_by_asking_again_and_two_at_once_are_told_apart(tmp_path: Path) -> None:
+    names = ["r0", "r1", "r2", "r3"]
+
+    async def act(rig: Rig) -> None:
+        rig.stop("r3")  # so that a change takes as long as its lease
+        answers: list[dict[str, Any]] = []
+
+        async def late() -> None:
+            answers.append(await rig.set(1))
+
+        async with anyio.create_task_group() as both:
+            both.start_soon(late)
+            checked = rig.log("r1").count("policy checked")
+            await rig.until(lambda: rig.log("r1").count("policy checked") > checked)
+            other = await rig.banklift("policy", "set", str(next(rig.folder.glob("policy-*.json"))), "--config",
+                                       str(rig.file("r2")), "--json")
+            assert other[0] == 4 and "under way" in other[2], other
+        first = answers[0]
+        assert first["result"] == "in force"
+        rig.go_on("r3")
+        path = next(rig.folder.glob("policy-*.json"))
+        again = await rig.banklift("policy", "set", str(path), "--config", str(rig.file("r2")), "--json", "--id",
+                                   first["id"])
+        assert again[0] == 0 and '"in force"' in again[1], again
+        shown = await rig.banklift("policy", "show", "--config", str(rig.file("r2")))
+        assert '"epoch": 2' in shown[1], shown  # made once
+        dry = await rig.banklift("policy", "check", str(path), "--config", str(rig.file("r2")))
+        assert dry[0] == 0 and dry[1].startswith("fine"), dry
+        told = await rig.fleet()
+        assert {holder["name"] for holder in told["holders"]} == set(names) and told["state"]["epoch"] == 2
+        bad = rig.folder / "bad.json"
+        for text, words in (("{", "bad.json"), ('{"classes": []}', "missing required field"),
+                            ('{"listen": "x:1"}', "a policy can't change it")):
+            bad.write_text(text)
+            refused = await rig.banklift("policy", "set", str(bad), "--config", str(rig.file("r2")))
+            assert refused[0] == 2 and words in refused[2], refused
+
+    assert play(tmp_path, names, 3, act).breaks == []
