--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -3,8 +3,8 @@
     .venv/bin/python benchmarks/fleet.py [--routers 5 40 230] [--seeds 5] [--lease 10] [--keep]
 
 Ways take 1 to 1.5 ms, writes to disk 2 to 8 ms. Routers that are down were killed a moment before the change, so it
-waits for the end of their leases. Prints, for each size and part that is down, seconds from the operator's word to "in force"
-(median and most), and for a fleet at rest messages and bytes a router and a voter a minute.
+waits for the end of their leases. Prints, for each size and part that is down, seconds from the operator's word to "in
+force" (median and most), and for a fleet at rest messages and bytes a router and a voter a minute.
 """
 
 from __future__ import annotations
