--- a/banklift/rig/world.py
+++ b/banklift/rig/world.py
@@ -88,7 +88,6 @@
     host: FleetHost | None = None
     serving: int = 0
     until: float = -math.inf  # on the true clock
-    stopped: bool = False
     reasons: tuple[str, ...] = ()  # it has against every policy that holds `REFUSED`
     ousted: str = ""
 
