A client that leaves while it is not read is known at once; batches and ends of sockets

`pause` (line 167) took a connection out of the epoll object, so a client whose pipeline was full could leave and nobody knew: what it had waiting was sent on. Both serve loops looked a descriptor up when its turn came, so one closed and opened anew within a batch got what was ready for the old one: a connection still on its way took itself for up. `end` (line 405) closed the oldest connection beyond 32 that end, also one whose answer was still unsent, for others that only waited.

Change: a paused connection hears of its other end's close (`half_closed`; on the platform who closes its side has gone); a batch is resolved when it is taken; those with all sent make way first, and a finished one is written at once. Ruled out by a test: bytes behind the end of what the kernel holds can't be known, as the FIN is behind them.

--- a/banklift/emulator/world.py
+++ b/banklift/emulator/world.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Callable
 from random import Random
 
@@ -66,7 +67,11 @@
             self._read()
 
     def _read(self) -> None:
-        if self.paused or self.closed:
+        if self.closed:
+            return
+        if self.paused:
+            if self.gone:
+                self.peer.half_closed()
             return
         if self.inbox:
             data = b"".join(self.inbox)
@@ -94,6 +99,7 @@
         self.one_way = one_way
         self.clock = start
         self.listeners: dict[str, WorldListener] = {}
+        self.late: dict[str, float] = {}  # seconds that connections to an address come up later; infinite: never
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = 0
         self.port = 10_000
@@ -120,7 +126,10 @@
 
     def connect(self, address: str, peer: Peer, source: str | None = None) -> Handle:
         handle = WorldHandle(self, peer, address.rpartition(":")[0])
-        self.at(self.clock + self.latency(), lambda: self._arrive(handle, address, source or "127.0.0.1"))
+        late = self.late.get(address, 0.0)
+        if late == math.inf:
+            return handle
+        self.at(self.clock + self.latency() + late, lambda: self._arrive(handle, address, source or "127.0.0.1"))
         return handle
 
     def _arrive(self, handle: WorldHandle, address: str, source: str) -> None:
--- a/banklift/net/env.py
+++ b/banklift/net/env.py
@@ -23,7 +23,7 @@
         """Close at once. The peer at this end is told nothing more."""
 
     def pause(self) -> None:
-        """Read no more until `resume`."""
+        """Read no more until `resume`. Of the other end's close the peer is told all the same (`half_closed`)."""
 
     def resume(self) -> None: ...
 
@@ -42,6 +42,11 @@
     def eof(self) -> None:
         """The other end sends no more; it may still read."""
 
+    def half_closed(self) -> None:
+        """The other end sends no more, while this one is paused: what it sent before may be unread. `eof` still comes
+        where it is read on."""
+        return
+
     def lost(self, reason: str) -> None:
         """It could not be opened, or broke."""
 
--- a/banklift/net/router.py
+++ b/banklift/net/router.py
@@ -179,6 +179,9 @@
         else:
             self.host.tell(ev.ClientEof(self.id))
 
+    def half_closed(self) -> None:
+        self.host.tell(ev.ClientHalfClosed(self.id))
+
     def full(self) -> None:
         self.host.tell(ev.ClientFull(self.id))
 
--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -11,6 +11,9 @@
 and gives the loop its turn, for signals, only every `TURN` seconds: system calls cost more than all else there, and
 going through the loop takes five for each wait.
 
+A connection that is paused is not read, but that its other end has closed its side, or is gone, is told all the same: a
+client that leaves is owed nothing, and what it has waiting must not be begun.
+
 A peer is told when what is unsent piles up, and when it has gone down again. That shows when what was gathered is
 written, so no more than `HIGH_WATER` is gathered, for all of them together, before the next event is told: else a slow
 reader's peer would go on making answers for as long as the round lasts. Everything belongs to the task group.
@@ -52,6 +55,7 @@
 TICK = 0.001  # seconds that timers may be late, so that many ring together
 BIND_ADDRESS_NO_PORT = 24  # of IP: the port is chosen at connect, so many connections share a source
 IN, OUT, GONE = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
+BROKEN = select.EPOLLERR | select.EPOLLHUP  # told whether asked for or not
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 PAUSE = 0.1  # seconds without accepting when descriptors run out
 
@@ -81,6 +85,11 @@
         self._full = False
         self.closed = False
 
+    @property
+    def sent(self) -> bool:
+        """Whether all that was to be sent has gone out."""
+        return not self._unsent and not self._gathered
+
     @property
     def source(self) -> str:
         try:
@@ -114,6 +123,8 @@
 
     def flush(self) -> None:
         """Write what was gathered, as far as the socket takes it."""
+        if not self._gathered:  # written already, as it was finished
+            return
         data = self._gathered[0] if len(self._gathered) == 1 else b"".join(self._gathered)
         self._gathered.clear()
         if self.closed:
@@ -133,7 +144,7 @@
             data = data[sent:]
             self._want(self._events | OUT)
         self._unsent += data
-        if len(self._unsent) > HIGH_WATER and not self._full:
+        if len(self._unsent) > HIGH_WATER and not self._full and not self._finishing:
             self._full = True
             self.peer.full()
 
@@ -142,10 +153,12 @@
             return
         self._finishing = True
         self._away = AWAY if away else 0
-        self._env.end(self, SLOW_END)
-        if not self._unsent and not self._gathered:
+        if self._gathered:
+            self.flush()  # at once, so that what has nothing unsent is known to be such
+        elif self.sent:
             self._shut()
-        else:
+        if not self.closed and not self.sent:
+            self._env.end(self, SLOW_END)
             self._want(self._events & OUT)
 
     def _shut(self) -> None:
@@ -155,8 +168,10 @@
         except OSError:  # it has gone already
             self.close()
             return
-        self._env.end(self, END)
-        self._want(IN if self._away else GONE)
+        if self._env.end(self, END):
+            self._want(IN if self._away else GONE)
+        else:
+            self.close()
 
     def close(self) -> None:
         if not self.closed:
@@ -169,12 +184,12 @@
             self._env.handles.discard(self)
 
     def pause(self) -> None:
-        if not self.closed:
-            self._want(self._events & ~IN)
+        if not self.closed and self._events & IN:
+            self._want(self._events & ~IN | GONE)
 
     def resume(self) -> None:
         if not self.closed and not self._connecting:
-            self._want(self._events | IN)
+            self._want(self._events & ~GONE | IN)
 
     def _break(self, reason: str) -> None:
         if not self.closed:
@@ -197,8 +212,13 @@
         if events & ~OUT and not self.closed:
             if self._finishing and not self._away:
                 self.close()
-            else:
+            elif self._finishing or self._events & IN:
                 self._read()
+            elif events & BROKEN:
+                self._break("reset while it was not read")
+            elif events & self._events & GONE:  # told once, as it stays so
+                self._want(self._events & ~GONE)
+                self.peer.half_closed()
 
     def _read(self) -> None:
         try:
@@ -349,11 +369,7 @@
                 while ready := self.epoll.poll(linger, AT_ONCE):
                     linger = self.linger if len(ready) == 1 else 0.0  # where much is ready, more comes anyway
                     self._flush_due = True
-                    for fd, events in ready:
-                        if (found := self.by_fd.get(fd)) is not None:
-                            found.ready(events)
-                            if self.piled > HIGH_WATER:
-                                self._flush(True)
+                    self._serve_batch(ready)
                     self._flush()
                     now = self.now()
                     if self._timers and self._timers[0][0] <= now:
@@ -374,11 +390,7 @@
                     end = now + TURN
                 wait = min(end, timers[0][0] if timers else end) - now
                 self._flush_due = True
-                for fd, events in self.epoll.poll(max(TICK, wait), AT_ONCE):
-                    if (found := self.by_fd.get(fd)) is not None:
-                        found.ready(events)
-                        if self.piled > HIGH_WATER:
-                            self._flush(True)
+                self._serve_batch(self.epoll.poll(max(TICK, wait), AT_ONCE))
                 self._flush()
                 now = self.now()
                 if timers and timers[0][0] <= now:
@@ -386,6 +398,16 @@
         finally:
             self._close()
 
+    def _serve_batch(self, ready: list[tuple[int, int]]) -> None:
+        """Tell of what is ready. A descriptor that is closed on the way may be another's before its turn has come: what
+        was ready is told to who had it when the batch was taken, or to nobody."""
+        by_fd = self.by_fd
+        for fd, events, found in [(fd, events, by_fd.get(fd)) for fd, events in ready]:
+            if found is not None and by_fd.get(fd) is found:
+                found.ready(events)
+                if self.piled > HIGH_WATER:
+                    self._flush(True)
+
     def _close(self) -> None:
         for listener in [one for one in self.by_fd.values() if isinstance(one, SocketListener)]:
             listener.close()
@@ -402,13 +424,18 @@
         self.by_fd[fd] = reader
         self.epoll.register(fd, IN)
 
-    def end(self, handle: SocketHandle, seconds: float) -> None:
-        """It was finished, and is closed after that time at the latest."""
+    def end(self, handle: SocketHandle, seconds: float) -> bool:
+        """It was finished, and is closed after that time at the latest. False: it is to be closed at once, as too many
+        end; those that only wait for the other end make room, before any that has something unsent."""
         self.ending.pop(handle, None)
         while len(self.ending) >= ENDING:
-            next(iter(self.ending)).close()
+            first = next((one for one in self.ending if one.sent), handle if handle.sent else next(iter(self.ending)))
+            if first is handle:
+                return False
+            first.close()
         until = self.ending[handle] = self.now() + seconds
         self.at(until, lambda: handle.close() if self.ending.get(handle) == until else None)
+        return True
 
     def gather(self, handle: SocketHandle) -> None:
         """It has something to send."""
--- a/banklift/pg/front.py
+++ b/banklift/pg/front.py
@@ -122,6 +122,9 @@
         if state is not None:  # who ends its sending has gone away
             self._close(state)
 
+    def half_closed(self, client: int) -> None:
+        self.eof(client)  # also where what it sent before is unread: nothing of that has begun
+
     def lost(self, client: int) -> None:
         state = self.clients.pop(client, None)
         if state is not None:
--- a/banklift/proxy/events.py
+++ b/banklift/proxy/events.py
@@ -23,6 +23,12 @@
     since: float | None = None  # it may have been sent as long ago as this; None: just now
 
 
+class ClientHalfClosed(msgspec.Struct, frozen=True, gc=False):
+    """It sends no more, while it is paused; what it sent before may be unread."""
+
+    client: int
+
+
 class ClientEof(msgspec.Struct, frozen=True, gc=False):
     """It sends no more, and may still read."""
 
@@ -109,8 +115,8 @@
     kind: ListKind = ListKind.FULL
 
 
-Event = (ClientOpened | ClientData | ClientEof | ClientLost | ClientFull | ClientFree | LinkUp | LinkData | LinkLost
-         | Drain | Leave | Wake | Adopt | Until | Roster)
+Event = (ClientOpened | ClientData | ClientHalfClosed | ClientEof | ClientLost | ClientFull | ClientFree | LinkUp
+         | LinkData | LinkLost | Drain | Leave | Wake | Adopt | Until | Roster)
 
 
 class ToClient(msgspec.Struct, frozen=True, gc=False):
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -172,6 +172,8 @@
                 self.front.opened(client)
             case ev.ClientEof(client):
                 self.front.eof(client)
+            case ev.ClientHalfClosed(client):
+                self.front.half_closed(client)
             case ev.ClientLost(client):
                 self.front.lost(client)
             case ev.ClientFull(client):
--- a/banklift/proxy/wire.py
+++ b/banklift/proxy/wire.py
@@ -215,6 +215,9 @@
 
     def eof(self, client: int) -> None: ...
 
+    def half_closed(self, client: int) -> None:
+        """It sends no more, but is paused: what it sent before may be unread."""
+
     def lost(self, client: int) -> None: ...
 
     def full(self, client: int, is_full: bool) -> None:
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -157,6 +157,9 @@
                 self._give_up(place, gone)
         self._flush(state)
 
+    def half_closed(self, client: int) -> None:
+        return  # it may read on, and what it sent before is owed its answers; `eof` comes once that was read
+
     def lost(self, client: int) -> None:
         state = self.clients.pop(client, None)
         if state is None:
