An attempt that waited for its connection leaves only if the module would still send it

Ruled out: positions (exact), primaries that were replaced (excused), processor time (within a ms). The same gap held for the window of a keyed repeat.

Change: `Balancer.holds` is asked before an attempt that waited is written; it ends unsent if a proof has aged or a window has passed. A keyed request that may have run is refused only if its client can come back within the window when told to, else failed. What waits for a connection is withdrawn when its client leaves, also where nothing may be cancelled.

--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -101,8 +101,7 @@
 class Balancer:
     """Decides for one router: `handle` takes what happened and returns what to do, in order."""
     def __init__(self, settings: io.Settings, seed: int) -> None:
-        self.settings = settings
-        self.random = Random(seed)
+        self.settings, self.random = settings, Random(seed)
         self.kinds = {kind.name: kind for kind in settings.classes}
         self.shortest = min(kind.aim for kind in settings.classes)
         self.usual = {kind.name: FIRST_LATENCY * kind.aim for kind in settings.classes}
@@ -112,8 +111,7 @@
         self.sessions: dict[int, float] = {}
         self.forgotten = -math.inf  # newest commit of the sessions dropped
         self.timers: dict[int, Callable[[], None]] = {}
-        self.crowd = settings.balancers > FEW
-        self.primaries = 1.0  # part of requests that only a primary takes
+        self.crowd, self.primaries = settings.balancers > FEW, 1.0  # part of requests for a primary alone
         self.now, self.tokens, self.watch_failures = 0.0, 0, 0
         self.pace_load, self.pace_time = FIRST_PACE, FIRST_LATENCY * self.shortest
         self.actions: list[io.Action] = []
@@ -137,11 +135,10 @@
             self.forget(self.requests[event.request], isinstance(event, io.Abandoned))
 
     def on_ending(self, event: io.Ending) -> None:
-        for pending in self.requests.values():
-            pending.last_call = min(pending.last_call, event.by)
-            pending.hold_end = min(pending.hold_end, event.by)
-            if pending.ending:
-                heappush(pending.group.ends, (event.by, pending.ask.id))
+        for one in self.requests.values():
+            one.last_call, one.hold_end = min(one.last_call, event.by), min(one.hold_end, event.by)
+            if one.ending:
+                heappush(one.group.ends, (event.by, one.ask.id))
 
     # ---- facts: the record is updated as they arrive, and an older one never undoes a newer one
     def on_listing(self, listing: io.Listing) -> None:
@@ -154,14 +151,12 @@
         self.watch_failures = 0
         for entry in listing.entries:
             self.on_entry(entry)
-        listed = {entry.member for entry in listing.entries}
-        for member in list(self.members.values()):
-            if listing.kind is not io.ListKind.CHANGES and member.name not in listed:
-                self.set_state(member, State.GONE)
+        kept = self.members if listing.kind is io.ListKind.CHANGES else {one.member for one in listing.entries}
+        for member in [member for name, member in self.members.items() if name not in kept]:
+            self.set_state(member, State.GONE)
 
     def on_entry(self, entry: io.Entry) -> None:
-        group = self.groups.setdefault(entry.group, Group())
-        member = self.members.get(entry.member)
+        group, member = self.groups.setdefault(entry.group, Group()), self.members.get(entry.member)
         if member is None:
             member = self.members[entry.member] = Member(entry.member, group, started=entry.started)
         elif entry.started is not None and entry.started != member.started:
@@ -204,10 +199,8 @@
             lag = asked - member.position
             member.behind = lag if lag > max(REPORT_AGE, self.shortest) else 0.0
         at = report.position if report.at is None else report.at  # a position dates its report, unless told
-        if report.primary and at is not None:
-            self.crown(member, at)
-        elif report.primary is False and at is not None:
-            self.demote(member, at)
+        if report.primary is not None and at is not None:
+            (self.crown if report.primary else self.demote)(member, at)
 
     def crown(self, member: Member, at: float) -> None:
         group = member.group
@@ -330,17 +323,19 @@
     def route(self, pending: Pending) -> None:
         """Send it, hold it, or give it its final answer."""
         pending.group.held[pending.kind.name].pop(pending.ask.id, None)
-        effect, ran = pending.kind.effect, pending.maybe_ran
-        keyed = effect is Effect.KEYED and ran is not None and self.now < ran + pending.kind.window
-        repeatable = ran is None or effect is Effect.SAFE or keyed  # rule 2
         more = len(pending.tried) < self.settings.max_attempts and self.now < pending.last_call
-        if not (repeatable and more):
+        if not (self.repeatable(pending) and more):
             return self.give_up(pending)
-        member = self.choose(pending)
-        if member is None:
+        if (member := self.choose(pending)) is None:
             return self.hold(pending)
         self.send(pending, member)
 
+    def repeatable(self, pending: Pending, wait: float = 0.0) -> bool:
+        """Rule 2: whether it may be sent, or by its client sent again, so many seconds from now."""
+        kind, ran = pending.kind, pending.maybe_ran
+        keyed = kind.effect is Effect.KEYED and ran is not None and self.now + wait < ran + kind.window
+        return ran is None or kind.effect is Effect.SAFE or keyed
+
     def choose(self, pending: Pending) -> Member | None:
         group, primary = pending.group, pending.group.primary
         if pending.kind.need in (Need.WRITE, Need.FRESH):
@@ -431,14 +426,22 @@
         if member is not None and self.settings.may_cancel and not self.healthy(member):
             self.actions.append(io.Cancel(pending.ask.id, attempt))
 
+    def holds(self, now: float, request: int, attempt: int) -> bool:
+        """Whether an attempt that waited for its connection may still leave: rules 2 and 5 as of `now`."""
+        self.now, pending = now, self.requests.get(request)
+        if pending is None or attempt not in pending.flying or not self.repeatable(pending):
+            return False
+        member, fresh = pending.flying[attempt], pending.kind.need is Need.FRESH
+        return member is member.group.primary or (not fresh and self.recent(member, self.floor(pending, now)))
+
     # ---- guards
     def give_up(self, pending: Pending) -> None:
         """The one final answer, at once."""
-        effect = pending.kind.effect
-        alone = effect is Effect.UNSAFE or (effect is Effect.KEYED and pending.kind.group_only)
-        refused = io.Refuse(pending.ask.id, self.settings.max_retry_after, why(self, pending))
-        failed = io.Fail(pending.ask.id, refused.reason)
-        self.actions.append(failed if alone and pending.maybe_ran is not None else refused)
+        kind, wait, reason = pending.kind, self.settings.max_retry_after, why(self, pending)
+        alone = pending.maybe_ran is not None and kind.effect is Effect.KEYED and kind.group_only
+        again = self.repeatable(pending, wait) and not alone  # by its client, who may come when it is told to
+        final = io.Refuse(pending.ask.id, wait, reason) if again else io.Fail(pending.ask.id, reason)
+        self.actions.append(final)
         self.forget(pending)
 
     def forget(self, pending: Pending, cancel: bool = True) -> None:
@@ -449,9 +452,8 @@
         pending.flying.clear()
 
     def hold(self, pending: Pending) -> None:
-        group, step = pending.group, STEP * self.shortest
-        end = pending.last_call if pending.reached else pending.hold_end
-        if self.now + step >= end:
+        group, end = pending.group, pending.last_call if pending.reached else pending.hold_end
+        if self.now + STEP * self.shortest >= end:
             return self.give_up(pending)
         group.held[pending.kind.name][pending.ask.id] = pending
         if not pending.ending:
@@ -478,9 +480,8 @@
         self.release(group, SWEEP)
         if any(group.held.values()):
             return self.watch(group)
-        for _, number in group.ends:  # what is out there may come to be held again
-            if number in self.requests:
-                self.requests[number].ending = False
+        for pending in [self.requests[number] for _, number in group.ends if number in self.requests]:
+            pending.ending = False  # what is out there may come to be held again
         group.ends.clear()
 
     def release(self, group: Group, most: int, told: Member | None = None) -> None:
@@ -515,9 +516,8 @@
         return (self.load(member) + 1) * self.pace_time / self.pace_load / self.warm(member)
 
     def answered(self, member: Member, more: float = 0.0) -> float:
-        span = RATE_SPAN * self.shortest
-        member.rate = member.rate * math.exp((member.rated - self.now) / span) + more / span
-        member.rated = self.now
+        span, past = RATE_SPAN * self.shortest, member.rated - self.now
+        member.rate, member.rated = member.rate * math.exp(past / span) + more / span, self.now
         return member.rate
 
     def room(self, pending: Pending, member: Member) -> bool:
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -49,6 +49,7 @@
 )
 
 PROBES = -1  # flavour of links for probes
+RETRANSMITTED = 1.75  # seconds beyond its time in which a link may still come up: a lost SYN is repeated after a second
 UNSERVED = 20  # lines a second on requests that were not served, at the most: a flood of them is one story
 NOTHING_TOLD = Told()
 
@@ -257,6 +258,9 @@
             open_.final = True
             self.queues.leave(open_.ask.group, open_.ask.kind.name, self.now)
             self._decide(io.Abandoned(request))
+            for attempt in list(open_.attempts):  # what has not left stays, also where nothing is cancelled
+                if not attempt.ended and attempt.link is None:
+                    self._end(attempt, Status.MOOT)
 
     def refresh(self, group: int) -> None:
         """Ask the members of a group where they stand, but those that are being asked."""
@@ -393,12 +397,16 @@
         return len(self.links) < self.limits.all_links
 
     def _next_waiting(self, node: Node, flavour: int) -> Attempt | None:
-        """Take the first attempt that waits for a link of this flavour out of the queue."""
+        """Take the first attempt that waits for a link of this flavour out of the queue. Those that the module would no
+        longer send (what was proven has aged, a window has passed) end unsent."""
         queue = node.waiting.get(flavour)
-        if not queue:
-            return None
-        self._wait(node, -1)
-        return queue.popitem(last=False)[0]
+        while queue:
+            attempt = queue.popitem(last=False)[0]
+            self._wait(node, -1)
+            if self.balancer.holds(self.now, attempt.open.id, attempt.number):
+                return attempt
+            self._end(attempt, Status.MOOT)
+        return None
 
     def _wait(self, node: Node, more: int) -> None:
         """So many attempts more wait for a link to it."""
@@ -535,11 +543,18 @@
             node.links[link.id] = link
             node.opening += 1
         self.actions.append(ev.OpenLink(link.id, node.address))
+        self.at(self.now + self.limits.connect + RETRANSMITTED, lambda: self._never_up(link))
         if not self.sweeping:
             self.sweeping = True
             self.at(self.now + self.limits.idle / 2, self._sweep)
         return link
 
+    def _never_up(self, link: Link) -> None:
+        """A late one may still be of use; one that never comes up would hold a descriptor and a place for good."""
+        if link.id in self.links and (not link.up or link.greeting):
+            self.note("connect failed", member=link.node.name, reason="it never came up")
+            self._close(link)
+
     def _link_up(self, link: Link) -> None:
         link.up = True
         greeting, link.greeting = self.wire.greeting(link.flavour)
@@ -586,7 +601,10 @@
         """A link has rested, for which attempts may wait."""
         while node.waiting.get(flavour) and (link := self._rested(node.idle.get(flavour, []))) is not None:
             attempt = self._next_waiting(node, flavour)
-            assert attempt is not None
+            if attempt is None:  # none of them may leave any more
+                node.idle[flavour].append(link)
+                self.idle[link.id] = link
+                return
             self._write(link, attempt)
 
     def _link_data(self, link: Link, data: bytes) -> None:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Callable
 from typing import Any, cast
 
 from banklift.adapter import parse_settings
@@ -119,6 +120,9 @@
         return (f"INSERT INTO kv (name, content) VALUES ('{key}', '\\x{value}') RETURNING content "
                 f"{self.comment(kind, patience, **more)}")
 
+    def run_later(self, seconds: float, call: Callable[[], None]) -> None:
+        self.world.at(self.world.now() + seconds, call)
+
     def balanced(self) -> None:
         """What the router believes to be out there is what the nodes hold, and it has forgotten the rest."""
         for name, node in self.nodes.items():
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,4 +1,4 @@
-"""Crossings on real sockets, each forced: what is ready at once, what is closed meanwhile, who leaves while not read."""
+"""Crossings on real sockets, each forced: what is ready at once, what is closed meanwhile, who leaves unread."""
 
 from __future__ import annotations
 
@@ -116,7 +116,7 @@
                 return
             old = second if handle is first.handle else first
             number = old.handle._sock.fileno()  # type: ignore[attr-defined]
-            while (filler := os.open(os.devnull, os.O_RDONLY)) < number:  # so that its number is the lowest that is free
+            while (filler := os.open(os.devnull, os.O_RDONLY)) < number:  # so that its number is the lowest free one
                 fillers.append(filler)
             os.close(filler)
             old.handle.close()
--- /dev/null
+++ b/tests/test_rare_moments.py
@@ -0,0 +1,235 @@
+"""Moments that few days have: the crossing is forced, in virtual time, never hoped for."""
+
+from __future__ import annotations
+
+import math
+import signal
+from typing import Any
+
+import pytest
+
+from banklift.interface import State
+from banklift.pg import frames
+from banklift.proxy.machine import RETRANSMITTED
+from tests.platform_site import SETTINGS, Caller, Site, code, value
+
+NO_PROBES: dict[str, Any] = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "probing": False}}
+
+
+def with_service(place: int, allowed: dict[str, Any] | None = None, balancers: int = 1,
+                 **more: object) -> dict[str, Any]:
+    services = [dict(service) for service in SETTINGS["services"]]
+    services[place].update(more)
+    return {**SETTINGS, "services": services, "allowed": {**SETTINGS["allowed"], **(allowed or {})},
+            "balancers": balancers}
+
+
+def cut_off(site: Site, name: str) -> None:
+    """The node closes all its connections."""
+    node = site.nodes[name]
+    for peer in list(node.connections):
+        assert peer.handle is not None
+        peer.lost("closed here")
+        peer.handle.close()
+
+
+# ---- attempts that wait for their connection
+
+
+def test_a_bounded_read_whose_proof_ages_while_it_waits_for_a_connection_does_not_leave() -> None:
+    """The data that a replica is known to have is 0.8 s old when its connection comes up 0.2 s late."""
+    site = Site(settings=NO_PROBES)
+    caller = Caller(site)
+    assert value(caller.ask(site.read("own", "k", after=1)))  # who is where is known from answers alone
+    for name in ("r1", "r2"):
+        member = site.machine.balancer.members[name]
+        member.position = site.world.now() - 0.7  # 0.1 s short of the bound
+        cut_off(site, name)
+        site.world.late[site.nodes[name].address] = 0.2
+    site.run(0.005)
+    site.machine.balancer.members["p"].load = 1e6  # so a replica is drawn
+    seen = {name: len(node.seen) for name, node in site.nodes.items()}
+    caller.say(frames.query(site.read("view", "k").encode()), 0.01)
+    assert len(site.machine.flying) == 1
+    site.machine.balancer.members["p"].load = 0.0  # and may serve it later
+    site.run(0.3)
+    for name in ("r1", "r2"):
+        assert len(site.nodes[name].seen) == seen[name]
+    assert len(site.nodes["p"].seen) == seen["p"] + 1 and value(caller.told())
+    site.balanced()
+
+
+def test_a_bounded_read_whose_proof_still_holds_leaves_when_its_connection_comes_up() -> None:
+    site = Site(settings=NO_PROBES)
+    caller = Caller(site)
+    assert value(caller.ask(site.read("own", "k", after=1)))
+    for name in ("r1", "r2"):
+        site.machine.balancer.members[name].position = site.world.now() - 0.4
+        cut_off(site, name)
+        site.world.late[site.nodes[name].address] = 0.2
+    site.run(0.005)
+    site.machine.balancer.members["p"].load = 1e6
+    seen = len(site.nodes["p"].seen)
+    caller.say(frames.query(site.read("view", "k").encode()), 0.3)
+    assert len(site.nodes["p"].seen) == seen and value(caller.told())
+    site.balanced()
+
+
+@pytest.mark.parametrize(("window", "runs"), [(0.3, 1), (1.5, 2)])
+def test_a_keyed_repeat_leaves_only_within_its_window_however_late_its_connection(window: float, runs: int) -> None:
+    """The first attempt breaks at once; the repeat waits 0.2 s for a connection, twice."""
+    site = Site(settings=with_service(3, semantics="dedup", window_s=window, balancers=20))
+    caller = Caller(site)
+    assert value(caller.ask(site.write("k", "01")))
+    node, address = site.nodes["p"], site.nodes["p"].address
+    before = len(node.seen)
+
+    def breaks(node: Any, statement: bytes) -> None:
+        site.world.late[address] = 0.22
+        site.run_later(0.1, lambda: cut_off(site, "p"))
+
+    node.answers.append(breaks)
+    caller.say(frames.query(site.write("k", "02").encode()), 1.9)
+    assert len(node.seen) == before + runs
+    told = caller.told()
+    if runs == 1:  # a repeat by the client could run a second time as well
+        assert code(told) == "40003"
+    else:
+        assert value(told) == b"\x02"
+
+
+def test_a_refusal_of_what_may_have_run_leaves_its_client_time_to_come_back_within_the_window() -> None:
+    site = Site(settings=with_service(3, semantics="dedup", window_s=0.9))  # clients are told to wait for 1 s
+    caller = Caller(site)
+    assert value(caller.ask(site.write("k", "01")))
+    for _ in range(8):
+        site.nodes["p"].answers.append(lambda node, statement: frames.error("XX000", "broken") + frames.READY)
+    assert code(caller.ask(site.write("k", "02"), 2.0)) == "40003"
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_what_waits_for_a_connection_does_not_leave_once_its_client_has_gone(may_cancel: bool) -> None:
+    site = Site(settings=with_service(0, {"may_cancel": may_cancel, "connect_timeout_s": 0.25}))
+    caller, other = Caller(site), Caller(site)
+    assert value(other.ask(site.write("k", "01")))
+    cut_off(site, "p")
+    site.run(0.005)
+    site.world.late[site.nodes["p"].address] = 0.2
+    before = len(site.nodes["p"].seen)
+    caller.say(frames.query(site.write("k", "02").encode()), 0.01)
+    assert len(site.machine.flying) == 1
+    caller.handle.close()
+    site.run(1.0)
+    assert len(site.nodes["p"].seen) == before
+    site.balanced()
+
+
+def test_a_connection_that_never_comes_up_is_given_up_and_its_place_is_free() -> None:
+    site = Site()
+    caller = Caller(site)
+    assert value(caller.ask(site.write("k", "01")))
+    cut_off(site, "p")
+    site.run(0.005)
+    site.world.late[site.nodes["p"].address] = math.inf
+    caller.say(frames.query(site.write("k", "02").encode()), 0.1)
+    opening = [link for link in site.machine.links.values() if not link.up]
+    assert opening
+    site.run(2.0 + site.start.connect + RETRANSMITTED)
+    assert not any(link.id in site.machine.links for link in opening)
+    assert not site.machine.nodes["p"].opening and not site.machine.hungry
+    site.world.late.clear()
+    assert code(caller.told()) == "53300"
+    assert value(Caller(site).ask(site.write("k", "03"), 0.5)) == b"\x03"
+    site.balanced()
+
+
+# ---- clients that leave while they are not read
+
+
+def test_a_client_that_leaves_with_a_full_pipeline_takes_with_it_what_has_not_begun() -> None:
+    """Its end stands behind commands that were never read: nobody looks at its connection any more."""
+    site = Site()
+    caller = Caller(site)
+    assert value(caller.ask(site.write("k", "01")))
+    for name, node in site.nodes.items():
+        cut_off(site, name)
+        site.world.late[node.address] = 0.2
+    site.run(0.005)
+    before = sum(len(node.seen) for node in site.nodes.values())
+    caller.say(b"".join(frames.query(site.write(f"k{place}").encode()) for place in range(40)), 0.01)
+    (state,) = site.front.clients.values()
+    assert state.paused and len(site.machine.open) == 16
+    caller.handle.close()
+    site.run(0.01)
+    assert not site.machine.open and not site.front.clients
+    site.run(1.0)
+    assert sum(len(node.seen) for node in site.nodes.values()) == before
+    site.balanced()
+
+
+# ---- discovery
+
+
+def pushed() -> dict[str, Any]:
+    rules = {name: figure for name, figure in SETTINGS["rules"].items() if name != "ask_within_s"}
+    return {**SETTINGS, "membership_mode": "automatic", "rules": rules}
+
+
+def draining(site: Site) -> bool:
+    """Whether the router knows that r1 drains."""
+    return site.machine.nodes["r1"].state is State.DRAINING
+
+
+def test_where_lists_are_pushed_the_watch_is_open_from_the_start_and_its_changes_hold() -> None:
+    site = Site(settings=pushed())
+    assert site.catalogue.calls == ["/catalog/members?after=4&wait_ms=4000"]
+    site.catalogue.list("r1", site.nodes["r1"].address, state="DRAINING")
+    site.run(0.05)
+    assert draining(site)
+
+
+def test_where_lists_are_pushed_an_outage_is_not_missed_by_more_than_part_of_the_grace() -> None:
+    """The catalogue is down for 20 s; at its return a drain counts at once."""
+    site = Site(settings=pushed())
+    assert site.catalogue.listener is not None
+    site.catalogue.listener.close()
+    for peer, _ in site.catalogue.waiting:
+        assert peer.handle is not None
+        peer.handle.close()
+    site.run(20.0)
+    asked = len(site.catalogue.calls)
+    site.catalogue.start()
+    site.catalogue.list("r1", site.nodes["r1"].address, state="DRAINING")
+    site.run(0.55)
+    assert len(site.catalogue.calls) > asked and draining(site)
+    failures = [fields for event, fields in site.notes if event == "discovery failed"]
+    assert 20 < len(failures) < 120  # no storm, and never silent for long
+
+
+def test_a_sighup_with_the_same_address_opens_a_watch_anew_that_has_fallen_silent() -> None:
+    site = Site()
+    site.catalogue.waiting.clear()  # it will never answer that call
+    site.catalogue.list("r1", site.nodes["r1"].address, state="DRAINING")
+    site.run(0.5)
+    assert not draining(site)
+    site.service.discovery.move(site.catalogue.address)
+    site.run(0.05)
+    assert draining(site)
+
+
+def test_a_watch_that_fell_silent_is_opened_anew_within_six_seconds_of_its_call() -> None:
+    settings = {**SETTINGS, "rules": {**SETTINGS["rules"], "ask_within_s": 120.0}}  # of which a retry takes a part
+    site = Site(settings=settings)
+    site.catalogue.waiting.clear()
+    site.catalogue.list("r1", site.nodes["r1"].address, state="DRAINING")
+    site.run(5.9)
+    assert draining(site)
+
+
+def test_signals_that_come_together_leave_in_order() -> None:
+    site = Site()
+    now = site.world.now()
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+        site.service.signalled(number, now)
+    assert [event for event, _ in site.notes if event in ("leaving", "configuration refused, the old one stays")] == [
+        "leaving", "configuration refused, the old one stays"]
