Where lists are pushed the router watches; a silent watch is opened anew at once

A watch that fell silent was noticed 0.5 s before what it missed counts as told, and the retry took a part of `ask_within_s` on top (`on_listing`); `move` to the same address returned at once although its watch may be stuck; changes of a catalogue with lower versions were taken for changes of the list known; a connection that never came up was waited for as long as a watch.

Change: discovery/client.py opens a silent watch anew once by itself; with `backoff` (pushed lists) after each failure, with waits up to a quarter of the drain grace and seeded jitter.

--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -29,6 +29,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 import anyio
@@ -55,6 +56,8 @@
 MARGIN = 0.005  # seconds of a request's time that are kept for the answer's way back
 IDLE_PART = 0.6  # of the time after which a node closes an idle link: it is closed here before that
 PROBE = 0.25  # seconds in which a probe is answered; the settings don't tell
+FIRST_RETRY = 0.1  # seconds until a watch that failed is opened anew, where lists are pushed; doubled each time ...
+HEEDED = 0.25  # ... up to this part of the time in which the settings want a drain heeded: news count from their return
 OTHERS = 16 + ENDING  # descriptors for the listener, discovery, logs, the event loop, connections that end
 CLIENTS_PART = 0.5  # of the other descriptors; nodes have the rest
 
@@ -95,7 +98,7 @@
 
 def _seconds(table: dict[str, Any], name: str, default: float) -> float:
     value = table.get(name)
-    if value is None:
+    if value is None or (value == 0 and not isinstance(value, bool)):  # not told, or no such limit
         return default
     if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < 86_400:
         raise BadConfig(f"settings.allowed.{name}: seconds above 0 are needed, not {value!r}")
@@ -126,9 +129,9 @@
 def parse(config: dict[str, Any], environment: dict[str, str]) -> Start:
     """Errors: `BadConfig`."""
     settings = _object(config.get("settings"), "settings")
-    limits = _object(config.get("limits", {}), "limits")
-    sockets = limits.get("sockets", 1024)
-    if not isinstance(sockets, int) or sockets < 64:
+    limits = _object(config.get("limits") or {}, "limits")
+    sockets = 1024 if limits.get("sockets") is None else limits["sockets"]
+    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 64:
         raise BadConfig(f"limits.sockets: a number from 64 is needed, not {sockets!r}")
     try:
         parsed = parse_settings(settings)
@@ -194,7 +197,8 @@
                 case client.Tell(roster, reason):
                     if reason:
                         self.log("discovery failed", {"reason": reason})
-                    self.tell(roster)
+                    if roster is not None:
+                        self.tell(roster)
         self.carrying = False
         if self.core.due < float("inf"):
             due = self.core.due
@@ -269,11 +273,17 @@
         self.env, self.start, self.environment, self.log = env, start, environment, log
         self.leaving = False
         self.machine = build(start)
-        self.core = client.Client(start.discovery, version=start.known.rev if start.known is not None else None)
+        pushed = not start.settings.must_ask  # then the module waits for lists, and the watch is what brings them
+        most = max(FIRST_RETRY, HEEDED * start.settings.drain_grace)
+        backoff = client.Backoff(FIRST_RETRY, most, Random(start.seed)) if pushed else None
+        self.core = client.Client(start.discovery, version=start.known.rev if start.known is not None else None,
+                                  backoff=backoff)
         self.discovery = Discovery(env, self.core, lambda roster: self.host.tell(roster), self.log)
         self.host = RouterHost(env, self.machine, start.listen, self.log, ask=self.discovery.ask)
         self.host.tell(catalogue.roster(start.known, ListKind.CACHED) if start.known is not None
                        else ev.Roster((), ListKind.CACHED))
+        if pushed:
+            self.discovery.ask(True)
         self.log("listening", {"address": self.host.address})
 
     def signalled(self, number: int, at: float) -> None:
