--- a/banklift/adapter.py
+++ b/banklift/adapter.py
@@ -95,6 +95,16 @@
     if not isinstance(info, dict):
         raise WireError(f"boot_info: an object is needed, not {info!r}")
     allowed, rules, family = (section(info, name) for name in ("allowed", "rules", "family_info"))
+
+    def figure(table: dict[str, Any], name: str, default: float, place: str = "") -> float:
+        """A setting that is absent or null has its default."""
+        value = table.get(name)
+        return default if value is None else number(value, place + name)
+
+    def count(table: dict[str, Any], name: str, default: int, place: str = "") -> int:
+        value = table.get(name)
+        return default if value is None else integer(value, place + name)
+
     services = info.get("services") or []
     needs, bounds = family.get("class_read") or [], family.get("staleness_bound_s") or []
     if not (len(services) == len(needs) == len(bounds)):
@@ -106,12 +116,12 @@
             need=pick(NEEDS, need, "family_info.class_read"),
             aim=number(service["aim_s"], "services.aim_s"),
             deadline=number(service["deadline_s"], "services.deadline_s"),
-            worth=number(service.get("points", 1.0), "services.points"),
-            late_worth=number(service.get("late_worth", 0.0), "services.late_worth"),
-            bound=number(bound, "family_info.staleness_bound_s"),
-            aim_stretch=number(service.get("aim_stretch") or 0.0, "services.aim_stretch"),
-            window=number(service.get("window_s") or 0.0, "services.window_s"),
-            group_only=service.get("group", "all") != "all",
+            worth=figure(service, "points", 1.0, "services."),
+            late_worth=figure(service, "late_worth", 0.0, "services."),
+            bound=number(0.0 if bound is None else bound, "family_info.staleness_bound_s"),
+            aim_stretch=figure(service, "aim_stretch", 0.0, "services."),
+            window=figure(service, "window_s", 0.0, "services."),
+            group_only=(service.get("group") or "all") != "all",
             streamed=bool(service.get("streamed", False)),
         )
         for service, need, bound in zip(services, needs, bounds, strict=True)
@@ -119,30 +129,26 @@
     tenants = tuple(
         Tenant(
             name=text(tenant["name"], "tenants.name"),
-            quota=number(tenant.get("quota_per_s") or 0.0, "tenants.quota_per_s"),
-            share=number(tenant.get("share") or 0.0, "tenants.share"),
+            quota=figure(tenant, "quota_per_s", 0.0, "tenants."),
+            share=figure(tenant, "share", 0.0, "tenants."),
         )
         for tenant in info.get("tenants") or []
     )
 
-    def figure(table: dict[str, Any], name: str, default: float) -> float:
-        value = table.get(name)
-        return default if value is None else number(value, name)
-
     return Settings(
         classes=classes,
         tenants=tenants,
-        balancers=max(1, integer(info.get("balancers", 1), "balancers")),
+        balancers=max(1, count(info, "balancers", 1)),
         over_share_worth=figure(info, "over_share_worth", 1.0),
-        max_attempts=integer(allowed.get("max_attempts", 1), "allowed.max_attempts"),
+        max_attempts=count(allowed, "max_attempts", 1, "allowed."),
         parallel_tries=bool(allowed.get("parallel_tries", False)),
         may_cancel=bool(allowed.get("may_cancel", False)),
         may_probe=bool(allowed.get("probing", False)),
         max_retry_after=figure(allowed, "max_retry_after_s", 0.0) if allowed.get("retry_after") else 0.0,
         must_ask=info.get("membership_mode") == "subscribe",
         ask_within=figure(rules, "ask_within_s", 0.0),
-        lists_roles=family.get("role_in_list", "off") != "off",
-        members_check=family.get("behind", "off") != "off",
+        lists_roles=(family.get("role_in_list") or "off") != "off",
+        members_check=(family.get("behind") or "off") != "off",
         check_wait=figure(family, "wait_s", 0.0),
         answers_carry_position=bool(family.get("stamps", False)),
         client_tokens=family.get("token_mode") == "client",
