--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -128,6 +128,9 @@
 
 def parse(config: dict[str, Any], environment: dict[str, str]) -> Start:
     """Errors: `BadConfig`."""
+    def told(name: str, variable: str) -> object:
+        return environment[variable] if config.get(name) is None else config[name]
+
     settings = _object(config.get("settings"), "settings")
     limits = _object(config.get("limits") or {}, "limits")
     sockets = 1024 if limits.get("sockets") is None else limits["sockets"]
@@ -140,14 +143,14 @@
         raise BadConfig(f"settings: {text}") from None
     allowed = _object(settings.get("allowed") or {}, "settings.allowed")
     try:
-        seed = int(str(config.get("seed", "0")), 16)
+        seed = int(str(config.get("seed") or "0"), 16)
         known = catalogue.convert(config["known"]) if config.get("known") else None
     except (ValueError, catalogue.BadList) as error:
         raise BadConfig(f"seed or known: {error}") from None
     return Start(
         name=str(config.get("name") or environment["ROUTER_NAME"]),
-        listen=_address(config.get("listen", environment["ROUTER_LISTEN"]), "listen"),
-        discovery=_address(config.get("discovery", environment["ROUTER_DISCOVERY"]), "discovery"),
+        listen=_address(told("listen", "ROUTER_LISTEN"), "listen"),
+        discovery=_address(told("discovery", "ROUTER_DISCOVERY"), "discovery"),
         seed=seed, sockets=sockets, known=known, settings=parsed, idle=_seconds(allowed, "conn_idle_s", 30.0),
         connect=_seconds(allowed, "connect_timeout_s", 0.25), probe=PROBE)
 
--- a/banklift/pg/front.py
+++ b/banklift/pg/front.py
@@ -340,7 +340,8 @@
         if statement.writes is not (kind.need is Need.WRITE):
             raise BadStatement("22023", f"class {kind.name!r} does not {'write' if statement.writes else 'read'}")
         if self.tenants and statement.tenant not in self.tenants:
-            raise BadStatement("22023", f"unknown tenant {statement.tenant!r}")
+            fault = "the comment lacks t" if statement.tenant is None else f"unknown tenant {statement.tenant!r}"
+            raise BadStatement("22023", fault)
         if statement.patience > LONGEST * kind.deadline * 1000:
             raise BadStatement("22023", f"d={statement.patience} is longer than anybody waits")
         if statement.after is not None and statement.after / 1000 > self.core.now + FUTURE:
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import math
+import re
 import signal
 from typing import Any
 
 import pytest
 
+from banklift.adapter import WireError, parse_settings
+from banklift.emulator.world import World
 from banklift.interface import State
+from banklift.net.service import BadConfig, Start, parse
 from banklift.pg import frames
 from banklift.proxy.machine import RETRANSMITTED
 from tests.platform_site import SETTINGS, Caller, Site, code, value
@@ -167,6 +171,96 @@
     site.balanced()
 
 
+# ---- settings of another customer
+
+
+def test_where_there_are_no_tenants_requests_name_none() -> None:
+    site = Site(settings={**SETTINGS, "tenants": []})
+    caller = Caller(site)
+    assert value(caller.ask(site.write("k", "01").replace("t=acme,", ""))) == b"\x01"
+    assert value(caller.ask(site.read("any", "k").replace("t=acme,", ""))) == b"\x01"
+    assert value(caller.ask(site.read("any", "k"))) == b"\x01"  # and if they do, it is no fault
+    site.balanced()
+
+
+@pytest.mark.parametrize("missing", ["id=", "c=", "t=", "d=", "cluster="])
+def test_what_the_comment_lacks_is_named_where_the_settings_want_it(missing: str) -> None:
+    site = Site()
+    parts = re.split(r"(?<=/\* )|(?= \*/)|,", site.read("any", "k"))
+    kept = [part for part in parts[1:-1] if not part.startswith(missing)]
+    told = Caller(site).ask(f"{parts[0]}{','.join(kept)}{parts[-1]}")
+    assert code(told) == "22023" and f"lacks {missing[:-1]}".encode() in told[0][1]
+    assert not any(node.seen for node in site.nodes.values())
+
+
+@pytest.mark.parametrize("name", ["v1/look", "look+all", "a=b", "Look:me.now_", "100%", "ein(e)"])
+def test_classes_and_tenants_have_the_names_of_the_settings(name: str) -> None:
+    settings = {**with_service(2, name=name), "tenants": [{"name": name, "share": 1.0}]}
+    site = Site(settings=settings)
+    caller = Caller(site)
+    assert value(caller.ask(site.write("k", "01", t=name))) == b"\x01"
+    assert value(caller.ask(site.read(name, "k", t=name))) == b"\x01"
+    assert code(caller.ask(site.read("any", "k", t=name))) == "22023"
+
+
+def test_settings_that_are_null_or_absent_are_read_as_not_told() -> None:
+    """Each figure alone, null and absent; what has no default is refused with its name."""
+    plain = parse_settings(SETTINGS)
+    for table in ("allowed", "rules", "family_info"):
+        for name in SETTINGS[table]:
+            without = {key: figure for key, figure in SETTINGS[table].items() if key != name}
+            null = {**SETTINGS[table], name: None}
+            if name in ("class_read", "staleness_bound_s"):
+                with pytest.raises(WireError, match="differ in length"):
+                    parse_settings({**SETTINGS, table: without})
+                continue
+            assert parse_settings({**SETTINGS, table: null}) == parse_settings({**SETTINGS, table: without}), name
+    for name in ("tenants", "balancers", "membership_mode", "over_share_worth"):
+        without = {key: figure for key, figure in SETTINGS.items() if key != name}
+        assert parse_settings({**SETTINGS, name: None}) == parse_settings(without)
+    for name in ("points", "late_worth", "aim_stretch", "window_s", "group", "streamed"):
+        for figure in ({name: None}, {}):
+            first = {key: value for key, value in SETTINGS["services"][0].items() if key != name}
+            services = [{**first, **figure}, *SETTINGS["services"][1:]]
+            kind = parse_settings({**SETTINGS, "services": services}).classes[0]
+            assert kind.worth == 1.0 and (kind.late_worth, kind.aim_stretch, kind.window) == (0.0, 0.0, 0.0)
+            assert not kind.group_only and not kind.streamed
+    assert plain.classes[0].worth == 1.0
+
+
+@pytest.mark.parametrize("name", ["conn_idle_s", "connect_timeout_s"])
+def test_times_of_connections_that_are_null_zero_or_absent_have_their_default(name: str) -> None:
+    def start(allowed: dict[str, Any]) -> Start:
+        return parse({"settings": {**SETTINGS, "allowed": allowed}, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2",
+                      "limits": None}, {"ROUTER_NAME": "n0"})
+
+    without = {key: figure for key, figure in SETTINGS["allowed"].items() if key != name}
+    usual = start(without)
+    assert (usual.idle, usual.connect, usual.sockets) == (30.0, 0.25, 1024)
+    for figure in (None, 0, 0.0):
+        told = start({**without, name: figure})
+        assert (told.idle, told.connect) == (usual.idle, usual.connect)
+    for bad in (-1, True, "5", math.inf):
+        with pytest.raises(BadConfig, match=f"settings.allowed.{name}: seconds above 0"):
+            start({**without, name: bad})
+
+
+def test_machines_with_other_settings_in_one_process_do_not_touch_one_another() -> None:
+    """Two customers side by side: what one learns, limits or forbids is not the other's."""
+    world = World(1)
+    others = {**with_service(3, semantics="dedup", window_s=0.5, name="pay"), "tenants": [], "balancers": 20}
+    first, second = Site(world=world), Site(world=World(2), settings=others)
+    one, two = Caller(first), Caller(second)
+    for _ in range(20):
+        assert value(one.ask(first.write("k", "01"))) == b"\x01"
+    assert second.machine.balancer.usual["pay"] == 0.25 and not second.machine.open
+    assert value(two.ask(second.write("k", "02", kind="pay"))) == b"\x02"
+    assert code(two.ask(second.write("k", "02"))) == "22023" and code(one.ask(first.write(kind="pay"))) == "22023"
+    assert first.machine.balancer.settings.classes[3].name == "save"
+    first.balanced()
+    second.balanced()
+
+
 # ---- discovery
 
 
