Where members report no load, lateness that no answer confirms is forgotten

Ruled out: full members, strained marks, proofs. Where loads are reported an idle member shows; nothing changes there.

Its test fails without.

--- a/banklift/adapter.py
+++ b/banklift/adapter.py
@@ -150,6 +150,7 @@
         lists_roles=(family.get("role_in_list") or "off") != "off",
         members_check=(family.get("behind") or "off") != "off",
         check_wait=figure(family, "wait_s", 0.0),
+        reports_load=reports_load(info),
         answers_carry_position=bool(family.get("stamps", False)),
         client_tokens=family.get("token_mode") == "client",
         drain_grace=figure(rules, "drain_grace_s", 0.0),
@@ -162,6 +163,17 @@
     )
 
 
+def reports_load(info: dict[str, Any]) -> bool:
+    """Whether the load reports of the settings hold a load; so it is taken where they say nothing on reports."""
+    feedback = section(info, "feedback")
+    fields = feedback.get("fields")
+    if not feedback:
+        return True
+    if feedback.get("how") == "off" or not isinstance(fields, list):
+        return False
+    return "outstanding" in fields or "backlog" in fields
+
+
 def parse_entry(value: Any) -> Entry:
     if not isinstance(value, list) or len(value) < 8:
         raise WireError(f"manifest: an entry of 8 values is needed, not {value!r}")
--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -112,7 +112,7 @@
         self.forgotten = -math.inf  # newest commit of the sessions dropped
         self.timers: dict[int, Callable[[], None]] = {}
         self.crowd, self.primaries = settings.balancers > FEW, 1.0  # part of requests for a primary alone
-        self.now, self.tokens, self.watch_failures = 0.0, 0, 0
+        self.now, self.paced, self.tokens, self.watch_failures = 0.0, -math.inf, 0, 0
         self.pace_load, self.pace_time = FIRST_PACE, FIRST_LATENCY * self.shortest
         self.actions: list[io.Action] = []
         self.handlers: dict[type, Callable[..., None]] = {
@@ -151,8 +151,8 @@
         self.watch_failures = 0
         for entry in listing.entries:
             self.on_entry(entry)
-        kept = self.members if listing.kind is io.ListKind.CHANGES else {one.member for one in listing.entries}
-        for member in [member for name, member in self.members.items() if name not in kept]:
+        told = self.members if listing.kind is io.ListKind.CHANGES else {e.member for e in listing.entries}
+        for member in [member for name, member in self.members.items() if name not in told]:
             self.set_state(member, State.GONE)
 
     def on_entry(self, entry: io.Entry) -> None:
@@ -181,8 +181,7 @@
             member.group.members.append(member)
 
     def on_probed(self, event: io.Probed) -> None:
-        member = self.members.get(event.member)
-        if member is not None:
+        if (member := self.members.get(event.member)) is not None:
             if event.ok:
                 member.seen, member.reported, member.refused = self.now, self.now, -math.inf
             self.on_report(member, event.report or io.Report(), self.now - event.latency)
@@ -282,6 +281,7 @@
             kind, session = pending.kind, pending.ask.session
             self.answered(member, self.usual[kind.name])
             if load > 0:
+                self.paced = self.now
                 self.pace_load += LATENCY_WEIGHT * (load - self.pace_load)
                 self.pace_time += LATENCY_WEIGHT * (event.latency - self.pace_time)
             usual = self.usual[kind.name] + LATENCY_WEIGHT * (event.latency - self.usual[kind.name])
@@ -299,6 +299,8 @@
         kind, group = self.kinds.get(ask.kind), self.groups.setdefault(ask.group, Group())
         if kind is None or ask.deadline <= self.now:
             return self.actions.append(io.Refuse(ask.id))
+        if not self.settings.reports_load and self.now - self.paced >= FORGIVEN * self.shortest:
+            self.pace_load, self.pace_time = FIRST_PACE, FIRST_LATENCY * self.shortest  # the burst is over
         self.primaries += LATENCY_WEIGHT * ((kind.need in (Need.WRITE, Need.FRESH)) - self.primaries)
         floor = -math.inf
         if kind.need is Need.SESSION and not self.settings.client_tokens:
@@ -422,8 +424,7 @@
 
     def help(self, pending: Pending, attempt: int) -> None:
         """A safe attempt is overdue: it is moved away from a member that looks sick."""
-        member = pending.flying.get(attempt)
-        if member is not None and self.settings.may_cancel and not self.healthy(member):
+        if (member := pending.flying.get(attempt)) and self.settings.may_cancel and not self.healthy(member):
             self.actions.append(io.Cancel(pending.ask.id, attempt))
 
     def holds(self, now: float, request: int, attempt: int) -> bool:
@@ -437,11 +438,10 @@
     # ---- guards
     def give_up(self, pending: Pending) -> None:
         """The one final answer, at once."""
-        kind, wait, reason = pending.kind, self.settings.max_retry_after, why(self, pending)
+        kind, wait, word = pending.kind, self.settings.max_retry_after, why(self, pending)
         alone = pending.maybe_ran is not None and kind.effect is Effect.KEYED and kind.group_only
         again = self.repeatable(pending, wait) and not alone  # by its client, who may come when it is told to
-        final = io.Refuse(pending.ask.id, wait, reason) if again else io.Fail(pending.ask.id, reason)
-        self.actions.append(final)
+        self.actions.append(io.Refuse(pending.ask.id, wait, word) if again else io.Fail(pending.ask.id, word))
         self.forget(pending)
 
     def forget(self, pending: Pending, cancel: bool = True) -> None:
--- a/banklift/interface.py
+++ b/banklift/interface.py
@@ -99,6 +99,7 @@
     lists_roles: bool = False  # the list names primaries, at the start of the day at least
     members_check: bool = False  # a member too far behind turns a read away
     check_wait: float = 0.0  # ... after waiting this long
+    reports_load: bool = True  # members say how many requests they hold
     answers_carry_position: bool = False
     client_tokens: bool = False  # session reads say how long ago their session wrote
     drain_grace: float = 1.0
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -28,7 +28,9 @@
     Status,
     Timer,
 )
-from banklift.balance import FEW
+from banklift.adapter import parse_settings
+from banklift.balance import FEW, FORGIVEN
+from tests.platform_site import SETTINGS as PLATFORM
 from tests.test_balance import SETTINGS, Bench, of
 
 ROUTERS = 200
@@ -322,3 +324,30 @@
     fleet.run(3.0)
     assert len(fleet.sent["r3"]) > 20
     assert fleet.crush < 0.6  # 0.85 to 0.99 where nobody asks
+
+
+@pytest.mark.parametrize("loads", [False, True])
+def test_a_burst_that_is_over_is_forgotten_where_members_tell_no_loads(loads: bool) -> None:
+    """Answers are late in a burst, and a router that sends nothing hears nothing. Where members report what they hold,
+    that tells that they are idle again."""
+    bench = Bench(replace(SETTINGS, balancers=20, reports_load=loads))
+    bench.positions()
+    for _ in range(200):
+        sent = of(Send, bench.ask("loose"))
+        if not sent:
+            break
+        bench.now += 0.45
+        bench.do(Outcome(bench.ids, 0, sent[0].member, Status.OK, True, 0.45, position=bench.now))
+    assert not sent and not any(member.flying for member in bench.balancer.members.values())
+    bench.run(0.5)
+    assert not of(Send, bench.ask("loose"))  # it may well be as full as it was
+    bench.run(FORGIVEN * 0.5)
+    assert bool(of(Send, bench.ask("loose"))) is not loads
+
+
+@pytest.mark.parametrize(("feedback", "told"), [
+    (None, True), ({}, True), ({"how": "on_probe", "fields": ["x0", "x1"]}, False),
+    ({"how": "on_probe", "fields": ["x0", "backlog"]}, True), ({"how": "inline", "fields": ["outstanding"]}, True),
+    ({"how": "off", "fields": ["outstanding"]}, False), ({"how": "off", "fields": None}, False)])
+def test_the_settings_say_whether_members_report_their_load(feedback: object, told: bool) -> None:
+    assert parse_settings({**PLATFORM, "feedback": feedback}).reports_load is told
