--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
 import socket
@@ -182,6 +183,59 @@
     assert peer.notes == ["up", "half closed", "data 8", "eof"]
 
 
+def test_what_crosses_the_end_of_a_connection_is_not_taken_and_the_answer_before_it_arrives() -> None:
+    """The second question is in the kernel here in the very moment in which the connection is finished."""
+    callers: list[socket.socket] = []
+    peer = Noting()
+
+    def act(env: SocketEnv) -> Callable[[], bool]:
+        callers.extend(pair(env, [peer], 1))
+        callers[0].settimeout(PATIENCE)
+
+        def answer(handle: Handle) -> None:
+            callers[0].sendall(b"second")
+            handle.send(b"answered")
+            handle.finish()
+
+        peer.then = answer
+        callers[0].sendall(b"first")
+        rounds: list[None] = []
+
+        def over() -> bool:
+            rounds.append(None)
+            return len(peer.notes) > 1 and len(rounds) > 20
+
+        return over
+
+    run(act)
+    assert peer.notes == ["up", "data 5"]
+    assert callers[0].recv(100) == b"answered"
+    with contextlib.suppress(ConnectionResetError):  # which tells that the second was not taken, as its end does
+        assert callers[0].recv(100) == b""
+    callers[0].close()
+
+
+def test_what_was_gathered_for_a_connection_that_is_closed_in_the_same_round_does_not_leave() -> None:
+    callers: list[socket.socket] = []
+    peer = Noting()
+
+    def act(env: SocketEnv) -> Callable[[], bool]:
+        callers.extend(pair(env, [peer], 1))
+
+        def drop(handle: Handle) -> None:
+            handle.send(b"withdrawn")
+            handle.close()
+
+        peer.then = drop
+        callers[0].sendall(b"first")
+        return lambda: len(peer.notes) > 1
+
+    run(act)
+    callers[0].settimeout(PATIENCE)
+    assert callers[0].recv(100) == b""
+    callers[0].close()
+
+
 def test_an_answer_that_is_not_read_yet_outlives_many_connections_that_only_end() -> None:
     """`ENDING` connections end with all sent, one with an answer that fills the kernel's buffers."""
     large = 8 * 1024 * 1024
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -97,6 +97,33 @@
     assert client.actions == [Connect("10.2.0.1:8500")]
 
 
+@pytest.mark.parametrize("cut", [0, 20, len(GOOD) - 1, len(GOOD)])
+def test_a_body_without_length_ends_with_its_connection_and_a_reset_is_no_end(cut: int) -> None:
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n"
+    client = calling()
+    client.actions.clear()
+    client.data(100.1, head + GOOD[:cut])
+    assert not any(isinstance(action, Tell) for action in client.actions)
+    client.lost(100.2, "reset")
+    assert "reset" in failed(client)
+    whole = calling()
+    whole.data(100.1, head + GOOD[:cut])
+    whole.actions.clear()
+    whole.data(100.2, b"")  # its end
+    if cut == len(GOOD):
+        assert listed(whole).kind is ListKind.FULL
+    else:
+        assert "the list of members" in failed(whole)
+
+
+def test_a_watch_that_is_reset_before_its_first_byte_fails_once() -> None:
+    client = calling()
+    client.actions.clear()
+    client.lost(100.0, "reset")
+    client.lost(100.0, "reset")
+    assert "reset" in failed(client) and [type(action) for action in client.actions] == [Close, Tell]
+
+
 def test_a_silent_watch_is_opened_anew_once_and_then_fails_in_time() -> None:
     client = calling()
     client.actions.clear()
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -5,14 +5,16 @@
 import math
 import re
 import signal
-from typing import Any
+from dataclasses import replace
+from typing import Any, cast
 
 import pytest
 
 from banklift.adapter import WireError, parse_settings
 from banklift.emulator.world import World
 from banklift.interface import State
-from banklift.net.service import BadConfig, Start, parse
+from banklift.net.service import BadConfig, Service, Start, parse
+from banklift.net.sockets import SocketEnv
 from banklift.pg import frames
 from banklift.proxy.machine import RETRANSMITTED
 from tests.platform_site import SETTINGS, Caller, Site, code, value
@@ -147,6 +149,44 @@
     site.balanced()
 
 
+@pytest.mark.parametrize("kind", ["save", "any"])
+def test_a_node_that_closes_an_idle_link_as_a_request_is_written_may_have_run_it(kind: str) -> None:
+    site = Site()
+    caller = Caller(site)
+    assert value(caller.ask(site.write("k", "01")))
+    assert value(caller.ask(site.read("any", "k")))
+    seen = {name: len(node.seen) for name, node in site.nodes.items()}
+    text = site.write("k", "02") if kind == "save" else site.read("any", "k")
+    caller.handle.send(frames.query(text.encode()))
+    while not site.machine.flying:
+        site.run(0.00001)
+    (attempt,) = site.machine.flying.values()
+    assert attempt.link is not None  # written, and not there yet
+    cut_off(site, attempt.node.name)
+    site.run(0.1)
+    assert len(site.nodes[attempt.node.name].seen) == seen[attempt.node.name]
+    told = caller.told()
+    if kind == "save":
+        assert code(told) == "40003"  # nobody can tell that it has not run
+    else:
+        assert value(told) == b"\x01"  # by another member
+    site.balanced()
+
+
+def test_a_router_is_ready_and_serves_while_discovery_is_down_from_its_start() -> None:
+    site = Site()
+    assert site.catalogue.listener is not None
+    site.catalogue.listener.close()
+    start = replace(site.start, listen="10.1.0.2:6432")
+    service = Service(cast(SocketEnv, site.world), start, {}, site.note)
+    site.host = service.host
+    caller = Caller(site)
+    assert [kind for kind, _ in caller.ask("")] == ["I", "Z"]
+    assert value(caller.ask(site.write("k", "01"))) == b"\x01"
+    site.run(3.0)
+    assert [event for event, _ in site.notes].count("discovery failed") >= 2
+
+
 # ---- clients that leave while they are not read
 
 
