Standard names: lingering close, idle timeout, long poll, busy poll

Need: the users' wish that names follow the field's terms. END, SLOW_END, ENDING, AWAY and `ending` of net/sockets.py become LINGERING_CLOSE, SLOW_READER_CLOSE, MOST_LINGERING, DISCARD_LIMIT and `lingering`; its LINGER, which is no lingering close, BUSY_POLL; REST of the service IDLE_TIMEOUT, PROBE PROBE_TIMEOUT; WAIT and GRACE of discovery LONG_POLL and CALL_TIMEOUT. No change of behaviour.

--- a/banklift/discovery/client.py
+++ b/banklift/discovery/client.py
@@ -1,11 +1,11 @@
 """Watches a catalogue over HTTP, without I/O: events in, actions out.
 
 Theory of operation. One call is out at a time, on one connection that is kept. Asked to watch, the client asks for
-what is newer than the version it has, waits for as long as `WAIT`, and asks again as soon as that was answered, as a
+what is newer than the version it has (a long poll of `LONG_POLL`), and asks again as soon as that was answered, as a
 watch goes on only then. Asked for the whole list, it asks for that next. A call fails when its connection breaks or
-does not come up, when it gets any status but 200, when its answer can't be read, or when nothing has come `GRACE` after
-its wait: the connection is closed, and the failure is told once. Whether and when to ask again is not decided here,
-but for two cases:
+does not come up, when it gets any status but 200, when its answer can't be read, or when nothing has come
+`CALL_TIMEOUT` after its wait: the connection is closed, and the failure is told once. Whether and when to ask again is
+not decided here, but for two cases:
 
 - A watch that was silent until the end of its wait is broken, whatever the catalogue is like: it is opened anew at once
   on a new connection, once, as what it missed counts as told soon after its wait.
@@ -32,8 +32,8 @@
 from banklift.interface import ListKind
 from banklift.proxy.events import Roster
 
-WAIT = 4.0  # seconds that a watch's call may wait; how soon a silent catalogue is noticed depends on it
-GRACE = 1.5  # seconds after that until a call has failed
+LONG_POLL = 4.0  # seconds that a watch's call may wait; how soon a silent catalogue is noticed depends on it
+CALL_TIMEOUT = 1.5  # seconds after that until a call has failed
 LIMIT = 8 * 1024 * 1024  # bytes of one list
 
 
@@ -171,7 +171,7 @@
 
     def _call(self, now: float) -> None:
         self.calling = True
-        self.due = now + GRACE
+        self.due = now + CALL_TIMEOUT
         if not self.open:
             self.open = True
             self.http = h11.Connection(h11.CLIENT)
@@ -180,12 +180,12 @@
             self._request(now)
 
     def _request(self, now: float) -> None:
-        self.due = now + GRACE + (0.0 if self.fetching else WAIT)
+        self.due = now + CALL_TIMEOUT + (0.0 if self.fetching else LONG_POLL)
         self.status = 0
         self.body = bytearray()
         news = not self.fetching and self.version is not None
         self.whole = not news
-        query = f"?after={self.version}&wait_ms={int(WAIT * 1000)}" if news else ""
+        query = f"?after={self.version}&wait_ms={int(LONG_POLL * 1000)}" if news else ""
         request = h11.Request(method="GET", target=self.path + query,
                               headers=[("Host", self.address), ("Accept", "application/json")])
         self.actions.append(Send(self.http.send(request) + self.http.send(h11.EndOfMessage())))
--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -40,7 +40,7 @@
 from banklift.interface import ListKind, Settings
 from banklift.net.env import Env, Handle, Peer
 from banklift.net.router import Log, RouterHost
-from banklift.net.sockets import ENDING, SocketEnv
+from banklift.net.sockets import MOST_LINGERING, SocketEnv
 from banklift.pg.front import PgFront
 from banklift.pg.wire import PgWire
 from banklift.proxy import events as ev
@@ -52,13 +52,13 @@
 WIND_DOWN = 0.5  # seconds before that from which nothing new is read
 SPARE = 0.3  # seconds before it by which all is answered: a part of a core has as much to write then as a whole one
 LOOK = 0.02  # seconds between looks at whether all was sent
-REST = 2.0  # seconds after which an idle client's connection is closed
+IDLE_TIMEOUT = 2.0  # seconds after which an idle client's connection is closed
 MARGIN = 0.005  # seconds of a request's time that are kept for the answer's way back
 IDLE_PART = 0.6  # of the time after which a node closes an idle link: it is closed here before that
-PROBE = 0.25  # seconds in which a probe is answered; the settings don't tell
+PROBE_TIMEOUT = 0.25  # seconds in which a probe is answered; the settings don't tell
 FIRST_RETRY = 0.1  # seconds until a watch that failed is opened anew, where lists are pushed; doubled each time ...
 HEEDED = 0.25  # ... up to this part of the time in which the settings want a drain heeded: news count from their return
-OTHERS = 16 + ENDING  # descriptors for the listener, discovery, logs, the event loop, connections that end
+OTHERS = 16 + MOST_LINGERING  # descriptors for the listener, discovery, logs, the event loop, connections that end
 CLIENTS_PART = 0.5  # of the other descriptors; nodes have the rest
 
 
@@ -152,7 +152,7 @@
         listen=_address(told("listen", "ROUTER_LISTEN"), "listen"),
         discovery=_address(told("discovery", "ROUTER_DISCOVERY"), "discovery"),
         seed=seed, sockets=sockets, known=known, settings=parsed, idle=_seconds(allowed, "conn_idle_s", 30.0),
-        connect=_seconds(allowed, "connect_timeout_s", 0.25), probe=PROBE)
+        connect=_seconds(allowed, "connect_timeout_s", 0.25), probe=PROBE_TIMEOUT)
 
 
 def build(start: Start) -> Machine:
@@ -161,7 +161,7 @@
     limits = Limits(clients=clients, pipeline=16, links=links, all_links=links, waiting=1024, queue=4096,
                     connect=start.connect, probe=start.probe, margin=MARGIN, idle=IDLE_PART * start.idle)
     return Machine(start.settings, limits, 0, start.seed, PgWire(),
-                   lambda core: PgFront(core, start.settings, limits, REST))
+                   lambda core: PgFront(core, start.settings, limits, IDLE_TIMEOUT))
 
 
 class Discovery:
@@ -319,10 +319,10 @@
     def _look(self, kill: float) -> None:
         """End once every client has what it is owed, all of it sent and its connection ended in order."""
         now = self.env.now()
-        if (self.host.clients or self.env.ending) and now < kill - LOOK:
+        if (self.host.clients or self.env.lingering) and now < kill - LOOK:
             self.env.at(now + LOOK, lambda: self._look(kill))
             return
-        self.log("left", {"unanswered": len(self.machine.open), "unsent": len(self.env.ending)})
+        self.log("left", {"unanswered": len(self.machine.open), "unsent": len(self.env.lingering)})
         self.env.stop()
 
 
--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -3,7 +3,7 @@
 Theory of operation. One task waits for all sockets at once: they are registered with an epoll object, and anyio waits
 until that is readable. What is ready is read and told to its peer, a few sockets at a time; what is sent meanwhile is
 gathered and written once for each socket when the few are done. So a request costs no task and no switch of tasks, and
-what many answers say to one client goes out in one piece. Before it goes back to the event loop the task lingers for
+what many answers say to one client goes out in one piece. Before it goes back to the event loop the task polls for
 the next event, half a millisecond at most, and for five milliseconds in all. A second task keeps the timers. (Weighed
 and measured: docs/router.md.)
 
@@ -18,11 +18,12 @@
 written, so no more than `HIGH_WATER` is gathered, for all of them together, before the next event is told: else a slow
 reader's peer would go on making answers for as long as the round lasts. Everything belongs to the task group.
 
-A connection that is finished ends in order: what is unsent goes out, the sending side is shut, and it is closed when
-the other end has closed as well, or after `END` seconds. The kernel answers bytes that nobody reads with a reset, and a
-reset can destroy an answer that the other end has not read yet. What the other end still sends is not read: a request
-that crosses the end was not taken, and who sent it may send it again elsewhere. Only where nothing can be a request any
-more (`away`) up to `AWAY` bytes are read and dropped, so that one who reads only after writing all gets its answer.
+A connection that is finished ends in order, by a lingering close: what is unsent goes out, the sending side is shut,
+and it is closed when the other end has closed as well, or after `LINGERING_CLOSE` seconds. The kernel answers bytes
+that nobody reads with a reset, and a reset can destroy an answer that the other end has not read yet. What the other
+end still sends is not read: a request that crosses the end was not taken, and who sent it may send it again elsewhere.
+Only where nothing can be a request any more (`away`) up to `DISCARD_LIMIT` bytes are read and dropped, so that one who
+reads only after writing all gets its answer.
 """
 
 from __future__ import annotations
@@ -45,13 +46,13 @@
 HIGH_WATER = 1024 * 1024  # bytes unsent beyond which the other end is a slow reader
 BACKLOG = 1024
 AT_ONCE = 16  # sockets served before what they caused is written
-LINGER = 0.0005  # seconds that the next event is waited for in place: going back to the loop costs a fifth of that
+BUSY_POLL = 0.0005  # seconds that the next event is waited for in place: going back to the loop costs a fifth of that
 SLICE = 0.005  # seconds after which other tasks have their turn
 TURN = 0.05  # ... where nothing waits for one: the longest wait in place, should a signal not end it
-END = 0.5  # seconds in which the other end of a finished connection may end its side; from when all was sent
-SLOW_END = 3.0  # ... and in which it may read what is unsent: longer than anybody waits for the rest of an answer
-AWAY = 256 * 1024  # bytes that are read away of one that is finished
-ENDING = 32  # finished connections that are waited for; they hold descriptors, so beyond that the first one goes
+LINGERING_CLOSE = 0.5  # seconds in which the other end of a finished connection may end its side, once all was sent
+SLOW_READER_CLOSE = 3.0  # ... and in which it may read what is unsent: longer than anybody waits for an answer
+DISCARD_LIMIT = 256 * 1024  # bytes that are read away of one that is finished
+MOST_LINGERING = 32  # finished connections that are waited for; they hold descriptors, so beyond that one goes
 TICK = 0.001  # seconds that timers may be late, so that many ring together
 BIND_ADDRESS_NO_PORT = 24  # of IP: the port is chosen at connect, so many connections share a source
 IN, OUT, GONE = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
@@ -152,13 +153,13 @@
         if self.closed or self._finishing:
             return
         self._finishing = True
-        self._away = AWAY if away else 0
+        self._away = DISCARD_LIMIT if away else 0
         if self._gathered:
             self.flush()  # at once, so that what has nothing unsent is known to be such
         elif self.sent:
             self._shut()
         if not self.closed and not self.sent:
-            self._env.end(self, SLOW_END)
+            self._env.linger(self, SLOW_READER_CLOSE)
             self._want(self._events & OUT)
 
     def _shut(self) -> None:
@@ -168,7 +169,7 @@
         except OSError:  # it has gone already
             self.close()
             return
-        if self._env.end(self, END):
+        if self._env.linger(self, LINGERING_CLOSE):
             self._want(IN if self._away else GONE)
         else:
             self.close()
@@ -176,7 +177,7 @@
     def close(self) -> None:
         if not self.closed:
             self.closed = True
-            self._env.ending.pop(self, None)
+            self._env.lingering.pop(self, None)
             if self._events:
                 self._events = 0
                 del self._env.by_fd[self._sock.fileno()]
@@ -335,17 +336,17 @@
 
 
 class SocketEnv:
-    """`tasks` owns every connection and timer; cancelling it closes them all. `clock` tells seconds. `linger`: seconds
-    that the next event is waited for in place. `alone`: nothing else needs the event loop but signals."""
+    """`tasks` owns every connection and timer; cancelling it closes them all. `clock` tells seconds. `busy_poll`:
+    seconds that the next event is waited for in place. `alone`: nothing else needs the event loop but signals."""
 
-    def __init__(self, tasks: TaskGroup, clock: Callable[[], float] = time.monotonic, linger: float = LINGER,
+    def __init__(self, tasks: TaskGroup, clock: Callable[[], float] = time.monotonic, busy_poll: float = BUSY_POLL,
                  alone: bool = False) -> None:
         self.now = clock
-        self.linger = linger
+        self.busy_poll = busy_poll
         self.epoll = select.epoll()
         self.by_fd: dict[int, Ready] = {}
         self.handles: set[SocketHandle] = set()
-        self.ending: dict[SocketHandle, float] = {}  # finished, not yet closed, in that order: until when
+        self.lingering: dict[SocketHandle, float] = {}  # finished, not yet closed, in that order: until when
         self.stopping = False
         self._gathered: list[SocketHandle] = []
         self.piled = 0  # bytes gathered by all of them
@@ -365,9 +366,9 @@
             while True:
                 await anyio.wait_readable(self.epoll)
                 end = self.now() + SLICE
-                linger = self.linger
-                while ready := self.epoll.poll(linger, AT_ONCE):
-                    linger = self.linger if len(ready) == 1 else 0.0  # where much is ready, more comes anyway
+                wait = self.busy_poll
+                while ready := self.epoll.poll(wait, AT_ONCE):
+                    wait = self.busy_poll if len(ready) == 1 else 0.0  # where much is ready, more comes anyway
                     self._flush_due = True
                     self._serve_batch(ready)
                     self._flush()
@@ -424,17 +425,18 @@
         self.by_fd[fd] = reader
         self.epoll.register(fd, IN)
 
-    def end(self, handle: SocketHandle, seconds: float) -> bool:
+    def linger(self, handle: SocketHandle, seconds: float) -> bool:
         """It was finished, and is closed after that time at the latest. False: it is to be closed at once, as too many
         end; those that only wait for the other end make room, before any that has something unsent."""
-        self.ending.pop(handle, None)
-        while len(self.ending) >= ENDING:
-            first = next((one for one in self.ending if one.sent), handle if handle.sent else next(iter(self.ending)))
+        self.lingering.pop(handle, None)
+        while len(self.lingering) >= MOST_LINGERING:
+            spare = handle if handle.sent else next(iter(self.lingering))
+            first = next((one for one in self.lingering if one.sent), spare)
             if first is handle:
                 return False
             first.close()
-        until = self.ending[handle] = self.now() + seconds
-        self.at(until, lambda: handle.close() if self.ending.get(handle) == until else None)
+        until = self.lingering[handle] = self.now() + seconds
+        self.at(until, lambda: handle.close() if self.lingering.get(handle) == until else None)
         return True
 
     def gather(self, handle: SocketHandle) -> None:
--- a/banklift/pg/front.py
+++ b/banklift/pg/front.py
@@ -7,8 +7,8 @@
 A client's fault gets an error and reaches no node. A fault in a statement leaves the connection usable, up to `FAULTS`
 of them; after a fault in the framing nothing more can be read, so the error is fatal and the connection is closed. A
 client that is slow to start up, to ask for the first time or to finish a message is closed after `SLOW`: connections
-are scarce. So are those that rest: idle ones go after `rest` seconds, and the one that has rested longest when a new
-one comes and all places are taken.
+are scarce. So are those that rest: idle ones go after `idle_timeout` seconds, and the one that has rested longest when
+a new one comes and all places are taken.
 
 Words to clients. Refused: 53300, and the field D tells after how many milliseconds to come back, if the module says so.
 May have run and must not be repeated: 40003. The client's fault: 08P01, 42601, 22001, 22023, 42710, 0A000.
@@ -33,7 +33,7 @@
 
 SLOW = 2.0  # seconds for a startup, for a first query, for the rest of a message
 CROWD = 0.5  # of the places for clients: with more of them taken ...
-CROWDED_REST = 0.3  # ... connections rest for so many seconds only; who asked once and stays holds a place of others
+CROWDED_IDLE_TIMEOUT = 0.3  # ... it is so many seconds only; who asked once and stays holds a place of others
 LOOK = 0.1  # seconds between looks for the slow and the idle
 UNASKED = 1.0  # seconds for which one that has not asked yet is not closed to make room
 SOON = 0.4  # seconds after the word that this router ends in which clients still come: then those that rest go ...
@@ -72,10 +72,10 @@
 
 
 class PgFront:
-    def __init__(self, core: Machine, settings: io.Settings, limits: Limits, rest: float) -> None:
+    def __init__(self, core: Machine, settings: io.Settings, limits: Limits, idle_timeout: float) -> None:
         self.core = core
         self.limits = limits
-        self.rest = rest
+        self.idle_timeout = idle_timeout
         self.kinds = {kind.name: kind for kind in settings.classes}
         self.tenants = {tenant.name for tenant in settings.tenants}
         self.tokens = settings.client_tokens
@@ -247,9 +247,9 @@
     def _look(self) -> None:
         """Close those that are slow, and those that have rested for long."""
         now = self.core.now
-        rest = self.rest if len(self.clients) < CROWD * self.limits.clients else CROWDED_REST
+        timeout = self.idle_timeout if len(self.clients) < CROWD * self.limits.clients else CROWDED_IDLE_TIMEOUT
         if self.core.end < math.inf:
-            rest = math.inf
+            timeout = math.inf
         if now >= self.hand_back:
             resting = [state for state in self.idle.values() if state.asked and not len(state.reader)]
             part = LOOK / max(LOOK, self.core.end - LATE - now)
@@ -263,7 +263,7 @@
                         self.core.actions.append(ev.ToClient(state.id, frames.error(
                             "57P05", "nothing asked, or half a message, for too long", severity="FATAL")))
                     self._close(state)
-            elif rested >= rest:
+            elif rested >= timeout:
                 self._close(state)
         self.looking = bool(self.clients)
         if self.looking:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,7 +17,7 @@
 import pytest
 
 from banklift.net.env import Handle, Peer
-from banklift.net.sockets import ENDING, SocketEnv
+from banklift.net.sockets import MOST_LINGERING, SocketEnv
 from tests.test_service import Platform, platform
 
 __all__ = ["platform"]  # the fixture
@@ -237,9 +237,9 @@
 
 
 def test_an_answer_that_is_not_read_yet_outlives_many_connections_that_only_end() -> None:
-    """`ENDING` connections end with all sent, one with an answer that fills the kernel's buffers."""
+    """`MOST_LINGERING` connections end with all sent, one with an answer that fills the kernel's buffers."""
     large = 8 * 1024 * 1024
-    slow, others = Noting(), [Noting() for _ in range(2 * ENDING)]
+    slow, others = Noting(), [Noting() for _ in range(2 * MOST_LINGERING)]
     callers: list[socket.socket] = []
 
     def act(env: SocketEnv) -> Callable[[], bool]:
@@ -257,7 +257,7 @@
         callers[0].setblocking(False)
 
         def over() -> bool:
-            if len(env.ending) < ENDING and not read:
+            if len(env.lingering) < MOST_LINGERING and not read:
                 return False
             try:
                 while data := callers[0].recv(1 << 20):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,7 +7,7 @@
 import pytest
 
 from banklift.discovery.catalogue import BadList, convert, read
-from banklift.discovery.client import GRACE, WAIT, Backoff, Client, Close, Connect, Send, Tell
+from banklift.discovery.client import CALL_TIMEOUT, LONG_POLL, Backoff, Client, Close, Connect, Send, Tell
 from banklift.interface import ListKind, State
 from banklift.proxy.events import Roster
 
@@ -127,28 +127,28 @@
 def test_a_silent_watch_is_opened_anew_once_and_then_fails_in_time() -> None:
     client = calling()
     client.actions.clear()
-    client.tick(100.0 + WAIT + GRACE - 0.01)
+    client.tick(100.0 + LONG_POLL + CALL_TIMEOUT - 0.01)
     assert client.actions == []
-    client.tick(100.0 + WAIT + GRACE)
+    client.tick(100.0 + LONG_POLL + CALL_TIMEOUT)
     assert client.actions[0] == Close() and client.actions[2:] == [Connect("10.2.0.1:8500")]
     assert told(client).roster is None and "silent" in told(client).reason
     client.actions.clear()
     client.connected(105.6)
     assert b"after=41&wait_ms=4000" in sent(client)
-    client.tick(105.6 + WAIT + GRACE - 0.01)
+    client.tick(105.6 + LONG_POLL + CALL_TIMEOUT - 0.01)
     assert client.actions == []
-    client.tick(105.6 + WAIT + GRACE)
+    client.tick(105.6 + LONG_POLL + CALL_TIMEOUT)
     assert "in time" in failed(client)
 
 
 def test_a_watch_that_has_answered_since_is_opened_anew_once_more() -> None:
     client = calling()
-    client.tick(100.0 + WAIT + GRACE)
+    client.tick(100.0 + LONG_POLL + CALL_TIMEOUT)
     client.connected(105.6)
     client.actions.clear()
     client.data(105.7, answer(GOOD))
     client.actions.clear()
-    client.tick(105.7 + WAIT + GRACE)
+    client.tick(105.7 + LONG_POLL + CALL_TIMEOUT)
     assert told(client).roster is None and client.actions[-1] == Connect("10.2.0.1:8500")
 
 
@@ -157,7 +157,7 @@
     client.ask(100.0, False)
     client.connected(100.0)
     client.actions.clear()
-    client.tick(100.0 + GRACE)
+    client.tick(100.0 + CALL_TIMEOUT)
     assert "in time" in failed(client)
 
 
@@ -167,16 +167,16 @@
     data = answer(GOOD)
     client.data(101.0, data[:40])
     client.data(105.0, data[40:50])
-    client.tick(100.0 + WAIT + GRACE)
+    client.tick(100.0 + LONG_POLL + CALL_TIMEOUT)
     assert told(client).roster is None and client.actions[-1] == Connect("10.2.0.1:8500")
 
 
 def test_a_connection_that_does_not_come_up_fails_before_a_watch_would() -> None:
     client = Client("10.2.0.1:8500", version=41)
     client.ask(100.0, True)
-    client.tick(100.0 + GRACE - 0.01)
+    client.tick(100.0 + CALL_TIMEOUT - 0.01)
     client.actions.clear()
-    client.tick(100.0 + GRACE)
+    client.tick(100.0 + CALL_TIMEOUT)
     assert "no connection" in failed(client)
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -59,7 +59,7 @@
 
     def __init__(self, seed: int) -> None:
         super().__init__(seed)
-        self.ending: dict[object, float] = {}
+        self.lingering: dict[object, float] = {}
 
     def stop(self) -> None:
         self.ended = self.now()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -11,7 +11,7 @@
 import pytest
 
 from banklift.net.env import Handle, Peer
-from banklift.net.sockets import AT_ONCE, AWAY, ENDING, HIGH_WATER, SocketEnv
+from banklift.net.sockets import AT_ONCE, DISCARD_LIMIT, HIGH_WATER, MOST_LINGERING, SocketEnv
 
 ANSWER = b"answered"
 
@@ -86,9 +86,9 @@
         caller = socket.create_connection((host, int(port)), timeout=10)
         caller.setblocking(False)
         sent = 0
-        while sent < AWAY - 1:  # more than is read at once, so a reset would follow the answer
+        while sent < DISCARD_LIMIT - 1:  # more than is read at once, so a reset would follow the answer
             try:
-                sent += caller.send(b"x" * min(4096, AWAY - 1 - sent))
+                sent += caller.send(b"x" * min(4096, DISCARD_LIMIT - 1 - sent))
             except BlockingIOError:
                 break
         assert sent > 2 * 64 * 1024
@@ -147,7 +147,7 @@
 
 
 def test_connections_that_end_hold_few_descriptors() -> None:
-    """Clients that never close, one after another: the first go when more than `ENDING` are waited for."""
+    """Clients that never close, one after another: the first go when more than `MOST_LINGERING` are waited for."""
     callers: list[socket.socket] = []
     most = 0
 
@@ -162,15 +162,15 @@
 
             listener = env.listen("127.0.0.1:0", lambda: Answering(one))
             host, _, port = listener.address.partition(":")
-            for _ in range(3 * ENDING):
+            for _ in range(3 * MOST_LINGERING):
                 caller = socket.create_connection((host, int(port)), timeout=10)
                 caller.sendall(b"question")
                 callers.append(caller)
 
             def look() -> None:
                 nonlocal most
-                most = max(most, len(env.ending))
-                if count == 3 * ENDING:
+                most = max(most, len(env.lingering))
+                if count == 3 * MOST_LINGERING:
                     env.stop()
                 else:
                     env.at(env.now() + 0.001, look)
@@ -179,7 +179,7 @@
 
     with anyio.from_thread.start_blocking_portal() as portal:
         portal.call(crowd)
-    assert 0 < most <= ENDING
+    assert 0 < most <= MOST_LINGERING
     for caller in callers:
         caller.close()
 
