Late connections, late resets and a SIGTERM that crosses a request have forced tests

Ruled out, each with its crossing forced in virtual time: a write whose connection comes up 1.5 s late goes on another; a reset long after a request began is answered at once; a request that SIGTERM crosses between accept and first read, after the read, or while it waits for a connection is answered.

--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -187,6 +187,69 @@
     assert [event for event, _ in site.notes].count("discovery failed") >= 2
 
 
+def test_a_write_whose_connection_comes_up_late_goes_on_another_in_time() -> None:
+    site = Site(settings=with_service(3, balancers=20))
+    caller = Caller(site)
+    assert value(caller.ask(site.write("k", "01")))
+    cut_off(site, "p")
+    site.run(0.005)
+    address = site.nodes["p"].address
+    site.world.late[address] = 1.5
+    site.run_later(0.1, site.world.late.clear)  # the next one is as quick as ever
+    caller.say(frames.query(site.write("k", "02").encode()), 0.8)
+    assert value(caller.told()) == b"\x02"
+    site.run(1.0)  # the late one is up by now, and of use
+    assert value(Caller(site).ask(site.write("k", "03"))) == b"\x03"
+    assert not any(node.opening for node in site.machine.nodes.values())
+    site.balanced()
+
+
+@pytest.mark.parametrize("kind", ["save", "any"])
+def test_a_reset_long_after_a_request_began_is_answered_at_once(kind: str) -> None:
+    site = Site(settings=NO_PROBES)
+    caller = Caller(site)
+    assert value(caller.ask(site.write("k", "01")))
+    for node in site.nodes.values():
+        node.answers.append(lambda node, statement: None)
+    caller.say(frames.query((site.write("k", "02") if kind == "save" else site.read("any", "k")).encode()), 0.05)
+    (attempt,) = site.machine.flying.values()
+    for node in site.nodes.values():
+        node.answers.clear()
+    site.run(0.25 if kind == "any" else 1.2)
+    assert caller.told() == []
+    cut_off(site, attempt.node.name)
+    site.run(0.1)
+    if kind == "save":
+        assert code(caller.told()) == "40003"
+    else:
+        assert value(caller.told()) == b"\x01"
+    site.balanced()
+
+
+@pytest.mark.parametrize("moment", ["accepted", "read", "waiting"])
+def test_a_request_that_sigterm_crosses_is_answered(moment: str) -> None:
+    """The signal comes between accept and first read, right after the read, or while it waits for a connection."""
+    site = Site()
+    first = Caller(site)
+    assert value(first.ask(site.write("k", "01")))
+    if moment == "waiting":
+        cut_off(site, "p")
+        site.run(0.005)
+        site.world.late[site.nodes["p"].address] = 0.1
+    caller = Caller(site, start=False)
+    while len(site.front.clients) < 2:
+        site.run(0.00001)
+    caller.handle.send(frames.startup("backend", "store") + frames.query(site.write("k", "02").encode()))
+    while moment != "accepted" and not site.machine.open:
+        site.run(0.00001)
+    assert bool(site.machine.open) is (moment != "accepted")
+    site.service.signalled(signal.SIGTERM, site.world.now())
+    site.run(0.5)
+    assert [kind for kind, _ in caller.told()][-4:] == ["T", "D", "C", "Z"]
+    assert site.nodes["p"].store[b"k"] == b"\x02"
+    site.balanced()
+
+
 # ---- clients that leave while they are not read
 
 
