--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -275,12 +275,14 @@
                                                        for attempt in open_.attempts))
 
     def repeats(self, request: int) -> bool:
-        """Whether its client may send it again though it may have run: no effect, or repeats are discarded."""
+        """Whether its client may send it again at once though it may have run: no effect, or its window is not over."""
         open_ = self.open.get(request)
         if open_ is None:
             return False
         kind = open_.ask.kind
-        return kind.effect is Effect.SAFE or (kind.effect is Effect.KEYED and not kind.group_only)
+        ran = min((attempt.sent for attempt in open_.attempts if attempt.link is not None), default=self.now)
+        discarded = kind.effect is Effect.KEYED and not kind.group_only and self.now < ran + kind.window
+        return kind.effect is Effect.SAFE or discarded
 
     def under_way(self, request: int) -> bool:
         """Whether an attempt of it is out there."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,17 +12,15 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import anyio
-import anyio.from_thread
 import pytest
 
 from banklift.net.env import Handle, Peer
 from banklift.net.sockets import MOST_LINGERING, SocketEnv
+from tests.surroundings import PATIENCE, pair, run
 from tests.test_service import Platform, platform
 
 __all__ = ["platform"]  # the fixture
 ROOT = Path(__file__).parents[1]
-PATIENCE = 20.0  # seconds after which what has not come does not come; no verdict hangs on it where all is well
 
 
 class Noting(Peer):
@@ -50,36 +48,6 @@
         self.notes.append("lost")
 
 
-def run(act: Callable[[SocketEnv], Callable[[], bool]], alone: bool = True) -> None:
-    """Let `act` begin, and run until what it returned is true."""
-    async def play() -> None:
-        async with anyio.create_task_group() as tasks:
-            env = SocketEnv(tasks, alone=alone)
-            over, end = act(env), env.now() + PATIENCE
-
-            def look() -> None:
-                if not over() and env.now() < end:
-                    env.at(env.now() + 0.001, look)
-                elif alone:
-                    env.stop()
-                else:
-                    tasks.cancel_scope.cancel()
-
-            look()
-
-    with anyio.from_thread.start_blocking_portal() as portal:
-        portal.call(play)
-
-
-def pair(env: SocketEnv, peers: list[Peer], many: int) -> list[socket.socket]:
-    """So many connections, taken already; each peer has one."""
-    listener = env.listen("127.0.0.1:0", lambda: peers.pop(0))
-    host, _, port = listener.address.partition(":")
-    callers = [socket.create_connection((host, int(port)), timeout=20) for _ in range(many)]
-    listener.close()
-    return callers
-
-
 class Deaf:
     """A listener whose backlog is full: connections to it stay on their way."""
 
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -10,7 +10,7 @@
 from banklift.config import build
 from banklift.config.load import EXAMPLE, load
 from banklift.decide.offsets import Standing
-from banklift.interface import State
+from banklift.interface import Effect, State
 from banklift.proxy import events as ev
 from banklift.proxy.machine import Attempt, Machine, Open
 from banklift.proxy.plan import Config, Limits
@@ -403,6 +403,23 @@
     assert held.answer().startswith(b"-TRYAGAIN refused: nothing ran")
 
 
+@pytest.mark.parametrize(("past", "word"), [(-0.01, b"-TRYAGAIN refused: it may"), (0.01, b"-UNCERTAIN failed")])
+def test_a_half_closed_client_is_told_to_repeat_only_while_repeats_are_discarded(past: float, word: bytes) -> None:
+    """The window passes between two looks at what is held, and the client ends its side in that moment."""
+    rig = Rig()
+    (stamp,) = [kind for kind in rig.config.classes if kind.effect is Effect.KEYED]
+    assert stamp.window > 0 and not stamp.group_only
+    rig.ask("SETNX", f"{stamp.name}:1", "a")
+    link = rig.up("p:1")
+    rig.offsets.clear()
+    rig.tell(ev.LinkLost(link, "reset"))
+    (request,) = rig.machine.open.values()
+    assert request.ask.kind.name == stamp.name
+    rig.now += stamp.window + past
+    rig.tell(ev.ClientEof(1))
+    assert rig.answer().startswith(word)
+
+
 def test_what_may_have_run_is_not_refused_as_if_nothing_had() -> None:
     """A note, safe to repeat, was written to a member that never answered; its client hears of it."""
     rig = Rig()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -12,6 +12,7 @@
 
 from banklift.net.env import Handle, Peer
 from banklift.net.sockets import AT_ONCE, DISCARD_LIMIT, HIGH_WATER, MOST_LINGERING, SocketEnv
+from tests.surroundings import pair, run
 
 ANSWER = b"answered"
 
@@ -233,33 +234,17 @@
 @pytest.mark.parametrize("alone", [True, False])
 def test_a_slow_reader_is_known_before_a_round_of_sockets_is_over(alone: bool) -> None:
     """Sixteen sockets are ready at once, and each makes an answer for one that reads nothing."""
-    fed, callers, slow = [0, 0], [], Slow()
-
-    async def crowd() -> None:
-        async with anyio.create_task_group() as tasks:
-            env = SocketEnv(tasks, alone=alone)
-            peers: list[Peer] = [slow, *(Feeding(slow, fed) for _ in range(AT_ONCE))]
-            listener = env.listen("127.0.0.1:0", lambda: peers.pop(0))
-            host, _, port = listener.address.partition(":")
-            for _ in range(AT_ONCE + 1):
-                callers.append(socket.create_connection((host, int(port)), timeout=10))
-            listener.close()  # which takes all of them
-            for caller in callers[1:]:  # before any is looked at
-                caller.sendall(b"question")
-
-            def look() -> None:
-                if fed[1] < AT_ONCE:
-                    env.at(env.now() + 0.001, look)
-                elif alone:
-                    env.stop()
-                else:
-                    tasks.cancel_scope.cancel()
+    fed, slow = [0, 0], Slow()
+    callers: list[socket.socket] = []
 
-            look()
+    def act(env: SocketEnv) -> Callable[[], bool]:
+        callers.extend(pair(env, [slow, *(Feeding(slow, fed) for _ in range(AT_ONCE))], AT_ONCE + 1))
+        for caller in callers[1:]:  # before any is looked at
+            caller.sendall(b"question")
+        return lambda: fed[1] >= AT_ONCE
 
-    with anyio.from_thread.start_blocking_portal() as portal:
-        portal.call(crowd)
-    assert slow.is_full
+    run(act, alone)
+    assert slow.is_full and fed[1] == AT_ONCE
     # what the kernel holds, what may pile up here, and one answer more
     held = callers[0].getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) + 4 * HIGH_WATER
     assert LARGE < fed[0] <= held + HIGH_WATER + LARGE < AT_ONCE * LARGE
