--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 lint: setup
 	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
 	.venv/bin/mypy
 	.venv/bin/lint-imports --no-cache
 	python3 tools/commits.py
--- a/banklift/cli/fleet.py
+++ b/banklift/cli/fleet.py
@@ -28,9 +28,13 @@
 SHOW = 5.0  # seconds for a question that changes nothing
 MARGIN = 5.0  # seconds that a change may take beyond what routers have to check it
 app = typer.Typer(no_args_is_help=True, help="The policy of a fleet: what it is, and how it changes.")
-ConfigFile = Annotated[Path, typer.Option("--config", help="Any router's file of this fleet.", show_default=False)]
+ConfigFile = Annotated[
+    Path, typer.Option("--config", help="Any router's file of this fleet.", show_default=False)
+]
 AsJson = Annotated[bool, typer.Option("--json", help="JSON in place of a table.")]
-Wait = Annotated[float, typer.Option("--wait", min=0.1, help="Seconds to check it in; twice a lease if not given.")]
+Wait = Annotated[
+    float, typer.Option("--wait", min=0.1, help="Seconds to check it in; twice a lease if not given.")
+]
 
 
 def fleet_of(path: Path) -> Fleet:
@@ -91,8 +95,14 @@
             console.print(line, highlight=False)
 
     try:
-        answer = anyio.run(ask, fleet.voters, fleet.name, Set(given, text, patience, dry),
-                           patience + fleet.lease + MARGIN, progress)
+        answer = anyio.run(
+            ask,
+            fleet.voters,
+            fleet.name,
+            Set(given, text, patience, dry),
+            patience + fleet.lease + MARGIN,
+            progress,
+        )
     except Unreachable as error:
         if as_json:
             tell({"id": given, "result": "unknown", "reasons": [str(error)]})
@@ -116,9 +126,13 @@
 
 
 @app.command("set")
-def set_(file: Path, config: ConfigFile, wait: Wait | None = None,
-         id_: Annotated[str | None, typer.Option("--id", help="Of a change that was asked for before.")] = None,
-         as_json: AsJson = False) -> None:
+def set_(
+    file: Path,
+    config: ConfigFile,
+    wait: Wait | None = None,
+    id_: Annotated[str | None, typer.Option("--id", help="Of a change that was asked for before.")] = None,
+    as_json: AsJson = False,
+) -> None:
     """Put a policy in force on every router, or on none."""
     raise typer.Exit(change(fleet_of(config), text_of(file), wait, id_, False, as_json))
 
@@ -136,8 +150,17 @@
     if state is None:
         typer.echo("this fleet has no policy yet", err=True)
         raise typer.Exit(UNKNOWN)
-    typer.echo(json.dumps({"epoch": state.epoch, "version": state.version, "digest": digest(state.policy),
-                           "policy": json.loads(state.policy)}, indent=1))
+    typer.echo(
+        json.dumps(
+            {
+                "epoch": state.epoch,
+                "version": state.version,
+                "digest": digest(state.policy),
+                "policy": json.loads(state.policy),
+            },
+            indent=1,
+        )
+    )
 
 
 @app.command()
@@ -159,19 +182,31 @@
     given = fleet_of(config)
     answer = shown(given)
     if as_json:
-        tell({**msgspec.structs.asdict(answer), "holders": [msgspec.structs.asdict(one) for one in answer.holders],
-              "trouble": [msgspec.structs.asdict(one) for one in answer.trouble]})
+        tell(
+            {
+                **msgspec.structs.asdict(answer),
+                "holders": [msgspec.structs.asdict(one) for one in answer.holders],
+                "trouble": [msgspec.structs.asdict(one) for one in answer.trouble],
+            }
+        )
         return
     console = Console()
     if answer.state is not None:
         under_way = answer.state.change
         change = f", change {under_way.id} {under_way.stage}" if under_way is not None else ""
-        console.print(f"fleet {given.name}: epoch {answer.state.epoch}, policy {digest(answer.state.policy)}{change}",
-                      highlight=False)
+        console.print(
+            f"fleet {given.name}: epoch {answer.state.epoch}, policy {digest(answer.state.policy)}{change}",
+            highlight=False,
+        )
     table = Table("router", "incarnation", "epoch", "heard", "lease ends in")
     for one in answer.holders:
-        table.add_row(one.name, str(one.incarnation), str(one.epoch or "-"), f"{one.heard:.1f} s ago",
-                      f"{one.left:.1f} s" if one.left > 0 else "ended")
+        table.add_row(
+            one.name,
+            str(one.incarnation),
+            str(one.epoch or "-"),
+            f"{one.heard:.1f} s ago",
+            f"{one.left:.1f} s" if one.left > 0 else "ended",
+        )
     console.print(table)
     voters = Table("voter", f"as {answer.voter} sees it ({answer.standing})")
     for name, up in answer.voters.items():
--- a/banklift/cli/main.py
+++ b/banklift/cli/main.py
@@ -27,21 +27,31 @@
 from banklift.net.sockets import SocketEnv
 from banklift.proxy.plan import Config
 
-app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
-                  help="A database proxy: writes to primaries, reads over replicas, by RESP with offsets.")
+app = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    help="A database proxy: writes to primaries, reads over replicas, by RESP with offsets.",
+)
 app.add_typer(fleet.app, name="policy")
 app.command("fleet")(fleet.fleet)
-ConfigFile = Annotated[Path, typer.Option("--config", help="The operator's file (Jsonnet).", show_default=False)]
+ConfigFile = Annotated[
+    Path, typer.Option("--config", help="The operator's file (Jsonnet).", show_default=False)
+]
 
 
 def set_up_logs() -> None:
     """Structured lines on standard error: JSON unless that is a terminal."""
     terminal = sys.stderr.isatty()
     structlog.configure(
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.dev.ConsoleRenderer() if terminal else structlog.processors.JSONRenderer()],
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.dev.ConsoleRenderer() if terminal else structlog.processors.JSONRenderer(),
+        ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr))
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
 
 
 def read(path: Path) -> Config:
@@ -81,10 +91,11 @@
 
 
 @app.command()
-def stand(config: ConfigFile = EXAMPLE,
-          routers: Annotated[int, typer.Option(min=1, help="How many routers to start.")] = 2,
-          port: Annotated[int, typer.Option(help="Port of the first router, the others follow; 0: any.")] = 6380,
-          ) -> None:
+def stand(
+    config: ConfigFile = EXAMPLE,
+    routers: Annotated[int, typer.Option(min=1, help="How many routers to start.")] = 2,
+    port: Annotated[int, typer.Option(help="Port of the first router, the others follow; 0: any.")] = 6380,
+) -> None:
     """Start stand-in members and routers and stay up; one line of JSON tells where all listen."""
     set_up_logs()
     try:
@@ -95,11 +106,12 @@
 
 
 @app.command()
-def play(day: Annotated[str, typer.Argument(help="A day of ours by name, or a file (Jsonnet).")],
-         routers: Annotated[int, typer.Option(min=1, max=200, help="How many routers.")] = 2,
-         seed: Annotated[int, typer.Option(help="Of clients and stand-ins.")] = 1,
-         out: Annotated[Path, typer.Option(help="Folder for the trace and the verdict.")] = Path("found"),
-         ) -> None:
+def play(
+    day: Annotated[str, typer.Argument(help="A day of ours by name, or a file (Jsonnet).")],
+    routers: Annotated[int, typer.Option(min=1, max=200, help="How many routers.")] = 2,
+    seed: Annotated[int, typer.Option(help="Of clients and stand-ins.")] = 1,
+    out: Annotated[Path, typer.Option(help="Folder for the trace and the verdict.")] = Path("found"),
+) -> None:
     """Play a scripted day against routers in processes of their own, and judge it. Exit 1 if a rule breaks."""
     set_up_logs()
     try:
@@ -110,7 +122,9 @@
     out.mkdir(parents=True, exist_ok=True)
     trace = out / f"{Path(day).stem}-{seed}.trace"
     console = Console(stderr=True)
-    console.print(f"[bold]{script.title}[/]: {script.seconds:g} s, {script.rate:g} requests a second, seed {seed}")
+    console.print(
+        f"[bold]{script.title}[/]: {script.seconds:g} s, {script.rate:g} requests a second, seed {seed}"
+    )
 
     def progress(at: float, text: str) -> None:
         console.print(f"{at:6.2f} s  {text}", highlight=False)
--- a/banklift/config/build.py
+++ b/banklift/config/build.py
@@ -17,18 +17,34 @@
     """What the module is told: members speak RESP, so they answer what they have and are asked for positions."""
     rules = config.rules
     return io.Settings(
-        classes=classes, max_attempts=rules.max_attempts, may_cancel=True, may_probe=True,
-        max_retry_after=rules.max_retry_after, lists_roles=True, answers_carry_position=True, client_tokens=True,
-        drain_grace=rules.drain_grace, cold_share=rules.cold_share, cold_time=rules.cold_time,
-        fall_multiple=rules.fall_multiple, fall_time=rules.fall_time)
+        classes=classes,
+        max_attempts=rules.max_attempts,
+        may_cancel=True,
+        may_probe=True,
+        max_retry_after=rules.max_retry_after,
+        lists_roles=True,
+        answers_carry_position=True,
+        client_tokens=True,
+        drain_grace=rules.drain_grace,
+        cold_share=rules.cold_share,
+        cold_time=rules.cold_time,
+        fall_multiple=rules.fall_multiple,
+        fall_time=rules.fall_time,
+    )
 
 
 def machine(config: Config, seed: int) -> Machine:
     """A router's machine with a RESP front. It knows no members until it is told a `Roster`."""
     classes = tuple(Routes(config).classes.values())
     wire = RespWire(config.limits.frame, config.name, config.member_user, config.member_password)
-    return Machine(settings(config, classes), config.limits, len(config.groups), seed, wire,
-                   lambda core: RespFront(config, core))
+    return Machine(
+        settings(config, classes),
+        config.limits,
+        len(config.groups),
+        seed,
+        wire,
+        lambda core: RespFront(config, core),
+    )
 
 
 def adopt(config: Config, policy: Policy) -> Adopt:
@@ -41,7 +57,17 @@
 def roster(config: Config, groups: list[Group], epoch: float) -> Roster:
     """`epoch`: the router's clock at the start of the Unix epoch."""
     places = {group.name: place for place, group in enumerate(config.groups)}
-    return Roster(tuple(
-        Listed(member.name, places[group.name], member.address, State[member.state.upper()], member.primary,
-               None if member.started is None else member.started + epoch)
-        for group in groups for member in group.members))
+    return Roster(
+        tuple(
+            Listed(
+                member.name,
+                places[group.name],
+                member.address,
+                State[member.state.upper()],
+                member.primary,
+                None if member.started is None else member.started + epoch,
+            )
+            for group in groups
+            for member in group.members
+        )
+    )
--- a/banklift/config/load.py
+++ b/banklift/config/load.py
@@ -89,8 +89,11 @@
         if kind.effect is Effect.KEYED and kind.window <= 0:
             problems.append(f"{where}.window: a keyed class needs a window above 0")
     needs = {kind.name: kind.need for kind in config.classes}
-    for where, name in [("$.default_read", config.default_read), ("$.default_write", config.default_write),
-                        *((f"$.routes[{place}].to", route.to) for place, route in enumerate(config.routes))]:
+    for where, name in [
+        ("$.default_read", config.default_read),
+        ("$.default_write", config.default_write),
+        *((f"$.routes[{place}].to", route.to) for place, route in enumerate(config.routes)),
+    ]:
         if name not in needs:
             problems.append(f"{where}: no class is named {name!r}")
     if needs.get(config.default_write, Need.WRITE) is not Need.WRITE:
--- a/banklift/config/policy.py
+++ b/banklift/config/policy.py
@@ -15,11 +15,16 @@
 from banklift.proxy.plan import Class, Config, Limits, Route, Rules, Strict, User
 
 FIXED = {
-    "listen": "a router listens where it was started", "name": "a router keeps its name",
-    "groups": "members come from the roster", "roster": "the roster's file is watched from the start",
-    "source": "links to members are there already", "sessions": "sessions are under way",
-    "member_user": "links to members are there already", "member_password": "links to members are there already",
-    "fleet": "voters are changed one at a time, not by a policy"}
+    "listen": "a router listens where it was started",
+    "name": "a router keeps its name",
+    "groups": "members come from the roster",
+    "roster": "the roster's file is watched from the start",
+    "source": "links to members are there already",
+    "sessions": "sessions are under way",
+    "member_user": "links to members are there already",
+    "member_password": "links to members are there already",
+    "fleet": "voters are changed one at a time, not by a policy",
+}
 
 
 class Policy(Strict, kw_only=True, frozen=True):
@@ -51,7 +56,9 @@
 
 def under(config: Config, policy: Policy) -> Config:
     """The file as it would be with this policy."""
-    return msgspec.structs.replace(config, **{name: getattr(policy, name) for name in Policy.__struct_fields__})
+    return msgspec.structs.replace(
+        config, **{name: getattr(policy, name) for name in Policy.__struct_fields__}
+    )
 
 
 def decode(text: bytes) -> Policy:
@@ -79,9 +86,13 @@
     except ValueError as error:
         return (str(error),)
     problems = check(under(config, policy))
-    if policy.limits.clients != Limits().clients and policy.limits.clients >= descriptors:  # where it is stated
-        problems.append(f"$.limits.clients: {policy.limits.clients} clients, and this process may hold {descriptors} "
-                        "descriptors")
+    if (
+        policy.limits.clients != Limits().clients and policy.limits.clients >= descriptors
+    ):  # where it is stated
+        problems.append(
+            f"$.limits.clients: {policy.limits.clients} clients, and this process may hold {descriptors} "
+            "descriptors"
+        )
     return tuple(problems)
 
 
--- a/banklift/emulator/node.py
+++ b/banklift/emulator/node.py
@@ -101,8 +101,15 @@
 class Node:
     """`work`: seconds that a command takes on one core; `apply`: seconds that applying one write takes."""
 
-    def __init__(self, name: str, seed: int, cores: int = 4, work: float = 0.001, apply: float = 0.0001,
-                 numbered: bool = False) -> None:
+    def __init__(
+        self,
+        name: str,
+        seed: int,
+        cores: int = 4,
+        work: float = 0.001,
+        apply: float = 0.0001,
+        numbered: bool = False,
+    ) -> None:
         self.name = name
         self.random = Random(seed)
         self.cores = cores
@@ -128,7 +135,9 @@
         self.stage = ""  # of the replication handshake
         self.coming = bytearray()  # what the primary sent before its stream
         self.resync = ("", 0)  # history and offset of the copy on its way
-        self.inbox: deque[bytes] = deque()  # of the stream, received and not applied: commands, or whole units
+        self.inbox: deque[bytes] = (
+            deque()
+        )  # of the stream, received and not applied: commands, or whole units
         self.unit: list[bytes] = []  # a unit of the stream that is not whole yet
         self.applying = False
         self.apply_held = 0  # long reads during which nothing is applied
@@ -149,11 +158,14 @@
     def opened(self, now: float, conn: int, source: str) -> list[Act]:
         self._begin(now)
         if len(self.conns) >= self.faults.cap:
-            self.actions += [Act("send", conn, b"-ERR max number of clients reached\r\n"),
-                             Act("close", conn, b"full")]
+            self.actions += [
+                Act("send", conn, b"-ERR max number of clients reached\r\n"),
+                Act("close", conn, b"full"),
+            ]
             return self.actions
-        self.conns[conn] = Conn(conn, source, CommandReader(256 * 1024 * 1024), now,
-                                ready=now + self.faults.handshake)
+        self.conns[conn] = Conn(
+            conn, source, CommandReader(256 * 1024 * 1024), now, ready=now + self.faults.handshake
+        )
         return self.actions
 
     def received(self, now: float, conn: int, data: bytes) -> list[Act]:
@@ -253,7 +265,9 @@
     def _branch(self, received: int) -> None:
         """From here on its log is a line of its own. `received`: how far it had been sent the old one."""
         old, self.replid = self.replid, self._new_id()
-        self.actions.append(Act("line", UPSTREAM, line=self.replid, offset=self.offset, parent=old, received=received))
+        self.actions.append(
+            Act("line", UPSTREAM, line=self.replid, offset=self.offset, parent=old, received=received)
+        )
 
     def killed(self, now: float) -> None:
         """The process died: data and log stay on disk, connections and work do not."""
@@ -344,8 +358,11 @@
             conn.units = []
         elif conn.units is not None and name != b"EXEC":
             conn.units.append(args)
-        elif ((known := lookup(name)) is not None and (known.kind in (Kind.READ, Kind.WRITE) or conn.units is not None)
-              and self.random.random() < self.faults.hang_runs):
+        elif (
+            (known := lookup(name)) is not None
+            and (known.kind in (Kind.READ, Kind.WRITE) or conn.units is not None)
+            and self.random.random() < self.faults.hang_runs
+        ):
             self._run(conn, args)
 
     def _start(self) -> None:
@@ -388,25 +405,42 @@
         if args[0].upper() == b"EXEC":
             units, spoilt, conn.units, conn.spoilt = conn.units or [], conn.spoilt, None, False
         flat = tuple(word for unit in units for word in unit)
-        writes = any(known is not None and known.kind is Kind.WRITE for known in (lookup(unit[0]) for unit in units))
+        writes = any(
+            known is not None and known.kind is Kind.WRITE for known in (lookup(unit[0]) for unit in units)
+        )
         refused = writes and (self.primary is not None or self.readonly)
         answer, log = b"", list[list[bytes]]()
         if args[0].upper() == b"EXEC" and (spoilt or refused):
-            answer = encode(Error("EXECABORT Transaction discarded because of previous errors." if spoilt else
-                                  "EXECABORT Transaction contains write commands but instance is now a read-only "
-                                  "replica. EXEC aborted."))
+            answer = encode(
+                Error(
+                    "EXECABORT Transaction discarded because of previous errors."
+                    if spoilt
+                    else "EXECABORT Transaction contains write commands but instance is now a read-only "
+                    "replica. EXEC aborted."
+                )
+            )
             refused = True
         elif refused:
             script = args[0].upper() in SCRIPTS  # the error comes out of its middle, and says so
             answer = encode(Error(f"{READONLY} script: stand-in, on @user_script:1.") if script else READONLY)
         else:
             answers = [encode(self.store.perform(unit, self.now, log), conn.proto) for unit in units]
-            answer = answers[0] if args[0].upper() != b"EXEC" else b"*%d\r\n" % len(answers) + b"".join(answers)
+            answer = (
+                answers[0] if args[0].upper() != b"EXEC" else b"*%d\r\n" % len(answers) + b"".join(answers)
+            )
             if log:
                 raw = b"".join(command(*effect) for effect in log)
                 self._log(raw if len(log) == 1 else MULTI + raw + EXEC)
-        ran = Act("ran", conn.id, args=flat, source=conn.source, line=self.replid, offset=self.offset,
-                  log=tuple(tuple(effect) for effect in log), turned=refused)
+        ran = Act(
+            "ran",
+            conn.id,
+            args=flat,
+            source=conn.source,
+            line=self.replid,
+            offset=self.offset,
+            log=tuple(tuple(effect) for effect in log),
+            turned=refused,
+        )
         if writes and not refused:
             self.actions.append(ran)
         return answer, ran
@@ -415,8 +449,16 @@
         proto = conn.proto
         match name:
             case b"ROLE" | b"INFO":
-                self.actions.append(Act("says", conn.id, args=(b"replica" if self.primary else b"primary",),
-                                        source=conn.source, line=self.replid, offset=self.offset))
+                self.actions.append(
+                    Act(
+                        "says",
+                        conn.id,
+                        args=(b"replica" if self.primary else b"primary",),
+                        source=conn.source,
+                        line=self.replid,
+                        offset=self.offset,
+                    )
+                )
                 return encode(self._role() if name == b"ROLE" else self._info(), proto)
             case b"PING":
                 return encode(args[1] if len(args) > 1 else Simple("PONG"), proto)
@@ -446,8 +488,15 @@
 
     def _role(self) -> list[object]:
         if self.primary is None:
-            return ["master", self.offset, [["127.0.0.1", str(conn.port), str(max(0, conn.acked))]
-                                            for conn in self.conns.values() if conn.follower]]
+            return [
+                "master",
+                self.offset,
+                [
+                    ["127.0.0.1", str(conn.port), str(max(0, conn.acked))]
+                    for conn in self.conns.values()
+                    if conn.follower
+                ],
+            ]
         host, _, port = self.primary.rpartition(":")
         state = "connected" if self.linked else "connect" if self.upstream is None else "sync"
         return ["slave", host, int(port), state, self.offset if self.linked or self.offset else -1]
@@ -457,13 +506,20 @@
         lines = ["# Replication", f"role:{'master' if self.primary is None else 'slave'}"]
         if self.primary is not None:
             host, _, port = self.primary.rpartition(":")
-            lines += [f"master_host:{host}", f"master_port:{port}",
-                      f"master_link_status:{'up' if self.linked else 'down'}",
-                      f"slave_repl_offset:{self.offset}"]
-        lines += [f"connected_slaves:{sum(conn.follower for conn in self.conns.values())}",
-                  f"master_replid:{self.replid}", f"master_replid2:{self.replid2}",
-                  f"master_repl_offset:{self.offset}", f"second_repl_offset:{self.second}",
-                  f"commands_in_flight:{int(held * self.faults.understate)}"]
+            lines += [
+                f"master_host:{host}",
+                f"master_port:{port}",
+                f"master_link_status:{'up' if self.linked else 'down'}",
+                f"slave_repl_offset:{self.offset}",
+            ]
+        lines += [
+            f"connected_slaves:{sum(conn.follower for conn in self.conns.values())}",
+            f"master_replid:{self.replid}",
+            f"master_replid2:{self.replid2}",
+            f"master_repl_offset:{self.offset}",
+            f"second_repl_offset:{self.second}",
+            f"commands_in_flight:{int(held * self.faults.understate)}",
+        ]
         return "\r\n".join(lines) + "\r\n"
 
     # ---- replication
@@ -504,7 +560,7 @@
         shared = replid == self.replid or (replid == self.replid2 and asked <= self.second)
         conn.follower = True
         if shared and 0 <= lacks <= len(self.backlog):
-            part = bytes(self.backlog[len(self.backlog) - lacks:]) if lacks else b""
+            part = bytes(self.backlog[len(self.backlog) - lacks :]) if lacks else b""
             return b"+CONTINUE %b\r\n" % self.replid.encode() + part
         copy = self.store.dump()
         return b"+FULLRESYNC %b %d\r\n$%d\r\n%b" % (self.replid.encode(), self.offset, len(copy), copy)
@@ -544,7 +600,7 @@
             if end < 0:
                 return
             line = bytes(self.coming[:end])
-            del self.coming[:end + 2]
+            del self.coming[: end + 2]
             if not self._handshake(line):
                 return
         if self.stage == "copy" and not self._copy():
@@ -595,8 +651,8 @@
         size = int(self.coming[1:end])
         if len(self.coming) < end + 2 + size:
             return False
-        self.store.load(bytes(self.coming[end + 2:end + 2 + size]))
-        del self.coming[:end + 2 + size]
+        self.store.load(bytes(self.coming[end + 2 : end + 2 + size]))
+        del self.coming[: end + 2 + size]
         self.replid, self.offset = self.resync
         self.replid2, self.second = "0" * 40, -1
         self.backlog.clear()
--- a/banklift/emulator/platform.py
+++ b/banklift/emulator/platform.py
@@ -23,8 +23,11 @@
     """An answer with one value: description, row and CommandComplete."""
     form = b"\0" * 6 + b"\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01"  # of no table, bytea, binary
     description = frames.message(b"T", b"\0\x01" + column + b"\0" + form)
-    return (description + frames.message(b"D", b"\0\x01" + len(value).to_bytes(4, "big") + value)
-            + frames.message(b"C", tag + b"\0"))
+    return (
+        description
+        + frames.message(b"D", b"\0\x01" + len(value).to_bytes(4, "big") + value)
+        + frames.message(b"C", tag + b"\0")
+    )
 
 
 @dataclass(eq=False)
@@ -58,12 +61,16 @@
                 peer.handle.close()
 
     def told(self) -> bytes:
-        return (frames.parameter("server_role", "writer" if self.primary else "reader")
-                + frames.parameter("commit_clock", str(int(self.env.now() * 1000))))
+        return frames.parameter("server_role", "writer" if self.primary else "reader") + frames.parameter(
+            "commit_clock", str(int(self.env.now() * 1000))
+        )
 
     def usage(self) -> bytes:
-        return row(b"x0=%.3f,x1=%d,outstanding=%d,backlog=0" % (self.env.now(), self.primary, self.open),
-                   b"SHOW", b"usage")
+        return row(
+            b"x0=%.3f,x1=%d,outstanding=%d,backlog=0" % (self.env.now(), self.primary, self.open),
+            b"SHOW",
+            b"usage",
+        )
 
     def answer(self, statement: bytes) -> bytes:
         """The usual one."""
@@ -157,12 +164,27 @@
         self.address = self.listener.address
         return self
 
-    def list(self, uid: str, address: str, group: int = 0, state: str = "SERVING", writes: bool = False,
-             boot_ms: int = 0) -> None:
+    def list(
+        self,
+        uid: str,
+        address: str,
+        group: int = 0,
+        state: str = "SERVING",
+        writes: bool = False,
+        boot_ms: int = 0,
+    ) -> None:
         """Add a member or change it; those who watch are told."""
         entry: dict[str, object] = {
-            "uid": uid, "endpoint": address, "az": "a", "model": "m", "pod_group": group, "state": state,
-            "capacity_hint": 1.0, "boot_ms": boot_ms, "access": "writer" if writes else "reader"}
+            "uid": uid,
+            "endpoint": address,
+            "az": "a",
+            "model": "m",
+            "pod_group": group,
+            "state": state,
+            "capacity_hint": 1.0,
+            "boot_ms": boot_ms,
+            "access": "writer" if writes else "reader",
+        }
         self.version += 1
         self.changes.append((self.version, entry))
         if state == "DELETED":
--- a/banklift/emulator/stand.py
+++ b/banklift/emulator/stand.py
@@ -34,8 +34,16 @@
     requests (`Store`).
     """
 
-    def __init__(self, config: Config, env: Env, seed: int = 1, tap: Tap | None = None, work: float = 0.0005,
-                 apply: float = 0.0001, numbered: bool = False) -> None:
+    def __init__(
+        self,
+        config: Config,
+        env: Env,
+        seed: int = 1,
+        tap: Tap | None = None,
+        work: float = 0.0005,
+        apply: float = 0.0001,
+        numbered: bool = False,
+    ) -> None:
         self.config = config
         self.env = env
         self.nodes: dict[str, NodeHost] = {}
@@ -44,8 +52,9 @@
         self.roles: dict[str, str] = {}  # the primary of each group
         for place, group in enumerate(config.groups):
             for spot, member in enumerate(group.members):
-                node = Node(member.name, seed * 1000 + place * 100 + spot, work=work, apply=apply,
-                            numbered=numbered)
+                node = Node(
+                    member.name, seed * 1000 + place * 100 + spot, work=work, apply=apply, numbered=numbered
+                )
                 self.nodes[member.name] = NodeHost(env, node, member.address, tap)
                 self.states[member.name] = "ready"
             self.roles[group.name] = self.first_primary(group)
@@ -66,17 +75,31 @@
         """The groups as a roster tells them: roles as of the start. `epoch`: the clock at the Unix epoch."""
         found = []
         for group in self.config.groups:
-            members = [{"name": member.name, "address": self.nodes[member.name].address,
-                        "primary": member.name == self.first_primary(group), "state": self.states[member.name],
-                        "started": None if member.name not in self.started else self.started[member.name] - epoch}
-                       for member in group.members if self.states[member.name] != "gone"]
+            members = [
+                {
+                    "name": member.name,
+                    "address": self.nodes[member.name].address,
+                    "primary": member.name == self.first_primary(group),
+                    "state": self.states[member.name],
+                    "started": None if member.name not in self.started else self.started[member.name] - epoch,
+                }
+                for member in group.members
+                if self.states[member.name] != "gone"
+            ]
             found.append(msgspec.convert({**msgspec.to_builtins(group), "members": members}, Group))
         return found
 
     def describe(self) -> list[dict[str, Any]]:
-        return [{"member": member.name, "address": self.nodes[member.name].address, "group": group.name,
-                 "role": "primary" if member.name == self.roles[group.name] else "replica"}
-                for group in self.config.groups for member in group.members]
+        return [
+            {
+                "member": member.name,
+                "address": self.nodes[member.name].address,
+                "group": group.name,
+                "role": "primary" if member.name == self.roles[group.name] else "replica",
+            }
+            for group in self.config.groups
+            for member in group.members
+        ]
 
 
 class Routers(Protocol):
@@ -104,9 +127,14 @@
 class RoutersHere:
     """Routers in the surroundings of the stand. `make` builds the machine of one; tests plant faults there."""
 
-    def __init__(self, stand: Stand, count: int, seed: int,
-                 make: Callable[[Config, int], Machine] = build.machine,
-                 log: Callable[[int, str, dict[str, object]], None] = lambda number, event, fields: None) -> None:
+    def __init__(
+        self,
+        stand: Stand,
+        count: int,
+        seed: int,
+        make: Callable[[Config, int], Machine] = build.machine,
+        log: Callable[[int, str, dict[str, object]], None] = lambda number, event, fields: None,
+    ) -> None:
         self.stand, self.make, self.log, self.seed = stand, make, log, seed
         self.starts = 0
         self.hosts: list[RouterHost] = []
@@ -117,8 +145,13 @@
     def _host(self, number: int, address: str) -> RouterHost:
         self.starts += 1
         machine = self.make(self.stand.config, self.seed * 1000 + self.starts)
-        host = RouterHost(self.stand.env, machine, address, lambda event, fields: self.log(number, event, fields),
-                          source(number))
+        host = RouterHost(
+            self.stand.env,
+            machine,
+            address,
+            lambda event, fields: self.log(number, event, fields),
+            source(number),
+        )
         host.tell(build.roster(self.stand.config, self.stand.groups(), 0.0))
         return host
 
@@ -160,13 +193,20 @@
     async def start(self, number: int, address: str) -> str:
         """Start one and wait until it listens; returns its address. Errors: `RuntimeError` with its log."""
         settings = msgspec.to_builtins(self.stand.config) | {
-            "name": f"router-{number}", "listen": address, "source": source(number), "roster": "roster.json",
-            "groups": msgspec.to_builtins(self.stand.groups(self.epoch))}
+            "name": f"router-{number}",
+            "listen": address,
+            "source": source(number),
+            "roster": "roster.json",
+            "groups": msgspec.to_builtins(self.stand.groups(self.epoch)),
+        }
         path, log = self.folder / f"router-{number}.json", self.folder / f"router-{number}.log"
         path.write_text(json.dumps(settings))
         with log.open("ab") as errors:
-            process = await anyio.open_process([sys.executable, "-m", "banklift", "router", "--config", str(path)],
-                                               stderr=errors, stdout=subprocess.PIPE)
+            process = await anyio.open_process(
+                [sys.executable, "-m", "banklift", "router", "--config", str(path)],
+                stderr=errors,
+                stdout=subprocess.PIPE,
+            )
         self.processes[number] = process
         assert process.stdout is not None
         line = b""
@@ -194,7 +234,11 @@
         until = self.stalled[number] = max(self.stalled.get(number, 0.0), env.now() + seconds)
 
         def go_on() -> None:
-            if self.stalled[number] <= env.now() and process.returncode is None and not self.killed.get(number):
+            if (
+                self.stalled[number] <= env.now()
+                and process.returncode is None
+                and not self.killed.get(number)
+            ):
                 os.kill(process.pid, signal.SIGCONT)
 
         env.at(until, go_on)
--- a/banklift/emulator/store.py
+++ b/banklift/emulator/store.py
@@ -64,7 +64,7 @@
 
     def _script(self, args: list[bytes], now: float, log: list[list[bytes]]) -> object:
         count = int(args[2])
-        words = {b"KEYS": args[3:3 + count], b"ARGV": args[3 + count:]}
+        words = {b"KEYS": args[3 : 3 + count], b"ARGV": args[3 + count :]}
         answer: object = None
         for match in CALL.finditer(args[1]):
             call = [match[1]]
@@ -151,7 +151,7 @@
                 first, last = int(args[2]), int(args[3])
                 first = max(0, first + len(values)) if first < 0 else first
                 last = last + len(values) if last < 0 else last
-                return values[first:last + 1]
+                return values[first : last + 1]
             case b"LLEN":
                 values = self._get(key, now) or []
                 return len(values) if isinstance(values, list) else 0
@@ -190,7 +190,11 @@
     if name in RELATIVE:
         return [b"PEXPIREAT", args[1], b"%d" % (start + int(args[2]) * RELATIVE[name])]
     if name == b"SET" and len(args) > 4 and args[3].upper() in (b"PX", b"EX"):
-        return [*args[:3], b"PXAT", b"%d" % (start + int(args[4]) * (1 if args[3].upper() == b"PX" else 1000))]
+        return [
+            *args[:3],
+            b"PXAT",
+            b"%d" % (start + int(args[4]) * (1 if args[3].upper() == b"PX" else 1000)),
+        ]
     return args
 
 
--- a/banklift/emulator/world.py
+++ b/banklift/emulator/world.py
@@ -99,7 +99,9 @@
         self.one_way = one_way
         self.clock = start
         self.listeners: dict[str, WorldListener] = {}
-        self.late: dict[str, float] = {}  # seconds that connections to an address come up later; infinite: never
+        self.late: dict[
+            str, float
+        ] = {}  # seconds that connections to an address come up later; infinite: never
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = 0
         self.port = 10_000
@@ -129,7 +131,9 @@
         late = self.late.get(address, 0.0)
         if late == math.inf:
             return handle
-        self.at(self.clock + self.latency() + late, lambda: self._arrive(handle, address, source or "127.0.0.1"))
+        self.at(
+            self.clock + self.latency() + late, lambda: self._arrive(handle, address, source or "127.0.0.1")
+        )
         return handle
 
     def _arrive(self, handle: WorldHandle, address: str, source: str) -> None:
--- a/banklift/fleet/book.py
+++ b/banklift/fleet/book.py
@@ -44,7 +44,9 @@
     heard: float
     epoch: int = 0  # it serves
     asked: int = 0  # number of its newest ask
-    out: dict[int, float] = field(default_factory=dict)  # grants that it may count: when each has ended for certain
+    out: dict[int, float] = field(
+        default_factory=dict
+    )  # grants that it may count: when each has ended for certain
     change: str = ""  # that its verdict is on
     verdict: tuple[str, ...] | None = None
 
@@ -148,13 +150,22 @@
         if self.state is None:
             return self._none(ask, "this voter knows no policy yet")
         if ask.epoch > self.granting + 1 or (ask.epoch > self.granting and change is None):
-            return self._none(ask, f"it serves epoch {ask.epoch}, and this voter knows of {self.granting} only")
+            return self._none(
+                ask, f"it serves epoch {ask.epoch}, and this voter knows of {self.granting} only"
+            )
         if self.sealed and (entry.change != self.sealed or entry.verdict != ()):
             return self._none(ask, "a change is being decided that it has not accepted")
-        if change is not None and change.stage is Stage.CHECKING and not change.dry and entry.change != change.id:
+        if (
+            change is not None
+            and change.stage is Stage.CHECKING
+            and not change.dry
+            and entry.change != change.id
+        ):
             return self._none(ask, "", keep=True)
         if self.closing and self.complete_from > now and self.turn == self.complete_from:
-            return self._none(ask, "this voter has started while a change took hold, and waits for old leases to end")
+            return self._none(
+                ask, "this voter has started while a change took hold, and waits for old leases to end"
+            )
         return self._grant(now, entry, ask)
 
     def _grant(self, now: float, entry: Entry, ask: Ask) -> Grant:
@@ -175,7 +186,9 @@
         """No new lease. What it holds goes on."""
         return self._answer(ask, 0.0, 0, 0.0, 0.0, reason)
 
-    def _answer(self, ask: Ask, ttl: float, next_epoch: int, begin: float, next_ttl: float, reason: str) -> Grant:
+    def _answer(
+        self, ask: Ask, ttl: float, next_epoch: int, begin: float, next_ttl: float, reason: str
+    ) -> Grant:
         state, change = self.state, self.change
         policy, coming = self.digests if state is not None else ("", "")
         subject = coming if change is not None and ask.change != change.id else ""
@@ -187,9 +200,19 @@
         serves_new = change is not None and self.granting >= change.epoch
         current = coming if serves_new else policy
         wanted = {current, subject, coming if next_epoch else ""} - {"", *ask.have}
-        return Grant(ask.number, self.granting, ttl, next_epoch, begin, next_ttl,
-                     (current, coming if next_epoch else ""), change.id if subject and change is not None else "",
-                     subject, tuple(texts[one] for one in sorted(wanted)), reason)
+        return Grant(
+            ask.number,
+            self.granting,
+            ttl,
+            next_epoch,
+            begin,
+            next_ttl,
+            (current, coming if next_epoch else ""),
+            change.id if subject and change is not None else "",
+            subject,
+            tuple(texts[one] for one in sorted(wanted)),
+            reason,
+        )
 
     # ---- the change
 
@@ -198,17 +221,33 @@
         self.tick(now)
         change = self.change
         holders = self.holders(now)
-        if change is not None and change.stage is Stage.CHECKING and not self.sealed and now >= self.complete_from \
-                and all(one.verdict == () for one in holders if one.left > 0):
+        if (
+            change is not None
+            and change.stage is Stage.CHECKING
+            and not self.sealed
+            and now >= self.complete_from
+            and all(one.verdict == () for one in holders if one.left > 0)
+        ):
             self.sealed = change.id
-        sealed = change is not None and self.sealed == change.id and now >= self.complete_from \
+        sealed = (
+            change is not None
+            and self.sealed == change.id
+            and now >= self.complete_from
             and all(one.verdict == () for one in holders if one.left > 0)
+        )
         turned = change is not None and change.stage is Stage.AGREED and self.granting >= change.epoch
         return holders, sealed, turned
 
     def holders(self, now: float) -> tuple[Holder, ...]:
         change = self.change
-        return tuple(Holder(one.name, one.incarnation, one.epoch,
-                            one.verdict if change is not None and one.change == change.id else None,
-                            now - one.heard, max(0.0, one.ends() - now))
-                     for one in sorted(self.entries.values(), key=lambda one: (one.name, one.incarnation)))
+        return tuple(
+            Holder(
+                one.name,
+                one.incarnation,
+                one.epoch,
+                one.verdict if change is not None and one.change == change.id else None,
+                now - one.heard,
+                max(0.0, one.ends() - now),
+            )
+            for one in sorted(self.entries.values(), key=lambda one: (one.name, one.incarnation))
+        )
--- a/banklift/fleet/lease.py
+++ b/banklift/fleet/lease.py
@@ -95,15 +95,22 @@
     subject: str = ""  # ... and its policy's digest
 
     def valid(self, epoch: int, now: float) -> bool:
-        return (self.epoch == epoch and now < self.until) or \
-               (self.next_epoch == epoch and self.begin <= now < self.next_until)
+        return (self.epoch == epoch and now < self.until) or (
+            self.next_epoch == epoch and self.begin <= now < self.next_until
+        )
 
 
 class Leases:
     """`check` says what is against a policy, nothing if it can be served."""
 
-    def __init__(self, voters: tuple[str, ...], lease: float, drift: float, random: Random,
-                 check: Callable[[bytes], tuple[str, ...]]) -> None:
+    def __init__(
+        self,
+        voters: tuple[str, ...],
+        lease: float,
+        drift: float,
+        random: Random,
+        check: Callable[[bytes], tuple[str, ...]],
+    ) -> None:
         self.voters = {name: Held() for name in voters}
         self.quorum = majority(len(voters))
         self.lease, self.drift, self.random, self.check = lease, drift, random, check
@@ -150,11 +157,17 @@
             held.change, held.subject = grant.change, grant.subject
             reasons = self._verdict(grant.subject)
             if not before:
-                self.actions.append(Word("policy checked", {"change": grant.change, "reasons": list(reasons)}))
+                self.actions.append(
+                    Word("policy checked", {"change": grant.change, "reasons": list(reasons)})
+                )
             self._ask(now, voter)
         wait = RENEW_PART * self.lease
         if grant.ttl > 0 or grant.next_epoch:
-            held.number, held.epoch, held.until = grant.number, grant.epoch, sent + grant.ttl * (1 - self.drift)
+            held.number, held.epoch, held.until = (
+                grant.number,
+                grant.epoch,
+                sent + grant.ttl * (1 - self.drift),
+            )
             held.next_epoch, held.begin = grant.next_epoch, now + grant.begin * (1 + self.drift)
             held.next_until = sent + grant.next_ttl * (1 - self.drift)
             for epoch, known in zip((grant.epoch, grant.next_epoch), grant.digests, strict=True):
@@ -163,8 +176,11 @@
             wait = RENEW_PART * (grant.ttl if grant.ttl > 0 else grant.next_ttl)
         elif grant.reason:
             wait = RETRY_PART * self.lease
-        held.due = min(held.due, now + wait * self.random.uniform(0.8, 1.0)) if held.asked else \
-            now + wait * self.random.uniform(0.8, 1.0)
+        held.due = (
+            min(held.due, now + wait * self.random.uniform(0.8, 1.0))
+            if held.asked
+            else now + wait * self.random.uniform(0.8, 1.0)
+        )
         return self._out(now)
 
     def wake(self, now: float) -> list[Action]:
@@ -197,8 +213,12 @@
         held.asked[self.numbers] = now
         held.due = now + RETRY_PART * self.lease * self.random.uniform(0.8, 1.2)
         verdict = self.verdicts.get(held.subject) if held.change else None
-        self.actions.append(Tell(voter, Ask(self.numbers, held.number, self.serving, held.change, verdict,
-                                            tuple(self.policies))))
+        self.actions.append(
+            Tell(
+                voter,
+                Ask(self.numbers, held.number, self.serving, held.change, verdict, tuple(self.policies)),
+            )
+        )
 
     def _keep(self, text: bytes) -> None:
         known = digest(text)
@@ -221,13 +241,21 @@
 
     def _holds(self, epoch: int, now: float) -> float:
         """Until when a majority has it under a lease for this epoch; in the past if none has."""
-        ends = sorted((held.until if held.epoch == epoch and now < held.until else held.next_until
-                       for held in self.voters.values() if held.valid(epoch, now)), reverse=True)
+        ends = sorted(
+            (
+                held.until if held.epoch == epoch and now < held.until else held.next_until
+                for held in self.voters.values()
+                if held.valid(epoch, now)
+            ),
+            reverse=True,
+        )
         return ends[self.quorum - 1] if len(ends) >= self.quorum else -math.inf
 
     def _out(self, now: float) -> list[Action]:
         """What may be served now, and what is to be done about it."""
-        epochs = {held.epoch for held in self.voters.values()} | {held.next_epoch for held in self.voters.values()}
+        epochs = {held.epoch for held in self.voters.values()} | {
+            held.next_epoch for held in self.voters.values()
+        }
         good = {epoch: end for epoch in epochs if epoch and (end := self._holds(epoch, now)) > now}
         assert len(good) <= 1, f"leases for two epochs at a time: {good}"
         for epoch, end in good.items():
@@ -237,7 +265,9 @@
             reasons = self._verdict(self.epochs[epoch])
             if reasons:
                 if self.fenced is False or self.serving != 0:
-                    self.actions.append(Word("policy in force is refused", {"epoch": epoch, "reasons": list(reasons)}))
+                    self.actions.append(
+                        Word("policy in force is refused", {"epoch": epoch, "reasons": list(reasons)})
+                    )
                 self.serving, self.fenced, self.until = 0, True, -math.inf
                 break
             if epoch != self.serving:
@@ -248,8 +278,15 @@
                 self.actions.append(Until(end, RETRY_PART * self.lease))
         if not good and self.serving and now >= self.until and not self.fenced:
             self.fenced = True
-            self.actions.append(Word("fenced: no lease of a majority of voters", {"epoch": self.serving, "voters": {
-                name: self.trouble(now, name) for name in self.voters}}))
+            self.actions.append(
+                Word(
+                    "fenced: no lease of a majority of voters",
+                    {
+                        "epoch": self.serving,
+                        "voters": {name: self.trouble(now, name) for name in self.voters},
+                    },
+                )
+            )
         done, self.actions = self.actions, []
         return done
 
--- a/banklift/fleet/messages.py
+++ b/banklift/fleet/messages.py
@@ -206,8 +206,29 @@
     busy: bool
 
 
-Any_ = (Hello | Bye | Prepare | Promise | Accept | Accepted | Nack | Learn | Rejoin | Rejoined | Survey | Surveyed | Ask
-        | Grant | Nudge | Set | Show | Shown | Progress | Ended | Unmade)
+Any_ = (
+    Hello
+    | Bye
+    | Prepare
+    | Promise
+    | Accept
+    | Accepted
+    | Nack
+    | Learn
+    | Rejoin
+    | Rejoined
+    | Survey
+    | Surveyed
+    | Ask
+    | Grant
+    | Nudge
+    | Set
+    | Show
+    | Shown
+    | Progress
+    | Ended
+    | Unmade
+)
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Any_)
 
@@ -237,12 +258,10 @@
                 raise Garbage(f"a frame of {length} bytes")
             if len(self.buffer) < LENGTH + length:
                 break
-            body = bytes(self.buffer[LENGTH:LENGTH + length])
-            del self.buffer[:LENGTH + length]
+            body = bytes(self.buffer[LENGTH : LENGTH + length])
+            del self.buffer[: LENGTH + length]
             try:
                 found.append(_decoder.decode(body))
             except (msgspec.DecodeError, UnicodeDecodeError) as error:
                 raise Garbage(f"a frame that can't be read: {error}") from None
         return found
-
-
--- a/banklift/fleet/node.py
+++ b/banklift/fleet/node.py
@@ -115,18 +115,38 @@
     """`record` and `absent`: what a voter's disk held (`Voter`); `policy`: of this router's file, with which a fleet
     begins; `check`: what is against a policy here."""
 
-    def __init__(self, plan: Plan, incarnation: int, seed: int, policy: bytes,
-                 check: Callable[[bytes], tuple[str, ...]], record: Record | None = None, absent: bool = True) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        incarnation: int,
+        seed: int,
+        policy: bytes,
+        check: Callable[[bytes], tuple[str, ...]],
+        record: Record | None = None,
+        absent: bool = True,
+    ) -> None:
         self.plan, self.incarnation = plan, incarnation
         self.random = Random(seed)
         self.leases = Leases(plan.voters, plan.lease, plan.drift, self.random, check)
         self.voter: Voter | None = None
         if plan.name in plan.voters:
-            self.voter = Voter(plan.fleet, plan.name, plan.voters, plan.lease, plan.drift, policy, record, absent,
-                               incarnation, self.random)
+            self.voter = Voter(
+                plan.fleet,
+                plan.name,
+                plan.voters,
+                plan.lease,
+                plan.drift,
+                policy,
+                record,
+                absent,
+                incarnation,
+                self.random,
+            )
         self.links: dict[int, Link] = {}
         self.by_name: dict[str, Link] = {}
-        self.pauses: dict[str, tuple[float, float]] = {}  # voters to be called: when, and the pause before that
+        self.pauses: dict[
+            str, tuple[float, float]
+        ] = {}  # voters to be called: when, and the pause before that
         self.next_pause: dict[str, float] = {}  # of each voter that is called, should this call fail
         self.numbers = 0
         self.noted: set[tuple[str, str]] = set()
@@ -276,7 +296,9 @@
             faults.append(f"fleet {hello.fleet!r}, here it is {plan.fleet!r}")
         if hello.name:
             if hello.voters != plan.voters:
-                faults.append(f"fleet.voters: {', '.join(hello.voters)}; here they are {', '.join(plan.voters)}")
+                faults.append(
+                    f"fleet.voters: {', '.join(hello.voters)}; here they are {', '.join(plan.voters)}"
+                )
             if hello.lease != plan.lease:
                 faults.append(f"fleet.lease: {hello.lease:g} s, here it is {plan.lease:g} s")
             if one.dialled and hello.name != one.dialled:
--- a/banklift/fleet/register.py
+++ b/banklift/fleet/register.py
@@ -90,15 +90,27 @@
 def accept(record: Record, message: Accept) -> tuple[Record, Accepted | Nack]:
     if message.ballot < record.promised:
         return record, Nack(message.ballot, record.promised)
-    after = msgspec.structs.replace(record, promised=message.ballot, accepted=message.ballot, state=message.state)
+    after = msgspec.structs.replace(
+        record, promised=message.ballot, accepted=message.ballot, state=message.state
+    )
     return after, Accepted(message.ballot, record.incarnations)
 
 
-def rejoin(record: Record, voter: str, message: Rejoin, standing: str, absent: bool) -> tuple[Record, Rejoined]:
+def rejoin(
+    record: Record, voter: str, message: Rejoin, standing: str, absent: bool
+) -> tuple[Record, Rejoined]:
     known = merged(record.incarnations, {voter: message.incarnation})
     after = record if known == record.incarnations else msgspec.structs.replace(record, incarnations=known)
-    return after, Rejoined(message.incarnation, standing, after.promised, after.accepted, after.state, known,
-                           after.founding, absent)
+    return after, Rejoined(
+        message.incarnation,
+        standing,
+        after.promised,
+        after.accepted,
+        after.state,
+        known,
+        after.founding,
+        absent,
+    )
 
 
 @dataclass(slots=True)
@@ -118,7 +130,11 @@
         newest: dict[str, int] = {}
         for known in (*self.promises.values(), *self.accepts.values()):
             newest = merged(newest, known.incarnations)  # type: ignore[attr-defined]
-        return [name for name, answer in answers.items() if answer.incarnations.get(name, 0) == newest.get(name, 0)]
+        return [
+            name
+            for name, answer in answers.items()
+            if answer.incarnations.get(name, 0) == newest.get(name, 0)
+        ]
 
     def promised(self, voter: str, message: Promise) -> Accept | None:
         """What to ask all voters now, once a majority has promised. Errors: as `change`."""
@@ -163,7 +179,11 @@
 
     def answered(self, voter: str, message: Rejoined) -> Record | None:
         """The record to vote with from now on (to be written first), once enough is known."""
-        if message.incarnation != self.record.incarnation or voter not in self.voters or voter == self.record.voter:
+        if (
+            message.incarnation != self.record.incarnation
+            or voter not in self.voters
+            or voter == self.record.voter
+        ):
             return None
         self.answers[voter] = message
         return self.done()
@@ -171,7 +191,9 @@
     @property
     def outlived(self) -> int:
         """The incarnation that others know of this voter, if theirs is newer: this one must take a newer one yet."""
-        newest = max((answer.incarnations.get(self.record.voter, 0) for answer in self.answers.values()), default=0)
+        newest = max(
+            (answer.incarnations.get(self.record.voter, 0) for answer in self.answers.values()), default=0
+        )
         return newest if newest > self.record.incarnation else 0
 
     def again(self, incarnation: int) -> None:
@@ -191,7 +213,9 @@
                 for name, answer in self.answers.items():
                     known = merged(known, {name: answer.incarnations.get(name, 0)})
                 return msgspec.structs.replace(self.record, incarnations=known, founding=known)
-            if any(one.standing == VOTING and one.founding.get(own) == self.record.incarnation for one in answers):
+            if any(
+                one.standing == VOTING and one.founding.get(own) == self.record.incarnation for one in answers
+            ):
                 return self._merged()
         voting = sum(one.standing == VOTING for one in answers)
         whole = sum(one.standing == WHOLE for one in answers) + self.whole
@@ -205,9 +229,11 @@
             if answer.accepted > record.accepted:
                 record = msgspec.structs.replace(record, accepted=answer.accepted, state=answer.state)
             record = msgspec.structs.replace(
-                record, promised=max(record.promised, answer.promised),
+                record,
+                promised=max(record.promised, answer.promised),
                 incarnations=merged(record.incarnations, answer.incarnations),
-                founding=record.founding or answer.founding)
+                founding=record.founding or answer.founding,
+            )
         return record
 
     def waiting(self) -> str:
@@ -216,5 +242,7 @@
         if self.absent and not any(one.standing != BLANK for one in self.answers.values()):
             return f"the first start needs every voter once; not heard: {', '.join(silent) or 'nobody'}"
         disk = "whole" if self.whole else "lost or damaged"
-        return (f"its own disk is {disk}; it votes once {majority(n)} of {n} voters that can't have forgotten have "
-                f"told what it promised; not heard: {', '.join(silent) or 'nobody'}")
+        return (
+            f"its own disk is {disk}; it votes once {majority(n)} of {n} voters that can't have forgotten have "
+            f"told what it promised; not heard: {', '.join(silent) or 'nobody'}"
+        )
--- a/banklift/fleet/state.py
+++ b/banklift/fleet/state.py
@@ -106,8 +106,10 @@
     if state.change is not None:
         raise Unfit(f"change {state.change.id} is under way ({state.change.stage})", busy=True)
     if version != state.version:
-        raise Unfit(f"made for version {version}, and it is {state.version} now: it was not made or its outcome is no "
-                    "longer kept, and it will not be made any more")
+        raise Unfit(
+            f"made for version {version}, and it is {state.version} now: it was not made or its outcome is no "
+            "longer kept, and it will not be made any more"
+        )
     made = Change(change, policy, state.epoch + 1, by, patience, dry)
     return msgspec.structs.replace(state, version=state.version + 1, change=made)
 
--- a/banklift/fleet/voter.py
+++ b/banklift/fleet/voter.py
@@ -122,15 +122,29 @@
     """`policy`: what the fleet begins with, should there be nothing yet. `record`: what the disk held, or None;
     `absent`: there was never anything."""
 
-    def __init__(self, fleet: str, name: str, voters: tuple[str, ...], lease: float, drift: float, policy: bytes,
-                 record: Record | None, absent: bool, incarnation: int, random: Random) -> None:
+    def __init__(
+        self,
+        fleet: str,
+        name: str,
+        voters: tuple[str, ...],
+        lease: float,
+        drift: float,
+        policy: bytes,
+        record: Record | None,
+        absent: bool,
+        incarnation: int,
+        random: Random,
+    ) -> None:
         self.fleet, self.name, self.voters, self.policy = fleet, name, voters, policy
         self.random = random
         blank = Record(fleet, name, 0)
         base = blank if record is None else record
         incarnation = max(incarnation, base.incarnation + 1)
         base = msgspec.structs.replace(
-            base, incarnation=incarnation, incarnations=register.merged(base.incarnations, {name: incarnation}))
+            base,
+            incarnation=incarnation,
+            incarnations=register.merged(base.incarnations, {name: incarnation}),
+        )
         self.record = base
         self.rejoining: Rejoining | None = Rejoining(base, voters, record is not None, absent)
         self.in_step = False  # it has read the register since it started
@@ -215,8 +229,19 @@
         """A router asks for a lease."""
         self.now = now
         if self.rejoining is not None:
-            grant: Grant | None = Grant(ask.number, 0, 0.0, 0, 0.0, 0.0, ("", ""), "", "", (),
-                                        f"this voter does not vote: {self.rejoining.waiting()}")
+            grant: Grant | None = Grant(
+                ask.number,
+                0,
+                0.0,
+                0,
+                0.0,
+                0.0,
+                ("", ""),
+                "",
+                "",
+                (),
+                f"this voter does not vote: {self.rejoining.waiting()}",
+            )
         else:
             grant = self.book.ask(now, name, incarnation, ask)
         return grant, self._out()
@@ -225,7 +250,9 @@
         """An operator wants a change, or asks what became of it."""
         self.now = now
         if self.rejoining is not None:
-            self._unmade(operator, wanted.change, f"voter {self.name} does not vote: {self.rejoining.waiting()}", True)
+            self._unmade(
+                operator, wanted.change, f"voter {self.name} does not vote: {self.rejoining.waiting()}", True
+            )
             return self._out()
 
         def change(state: State | None) -> State:
@@ -233,14 +260,23 @@
                 raise Unfit("this fleet has no policy yet", busy=True)
             return propose(state, wanted.change, wanted.policy, self.name, wanted.patience, wanted.dry)
 
-        self._task(change, lambda state: self._follow(operator, wanted.change),
-                   lambda unfit: self._unmade(operator, wanted.change, str(unfit), unfit.busy))
+        self._task(
+            change,
+            lambda state: self._follow(operator, wanted.change),
+            lambda unfit: self._unmade(operator, wanted.change, str(unfit), unfit.busy),
+        )
         return self._out()
 
     def show(self, now: float) -> Shown:
         standing = VOTING if self.rejoining is None else self.rejoining.standing
-        return Shown(self.book.state, self.name, standing, {**self.linked, self.name: True}, self.book.holders(now),
-                     tuple(self.trouble()))
+        return Shown(
+            self.book.state,
+            self.name,
+            standing,
+            {**self.linked, self.name: True},
+            self.book.holders(now),
+            tuple(self.trouble()),
+        )
 
     def trouble(self) -> list[Trouble]:
         found = [Trouble(name, "no link") for name, up in self.linked.items() if not up]
@@ -267,8 +303,12 @@
         if self.book.granting != granting:
             self.actions.append(NudgeAll())
         change = self.book.change
-        if self.rejoining is None and change is not None and self.drive is None \
-                and now - self.driven >= self.takeover:
+        if (
+            self.rejoining is None
+            and change is not None
+            and self.drive is None
+            and now - self.driven >= self.takeover
+        ):
             self.drive = Drive(change.id, now)
         if self.drive is not None and now >= self.polled + POLL:
             self._poll(self.drive)
@@ -357,7 +397,9 @@
             return
         own = self.rejoining
         own.record, answer = register.rejoin(own.record, voter, message, own.standing, own.absent)
-        if own.standing == BLANK:  # a record of nothing is not written: it would look whole after the next start
+        if (
+            own.standing == BLANK
+        ):  # a record of nothing is not written: it would look whole after the next start
             self._send(voter, answer)
             return
         self.record = own.record
@@ -387,7 +429,9 @@
             self.rejoining = None
             self.highest = max(self.highest, record.promised)
             self.actions.append(Note("votes", {"incarnation": record.incarnation}))
-            self._task(lambda state: state or found(self.fleet, self.policy), self._in_step, lambda unfit: None)
+            self._task(
+                lambda state: state or found(self.fleet, self.policy), self._in_step, lambda unfit: None
+            )
 
         self._once_written(begin)
 
@@ -400,8 +444,12 @@
 
     # ---- proposing
 
-    def _task(self, change: Callable[[State | None], State], done: Callable[[State], None],
-              unfit: Callable[[Unfit], None]) -> None:
+    def _task(
+        self,
+        change: Callable[[State | None], State],
+        done: Callable[[State], None],
+        unfit: Callable[[Unfit], None],
+    ) -> None:
         self.tasks.append(Task(change, done, unfit))
         if self.proposal is None and self.round_ends == math.inf:
             self._begin()
@@ -410,7 +458,9 @@
         task = self.tasks[0]
         self.highest = (self.highest[0] + 1, self.name)
         self.proposal = Proposal(self.highest, self.voters, task.change)
-        self.round_ends = self.now + min(ROUND_MOST, ROUND * 2 ** min(task.tries, 8)) * self.random.uniform(0.8, 1.2)
+        self.round_ends = self.now + min(ROUND_MOST, ROUND * 2 ** min(task.tries, 8)) * self.random.uniform(
+            0.8, 1.2
+        )
         self._all(Prepare(self.highest))
 
     def _again(self) -> None:
@@ -448,7 +498,9 @@
             case Nack():
                 if proposal.nack(message):  # a pause that is drawn, or two proposers beat each other for ever
                     self.proposal = None
-                    self.round_ends = self.now + self.random.uniform(0.0, 0.1) * 2 ** min(self.tasks[0].tries, 5)
+                    self.round_ends = self.now + self.random.uniform(0.0, 0.1) * 2 ** min(
+                        self.tasks[0].tries, 5
+                    )
 
     def _over(self) -> Task:
         self.proposal, self.round_ends = None, math.inf
@@ -524,17 +576,27 @@
             if sum(one.turned for one in answers) >= quorum:
                 self._step(drive, lambda state: settle(state, change.id))
         elif sum(one.sealed for one in answers) >= quorum:
-            self._step(drive, lambda state: abort(state, change.id, ()) if change.dry else agree(state, change.id))
+            self._step(
+                drive, lambda state: abort(state, change.id, ()) if change.dry else agree(state, change.id)
+            )
         else:
-            refusals = {holder.name: holder.verdict for one in answers for holder in one.holders if holder.verdict}
+            refusals = {
+                holder.name: holder.verdict for one in answers for holder in one.holders if holder.verdict
+            }
             if refusals:
                 drive.refused = min(drive.refused, self.now)
-            asked = [one for one in answers for holder in one.holders if holder.left > 0 and holder.verdict is None]
+            asked = [
+                one for one in answers for holder in one.holders if holder.left > 0 and holder.verdict is None
+            ]
             if refusals and (not asked or self.now >= drive.refused + GRACE):
-                reasons = tuple(f"{name}: {reason}" for name, told in sorted(refusals.items()) for reason in told)
+                reasons = tuple(
+                    f"{name}: {reason}" for name, told in sorted(refusals.items()) for reason in told
+                )
                 self._step(drive, lambda state: abort(state, change.id, reasons))
             elif self.now >= drive.since + change.patience:
-                self._step(drive, lambda state: abort(state, change.id, tuple(waiting) or ("no answer in time",)))
+                self._step(
+                    drive, lambda state: abort(state, change.id, tuple(waiting) or ("no answer in time",))
+                )
         for operator in sorted(drive.operators):
             self.actions.append(ToOperator(operator, Progress(change.id, change.stage, tuple(waiting))))
 
@@ -544,12 +606,16 @@
         worst: dict[str, tuple[float, float]] = {}  # of each router: silence, and end of its lease
         for one in drive.answers.values():
             for holder in one.holders:
-                late = holder.verdict is None if change.stage is Stage.CHECKING else holder.epoch != change.epoch
+                late = (
+                    holder.verdict is None if change.stage is Stage.CHECKING else holder.epoch != change.epoch
+                )
                 if holder.left > 0 and late:
                     heard, left = worst.get(holder.name, (math.inf, 0.0))
                     worst[holder.name] = min(heard, holder.heard), max(left, holder.left)
-        found += [f"{name} has not answered for {heard:.1f} s; its lease ends in {left:.1f} s"
-                  for name, (heard, left) in sorted(worst.items())]
+        found += [
+            f"{name} has not answered for {heard:.1f} s; its lease ends in {left:.1f} s"
+            for name, (heard, left) in sorted(worst.items())
+        ]
         return found
 
     def _step(self, drive: Drive, step: Callable[[State], State]) -> None:
--- a/banklift/judge/day.py
+++ b/banklift/judge/day.py
@@ -89,9 +89,32 @@
     config: dict[str, Any] | None = None  # in place of the example's keys
 
 
-ORDERS = ("hang", "thaw", "kill", "restart", "drain", "undrain", "lag", "slow", "slow_for", "cut", "cap", "handshake",
-          "understate", "tail", "withhold", "delay", "split", "heal", "join", "leavers",
-          "roster_delay", "kill_router", "start_router", "stall_router")
+ORDERS = (
+    "hang",
+    "thaw",
+    "kill",
+    "restart",
+    "drain",
+    "undrain",
+    "lag",
+    "slow",
+    "slow_for",
+    "cut",
+    "cap",
+    "handshake",
+    "understate",
+    "tail",
+    "withhold",
+    "delay",
+    "split",
+    "heal",
+    "join",
+    "leavers",
+    "roster_delay",
+    "kill_router",
+    "start_router",
+    "stall_router",
+)
 
 
 def load_day(name: str) -> tuple[Day, Config]:
@@ -109,7 +132,9 @@
         raise ConfigError(f"{path}: {place.strip('`') or '$'}: {reason}") from None
     for number, trouble in enumerate(day.troubles):
         if trouble.do not in ORDERS:
-            raise ConfigError(f"{path}: $.troubles[{number}].do: {trouble.do!r} is none of {', '.join(ORDERS)}")
+            raise ConfigError(
+                f"{path}: $.troubles[{number}].do: {trouble.do!r} is none of {', '.join(ORDERS)}"
+            )
     config = load(EXAMPLE)
     if day.config is not None:
         config = msgspec.convert({**msgspec.to_builtins(config), **day.config}, type=Config)
@@ -120,16 +145,26 @@
         for form, share in request.forms.items():
             ours = forms.WRITES if request.writes else forms.READS
             if form not in ours or not share > 0:
-                raise ConfigError(f"{path}: $.requests[{number}].forms.{form}: need a share above 0 of one of "
-                                  f"{', '.join(ours)}")
+                raise ConfigError(
+                    f"{path}: $.requests[{number}].forms.{form}: need a share above 0 of one of "
+                    f"{', '.join(ours)}"
+                )
     return day, config
 
 
 class Director:
     """Runs the script of one day in its surroundings, and records what both ends of the sockets see."""
 
-    def __init__(self, env: Env, day: Day, config: Config, routers: int, seed: int,
-                 record: Callable[[Entry], None], progress: Callable[[float, str], None]) -> None:
+    def __init__(
+        self,
+        env: Env,
+        day: Day,
+        config: Config,
+        routers: int,
+        seed: int,
+        record: Callable[[Entry], None],
+        progress: Callable[[float, str], None],
+    ) -> None:
         self.env, self.day, self.config, self.seed = env, day, config, seed
         self.record, self.progress = record, progress
         self.begin = env.now()
@@ -138,7 +173,9 @@
         self.electing: set[str] = set()
         self.roster_delay = 0.0
         self.stand = Stand(config, env, seed, self._tap, day.work, day.apply, True)
-        self.said: dict[tuple[str, str], tuple[str, str]] = {}  # by member and router: role and line last told
+        self.said: dict[
+            tuple[str, str], tuple[str, str]
+        ] = {}  # by member and router: role and line last told
         self.routers: Routers | None = None
         self.clients: Clients | None = None
         for name in day.absent:
@@ -154,12 +191,28 @@
         day = self.day
         self.begin = self.env.now()
         self.say(f"{len(routers.addresses)} routers and {len(self.stand.nodes)} members are up")
-        habits = Habits(day.sessions, day.retries, day.roam, day.helped, day.named, day.leavers, day.reread,
-                        batches=day.batches)
+        habits = Habits(
+            day.sessions,
+            day.retries,
+            day.roam,
+            day.helped,
+            day.named,
+            day.leavers,
+            day.reread,
+            batches=day.batches,
+        )
         self.clients = Clients(
-            self.env, routers.addresses, {kind.name: kind.deadline for kind in self.config.classes},
-            [Mix(one.kind, one.share, one.key, one.writes, one.keys, tuple(one.forms.items()))
-             for one in day.requests], habits, self.seed, self.record)
+            self.env,
+            routers.addresses,
+            {kind.name: kind.deadline for kind in self.config.classes},
+            [
+                Mix(one.kind, one.share, one.key, one.writes, one.keys, tuple(one.forms.items()))
+                for one in day.requests
+            ],
+            habits,
+            self.seed,
+            self.record,
+        )
         self.clients.run(day.rate, day.seconds)
         for trouble in day.troubles:
             self.env.at(self.begin + trouble.at, lambda trouble=trouble: self._do(trouble))  # type: ignore[misc]
@@ -180,9 +233,17 @@
             self.record(Entry(t=now, k="end", member=name, line=node.replid, offset=node.offset))
             for key in sorted(node.data):
                 value = node.store.apply([b"GET", key], now)
-                self.record(Entry(t=now, k="end", member=name, line=node.replid, offset=node.offset,
-                                  keys=[key.decode("latin-1")],
-                                  values=[value.decode("latin-1") if isinstance(value, bytes) else ""]))
+                self.record(
+                    Entry(
+                        t=now,
+                        k="end",
+                        member=name,
+                        line=node.replid,
+                        offset=node.offset,
+                        keys=[key.decode("latin-1")],
+                        values=[value.decode("latin-1") if isinstance(value, bytes) else ""],
+                    )
+                )
         self.record(Entry(t=now, k="end"))
 
     def say(self, text: str) -> None:
@@ -193,33 +254,83 @@
         router = self.sources.get(act.source, -1)
         match act.what:
             case "close":
-                self.record(Entry(t=now, k="cut", member=member, conn=act.conn,
-                                  verdict=act.data.decode() or "member"))
+                self.record(
+                    Entry(t=now, k="cut", member=member, conn=act.conn, verdict=act.data.decode() or "member")
+                )
             case "line":
-                self.record(Entry(t=now, k="line", member=member, line=act.line, offset=act.offset,
-                                  parent=act.parent, received=act.received))
+                self.record(
+                    Entry(
+                        t=now,
+                        k="line",
+                        member=member,
+                        line=act.line,
+                        offset=act.offset,
+                        parent=act.parent,
+                        received=act.received,
+                    )
+                )
                 if self.stand.roles.get(self._group(member).name) == member:  # a primary that restarted
                     self._role(member)
             case "says":
                 said = act.args[0].decode(), act.line
                 if router >= 0 and self.said.get((member, act.source)) != said:
                     self.said[member, act.source] = said
-                    self.record(Entry(t=now, k="says", member=member, router=router, value=said[0], line=act.line,
-                                      offset=act.offset))
+                    self.record(
+                        Entry(
+                            t=now,
+                            k="says",
+                            member=member,
+                            router=router,
+                            value=said[0],
+                            line=act.line,
+                            offset=act.offset,
+                        )
+                    )
             case "command":
                 if router >= 0:
-                    self.record(Entry(t=now, k="command", member=member, conn=act.conn,
-                                      rid=forms.number(act.args), router=router))
+                    self.record(
+                        Entry(
+                            t=now,
+                            k="command",
+                            member=member,
+                            conn=act.conn,
+                            rid=forms.number(act.args),
+                            router=router,
+                        )
+                    )
             case "ran":
-                self.record(Entry(t=now, k="ran", member=member, conn=act.conn, rid=forms.number(act.args),
-                                  router=router, line=act.line, offset=act.offset,
-                                  log=[[word.decode("latin-1") for word in effect] for effect in act.log]))
+                self.record(
+                    Entry(
+                        t=now,
+                        k="ran",
+                        member=member,
+                        conn=act.conn,
+                        rid=forms.number(act.args),
+                        router=router,
+                        line=act.line,
+                        offset=act.offset,
+                        log=[[word.decode("latin-1") for word in effect] for effect in act.log],
+                    )
+                )
             case "answer":
                 turned = act.turned or status(act.data) is not Status.OK
-                writes = any(known is not None and known.kind is Kind.WRITE for known in map(lookup, act.args))
-                self.record(Entry(t=now, k="reply", member=member, conn=act.conn, rid=forms.number(act.args),
-                                  verdict="turned away" if turned else "answered", router=router, line=act.line,
-                                  offset=act.offset, value=act.data.decode("latin-1") if writes or turned else ""))
+                writes = any(
+                    known is not None and known.kind is Kind.WRITE for known in map(lookup, act.args)
+                )
+                self.record(
+                    Entry(
+                        t=now,
+                        k="reply",
+                        member=member,
+                        conn=act.conn,
+                        rid=forms.number(act.args),
+                        verdict="turned away" if turned else "answered",
+                        router=router,
+                        line=act.line,
+                        offset=act.offset,
+                        value=act.data.decode("latin-1") if writes or turned else "",
+                    )
+                )
 
     # ---- troubles
 
@@ -364,10 +475,16 @@
         for group in self.config.groups:
             primary = self.stand.roles[group.name]
             since = self.sick.get(primary)
-            if since is not None and now - since >= self.day.election.notice and group.name not in self.electing:
+            if (
+                since is not None
+                and now - since >= self.day.election.notice
+                and group.name not in self.electing
+            ):
                 self.electing.add(group.name)
-                self.env.at(now + self.day.election.takes,
-                            lambda group=group, primary=primary: self._replace(group, primary))  # type: ignore[misc]
+                self.env.at(
+                    now + self.day.election.takes,
+                    lambda group=group, primary=primary: self._replace(group, primary),  # type: ignore[misc]
+                )
         self.env.at(now + ELECT_LOOK, self._elect)
 
     def _replace(self, group: Group, old: str) -> None:
@@ -379,8 +496,11 @@
             self._crown(group, max(able, key=lambda host: host.node.offset))
 
     def _able(self, group: Group, old: str) -> list[NodeHost]:
-        return [self.stand.nodes[m.name] for m in group.members
-                if m.name != old and m.name not in self.sick and self.stand.states[m.name] == "ready"]
+        return [
+            self.stand.nodes[m.name]
+            for m in group.members
+            if m.name != old and m.name not in self.sick and self.stand.states[m.name] == "ready"
+        ]
 
     def _crown(self, group: Group, best: NodeHost) -> None:
         best.do(best.node.promote(self.env.now()))
@@ -419,19 +539,37 @@
 def head(day: Day, config: Config, routers: int, seed: int, start: float, crossing: float) -> Head:
     rules = config.rules
     return Head(
-        classes={kind.name: {"effect": kind.effect.value, "need": kind.need.value, "aim": kind.aim,
-                             "deadline": kind.deadline, "bound": kind.bound, "worth": kind.worth,
-                             "window": kind.window}
-                 for kind in config.classes},
+        classes={
+            kind.name: {
+                "effect": kind.effect.value,
+                "need": kind.need.value,
+                "aim": kind.aim,
+                "deadline": kind.deadline,
+                "bound": kind.bound,
+                "worth": kind.worth,
+                "window": kind.window,
+            }
+            for kind in config.classes
+        },
         groups={member.name: group.name for group in config.groups for member in group.members},
-        sources=[source(number) for number in range(routers)], drain_grace=rules.drain_grace,
-        told_within=TOLD_WITHIN, cold_share=rules.cold_share, cold_time=rules.cold_time,
-        fall_multiple=rules.fall_multiple, fall_time=rules.fall_time, work=day.work, cores=4, start=start, seed=seed,
-        crossing=crossing)
-
-
-async def play(day: Day, config: Config, routers: int, seed: int, trace: Path,
-               progress: Callable[[float, str], None]) -> None:
+        sources=[source(number) for number in range(routers)],
+        drain_grace=rules.drain_grace,
+        told_within=TOLD_WITHIN,
+        cold_share=rules.cold_share,
+        cold_time=rules.cold_time,
+        fall_multiple=rules.fall_multiple,
+        fall_time=rules.fall_time,
+        work=day.work,
+        cores=4,
+        start=start,
+        seed=seed,
+        crossing=crossing,
+    )
+
+
+async def play(
+    day: Day, config: Config, routers: int, seed: int, trace: Path, progress: Callable[[float, str], None]
+) -> None:
     """On sockets, with routers as processes. Errors: `OSError`, `RuntimeError` if a router does not start."""
     async with anyio.create_task_group() as tasks:
         env = SocketEnv(tasks)
@@ -441,6 +579,7 @@
         processes.addresses = ["127.0.0.1:0"] * routers
         try:
             async with anyio.create_task_group() as starting:
+
                 async def start(number: int) -> None:
                     processes.addresses[number] = await processes.start(number, "127.0.0.1:0")
 
@@ -457,9 +596,15 @@
         tasks.cancel_scope.cancel()
 
 
-def play_virtual(day: Day, config: Config, routers: int, seed: int, record: Callable[[Entry], None],
-                 progress: Callable[[float, str], None] = lambda at, text: None,
-                 make: Callable[[Config, int], Machine] = build.machine) -> Head:
+def play_virtual(
+    day: Day,
+    config: Config,
+    routers: int,
+    seed: int,
+    record: Callable[[Entry], None],
+    progress: Callable[[float, str], None] = lambda at, text: None,
+    make: Callable[[Config, int], Machine] = build.machine,
+) -> Head:
     """In virtual time, in this process; the same seed gives the same trace. `make` builds a router's machine."""
     world = World(seed)
     director = Director(world, day, config, routers, seed, record, progress)
--- a/banklift/judge/forms.py
+++ b/banklift/judge/forms.py
@@ -56,10 +56,20 @@
         case "del":
             return Sent(command("DEL", f"{other}:rid:{rid}", key), 1, (other, key))
         case "expire":
-            data = command("MULTI") + command("APPEND", key, mark) + command("PEXPIRE", key, BRIEF) + command("EXEC")
+            data = (
+                command("MULTI")
+                + command("APPEND", key, mark)
+                + command("PEXPIRE", key, BRIEF)
+                + command("EXEC")
+            )
             return Sent(data, 4, (key,))
         case "unit":
-            data = command("MULTI") + command("APPEND", key, mark) + command("APPEND", other, mark) + command("EXEC")
+            data = (
+                command("MULTI")
+                + command("APPEND", key, mark)
+                + command("APPEND", other, mark)
+                + command("EXEC")
+            )
             return Sent(data, 4, (key, other))
         case "script":
             return Sent(command("EVAL", WRITE_SCRIPT, 2, key, other, mark), 1, (key, other))
@@ -70,7 +80,9 @@
     """What a read's answer says its keys hold; "" for nothing."""
     value = decode(frame)
     found = value if isinstance(value, list) else [value]
-    return [one.decode("latin-1") if isinstance(one, bytes) else "" if one is None else repr(one) for one in found]
+    return [
+        one.decode("latin-1") if isinstance(one, bytes) else "" if one is None else repr(one) for one in found
+    ]
 
 
 def number(args: tuple[bytes, ...]) -> str:
--- a/banklift/judge/lines.py
+++ b/banklift/judge/lines.py
@@ -27,12 +27,16 @@
 
 class Lines:
     def __init__(self, groups: dict[str, str], entries: list[Entry]) -> None:
-        self.parents: dict[str, tuple[str, int]] = {}  # of a line: the line it goes on from, and from which offset
+        self.parents: dict[
+            str, tuple[str, int]
+        ] = {}  # of a line: the line it goes on from, and from which offset
         self.short: list[Entry] = []  # lines that began before all that their member had received
         self.runs: dict[str, list[Entry]] = defaultdict(list)  # of each line, in order
         self.roles: dict[str, list[Entry]] = defaultdict(list)  # of each group, in order
         self.own: dict[tuple[str, str], list[tuple[int, list[str]]]] = defaultdict(list)  # by line and key
-        self.places: dict[str, list[Place]] = defaultdict(list)  # where a request's tries ran, by number and try
+        self.places: dict[str, list[Place]] = defaultdict(
+            list
+        )  # where a request's tries ran, by number and try
         self._chains: dict[str, list[tuple[str, float]]] = {}
         self._states: dict[tuple[str, str], tuple[list[int], list[tuple[str, float]]]] = {}
         for entry in entries:
@@ -114,8 +118,11 @@
 
     def written(self, line: str, above: float, upto: float) -> int:
         """How many writes the line, with what it goes on from, has there."""
-        return sum(above < run.offset <= min(limit, upto) for older, limit in self.chain(line)
-                   for run in self.runs.get(older, ()))
+        return sum(
+            above < run.offset <= min(limit, upto)
+            for older, limit in self.chain(line)
+            for run in self.runs.get(older, ())
+        )
 
 
 def applied(state: tuple[str, float], command: list[str]) -> tuple[str, float]:
--- a/banklift/judge/load.py
+++ b/banklift/judge/load.py
@@ -63,16 +63,30 @@
 
     @property
     def token(self) -> str | None:
-        return ",".join(f"{group}={replid}:{offset}" if offset else f"{group}=?"
-                        for (group, replid), offset in self.marks.items()) or None
+        return (
+            ",".join(
+                f"{group}={replid}:{offset}" if offset else f"{group}=?"
+                for (group, replid), offset in self.marks.items()
+            )
+            or None
+        )
+
     idle: dict[int, list[Line]] = field(default_factory=dict)
 
 
 class Clients:
     """All clients of a day. `record` gets what they see; `deadlines`: seconds, of each class."""
 
-    def __init__(self, env: Env, addresses: list[str], deadlines: dict[str, float], mix: list[Mix], habits: Habits,
-                 seed: int, record: Callable[[Entry], None]) -> None:
+    def __init__(
+        self,
+        env: Env,
+        addresses: list[str],
+        deadlines: dict[str, float],
+        mix: list[Mix],
+        habits: Habits,
+        seed: int,
+        record: Callable[[Entry], None],
+    ) -> None:
         self.env = env
         self.addresses = addresses
         self.deadlines = deadlines
@@ -80,8 +94,9 @@
         self.habits = habits
         self.random = Random(seed)
         self.record = record
-        self.sessions = [Session(number, self.random.randrange(len(addresses)))
-                         for number in range(habits.sessions)]
+        self.sessions = [
+            Session(number, self.random.randrange(len(addresses))) for number in range(habits.sessions)
+        ]
         self.numbers = 0
         self.lines = 0
         self.open = 0
@@ -160,8 +175,9 @@
 class _Request:
     """One effect that a client wants, over all its tries."""
 
-    def __init__(self, clients: Clients, session: Session, mix: Mix, number: str, key: str,
-                 form: str) -> None:
+    def __init__(
+        self, clients: Clients, session: Session, mix: Mix, number: str, key: str, form: str
+    ) -> None:
         self.clients, self.session, self.mix, self.number, self.key = clients, session, mix, number, key
         self.form = form
         self.tries = 0
@@ -171,12 +187,16 @@
         clients = self.clients
         rest = self.tries < clients.habits.retries
         self.tries += 1
-        again = verdict in ("refused", "repeat", "unreachable") or (not self.mix.writes and verdict != "served")
+        again = verdict in ("refused", "repeat", "unreachable") or (
+            not self.mix.writes and verdict != "served"
+        )
         if verdict == "served" and self.mix.writes:
             clients.served(self.session, self.mix)
         if rest and again:
-            clients.env.at(clients.env.now() + wait * clients.random.uniform(0.5, 1.0),
-                           lambda: clients.send(self.session, [self]))
+            clients.env.at(
+                clients.env.now() + wait * clients.random.uniform(0.5, 1.0),
+                lambda: clients.send(self.session, [self]),
+            )
         else:
             clients.open -= 1
 
@@ -232,7 +252,10 @@
         if helped and (token := session.token) is not None:
             data, self.expects = command("BANKLIFT.SEEN", token), 1
         if clients.habits.named and self.turn == 1:
-            data, self.expects = data + command("CLIENT", "SETNAME", f"session-{session.number}"), self.expects + 1
+            data, self.expects = (
+                data + command("CLIENT", "SETNAME", f"session-{session.number}"),
+                self.expects + 1,
+            )
         for request in self.batch:
             mix, rid = request.mix, f"{request.number}.{request.tries}"
             one = (forms.write if mix.writes else forms.read)(request.form, request.key, rid)
@@ -242,9 +265,20 @@
             if helped:
                 data += command("BANKLIFT.TOKEN")
                 self.expects += 1
-            clients.record(Entry(t=clients.env.now(), k="ask", rid=rid, kind=mix.kind, router=self.router,
-                                 patience=self.patience, keys=list(one.keys), conn=self.number,
-                                 session=session.number, value=request.form))
+            clients.record(
+                Entry(
+                    t=clients.env.now(),
+                    k="ask",
+                    rid=rid,
+                    kind=mix.kind,
+                    router=self.router,
+                    patience=self.patience,
+                    keys=list(one.keys),
+                    conn=self.number,
+                    session=session.number,
+                    value=request.form,
+                )
+            )
         self.batch = []
         self.handle.send(data)
 
@@ -257,7 +291,9 @@
         clients = self.clients
         if len(self.frames) > self.expects:  # more than was asked for
             last = self.sent[-1].rid if self.sent else self.last
-            clients.record(Entry(t=clients.env.now(), k="answer", rid=last, router=self.router, verdict="surplus"))
+            clients.record(
+                Entry(t=clients.env.now(), k="answer", rid=last, router=self.router, verdict="surplus")
+            )
         ended: list[tuple[_Request, str, float]] = []
         while self.sent and len(self.frames) >= self.sent[0].upto + self.sent[0].token:
             one = self.sent.popleft()
@@ -266,9 +302,17 @@
             if one.token and (token := self.frames[one.upto])[:1] == b"$":
                 self.session.keep(decode(token).decode())
             writes = one.request.mix.writes
-            clients.record(Entry(t=clients.env.now(), k="answer", rid=one.rid, router=self.router, verdict=verdict,
-                                 value=frame.decode("latin-1") if writes or verdict == "error" else "",
-                                 values=[] if writes or verdict != "served" else forms.values(frame)))
+            clients.record(
+                Entry(
+                    t=clients.env.now(),
+                    k="answer",
+                    rid=one.rid,
+                    router=self.router,
+                    verdict=verdict,
+                    value=frame.decode("latin-1") if writes or verdict == "error" else "",
+                    values=[] if writes or verdict != "served" else forms.values(frame),
+                )
+            )
             ended.append((one.request, verdict, wait))
         if ended and not self.sent:
             self.session.idle.setdefault(self.router, []).append(self)
--- a/banklift/judge/reads.py
+++ b/banklift/judge/reads.py
@@ -28,7 +28,9 @@
 
 
 class Reads:
-    def __init__(self, head: Head, entries: list[Entry], tries: dict[str, Try], lines: Lines, verdict: Verdict) -> None:
+    def __init__(
+        self, head: Head, entries: list[Entry], tries: dict[str, Try], lines: Lines, verdict: Verdict
+    ) -> None:
         self.head, self.tries, self.lines, self.verdict = head, tries, lines, verdict
         self.says: dict[int, list[Entry]] = defaultdict(list)  # of each router: what members told it
         self.wanted: dict[str, dict[str, float]] = {}  # of each session's read: how far on each line
@@ -72,7 +74,8 @@
             if reply.verdict == "answered" and reply.t <= answer.t + self.head.crossing:
                 held = [self.may_show(key, reply) for key in one.ask.keys]
                 if len(held) == len(answer.values) and all(
-                        value in may for value, may in zip(answer.values, held, strict=True)):
+                    value in may for value, may in zip(answer.values, held, strict=True)
+                ):
                     return reply
         return None
 
@@ -118,8 +121,16 @@
         elif kind["need"] in ("fresh", "bounded"):
             floor = one.ask.t
             if kind["need"] == "bounded":
-                sent = max((command.t for command in one.commands if command.member == reply.member
-                            and command.conn == reply.conn and command.t <= reply.t), default=one.ask.t)
+                sent = max(
+                    (
+                        command.t
+                        for command in one.commands
+                        if command.member == reply.member
+                        and command.conn == reply.conn
+                        and command.t <= reply.t
+                    ),
+                    default=one.ask.t,
+                )
                 floor = sent - float(kind["bound"]) - self.head.crossing
             then = lines.current(group, floor)
             if then is not None:
@@ -129,7 +140,9 @@
     def _age(self, one: Try, reply: Entry, answer: Entry, tally: Tally) -> None:
         lines, group, here = self.lines, self.head.groups[reply.member], Place(reply.line, reply.offset)
         places = self._least(one, reply, group)
-        tally.aged += any(lines.touched(key, place.line, 0, place.offset) for place in places for key in one.ask.keys)
+        tally.aged += any(
+            lines.touched(key, place.line, 0, place.offset) for place in places for key in one.ask.keys
+        )
         missed = other = 0
         for place in places:
             shared = lines.common(here, place)
@@ -141,21 +154,35 @@
         if self._believed(reply, one):
             self.verdict.excused[OLD_PRIMARY] += 1
         elif missed:
-            self._broken(f"{one.ask.kind} at {reply.member} misses {missed} writes of its keys", answer, one.ask.rid)
+            self._broken(
+                f"{one.ask.kind} at {reply.member} misses {missed} writes of its keys", answer, one.ask.rid
+            )
         else:
-            self._broken(f"{one.ask.kind} at {reply.member} stands {other} writes too far back", answer, one.ask.rid)
+            self._broken(
+                f"{one.ask.kind} at {reply.member} stands {other} writes too far back", answer, one.ask.rid
+            )
 
     def _believed(self, reply: Entry, one: Try) -> bool:
         """Whether the member led the line that it served from, and nobody had told the router that this is over."""
         roles = self.lines.roles[self.head.groups[reply.member]]
         if not any(role.member == reply.member and role.line == reply.line for role in roles):
             return False
-        sent = max((command.t for command in one.commands if command.member == reply.member
-                    and command.conn == reply.conn and command.t <= reply.t), default=reply.t)
+        sent = max(
+            (
+                command.t
+                for command in one.commands
+                if command.member == reply.member and command.conn == reply.conn and command.t <= reply.t
+            ),
+            default=reply.t,
+        )
         for told in self.says[one.ask.router]:
             if told.t >= sent - self.head.crossing:
                 break
-            newer = told.line != reply.line and any(line == reply.line for line, _ in self.lines.chain(told.line))
-            if (told.member == reply.member and told.value == "replica") or (told.value == "primary" and newer):
+            newer = told.line != reply.line and any(
+                line == reply.line for line, _ in self.lines.chain(told.line)
+            )
+            if (told.member == reply.member and told.value == "replica") or (
+                told.value == "primary" and newer
+            ):
                 return False
         return True
--- a/banklift/judge/rules.py
+++ b/banklift/judge/rules.py
@@ -47,7 +47,9 @@
         if entry.k == "cut":
             cuts[entry.member, entry.conn] = entry.t
         elif entry.k in ("command", "reply") and entry.rid and attempt is None:
-            verdict.breaks.append(Break(2, "a member got what no client sent", entry.t - head.start, entry.rid))
+            verdict.breaks.append(
+                Break(2, "a member got what no client sent", entry.t - head.start, entry.rid)
+            )
         elif attempt is None:
             continue
         elif entry.k == "answer":
@@ -71,14 +73,22 @@
     for reason, share in EXCUSES.items():
         if verdict.excused[reason] > max(FEW, share * len(tries)):
             rule = 5 if reason is OLD_PRIMARY else 1
-            verdict.breaks.append(Break(rule, f"{verdict.excused[reason]} excuses are too many: {reason}", 0.0, ""))
+            verdict.breaks.append(
+                Break(rule, f"{verdict.excused[reason]} excuses are too many: {reason}", 0.0, "")
+            )
     verdict.breaks.sort(key=lambda found: (found.rule, found.at))
     return verdict
 
 
 class _Judging:
-    def __init__(self, head: Head, entries: list[Entry], tries: dict[str, Try], cuts: dict[tuple[str, int], float],
-                 verdict: Verdict) -> None:
+    def __init__(
+        self,
+        head: Head,
+        entries: list[Entry],
+        tries: dict[str, Try],
+        cuts: dict[tuple[str, int], float],
+        verdict: Verdict,
+    ) -> None:
         self.head, self.entries, self.tries, self.cuts, self.verdict = head, entries, tries, cuts, verdict
         self.killed: dict[int, list[float]] = defaultdict(list)
         self.stalls: dict[int, list[tuple[float, float]]] = defaultdict(list)
@@ -99,8 +109,12 @@
             tally.tries += 1
             tally.asked += rid.endswith(".0")
             deadline = one.ask.t + float(kind["deadline"])
-            over = min([one.answers[0].t] if one.answers else [one.left or math.inf, one.broke or math.inf, end])
-            if over > deadline + LATE and any(begin <= deadline <= end for begin, end in self.stalls[one.ask.router]):
+            over = min(
+                [one.answers[0].t] if one.answers else [one.left or math.inf, one.broke or math.inf, end]
+            )
+            if over > deadline + LATE and any(
+                begin <= deadline <= end for begin, end in self.stalls[one.ask.router]
+            ):
                 self.verdict.excused[STOOD_STILL] += 1
                 deadline = math.inf
             gone = one.left if one.left is not None else one.broke
@@ -117,9 +131,13 @@
                 tally.failed += first.verdict == "failed"
                 tally.errors += first.verdict == "error"
                 tally.in_time += first.verdict == "served" and latency <= float(kind["aim"])
-                if (kind["need"] == "write" and first.verdict == "served"
-                        and not any(reply.value == first.value and reply.verdict == "answered"
-                                    for reply in one.replies)):
+                if (
+                    kind["need"] == "write"
+                    and first.verdict == "served"
+                    and not any(
+                        reply.value == first.value and reply.verdict == "answered" for reply in one.replies
+                    )
+                ):
                     self.broken(1, "an answer that no member gave to it", first.t, rid)
                 for command in one.commands:
                     if command.t > first.t + self.head.crossing:
@@ -131,13 +149,17 @@
                 for command in one.commands:
                     if command.t <= one.left + self.head.crossing:
                         continue
-                    if any(begin <= one.left <= end and command.t <= end
-                           for begin, end in self.stalls[one.ask.router]):
+                    if any(
+                        begin <= one.left <= end and command.t <= end
+                        for begin, end in self.stalls[one.ask.router]
+                    ):
                         self.verdict.excused[LEFT_UNSEEN] += 1
                     else:
                         self.broken(1, "sent to a member after its client had left", command.t, rid)
             elif one.broke is not None:
-                if not any(at - self.head.crossing <= one.broke <= at + 5.0 for at in self.killed[one.ask.router]):
+                if not any(
+                    at - self.head.crossing <= one.broke <= at + 5.0 for at in self.killed[one.ask.router]
+                ):
                     self.broken(1, "connection closed without an answer", one.broke, rid)
                 else:
                     self.verdict.excused[AT_KILL] += 1
@@ -156,20 +178,33 @@
             self._words(rid, one, [run for run in ran.get(rid.partition(".")[0], ()) if run.rid == rid])
             effect, window = self._effect(one), float(self.head.classes[one.ask.kind].get("window", 0.0))
             for earlier, later in pairwise(one.commands):
-                reply = next((reply for reply in one.replies if reply.member == earlier.member
-                              and reply.conn == earlier.conn and reply.t >= earlier.t), None)
+                reply = next(
+                    (
+                        reply
+                        for reply in one.replies
+                        if reply.member == earlier.member
+                        and reply.conn == earlier.conn
+                        and reply.t >= earlier.t
+                    ),
+                    None,
+                )
                 away = reply is not None and reply.verdict == "turned away"
                 if effect == "unsafe" and not away:
                     self.broken(2, "sent again though it may have run", later.t, rid)
-                if effect == "keyed" and not away and later.t > one.commands[0].t + window + self.head.crossing:
+                if (
+                    effect == "keyed"
+                    and not away
+                    and later.t > one.commands[0].t + window + self.head.crossing
+                ):
                     self.broken(2, "sent again when its members had forgotten it", later.t, rid)
                 closed = self.cuts.get((earlier.member, earlier.conn), math.inf)
                 ended = min(closed, reply.t if reply is not None else math.inf)
                 if later.t < ended - self.head.crossing:
                     self.broken(2, "two attempts out at once", later.t, rid)
         for runs in ran.values():
-            if len(runs) > 1 and any(self._effect(self.tries[run.rid]) == "unsafe" for run in runs
-                                     if run.rid in self.tries):
+            if len(runs) > 1 and any(
+                self._effect(self.tries[run.rid]) == "unsafe" for run in runs if run.rid in self.tries
+            ):
                 self.broken(2, f"ran {len(runs)} times", runs[1].t, runs[1].rid)
 
     def _words(self, rid: str, one: Try, runs: list[Entry]) -> None:
@@ -177,7 +212,9 @@
         word, at = (one.answers[0].verdict, one.answers[0].t) if one.answers else ("", 0.0)
         if word == "refused" and runs:
             self.broken(2, f"refused, but it ran ({self._effect(one)})", runs[0].t, rid)
-        elif word == "refused" and len(one.commands) > sum(reply.verdict == "turned away" for reply in one.replies):
+        elif word == "refused" and len(one.commands) > sum(
+            reply.verdict == "turned away" for reply in one.replies
+        ):
             self.broken(2, "said that nothing ran of what a member took", at, rid)
         elif word == "repeat" and self._effect(one) == "unsafe":
             self.broken(2, "called safe to repeat, though it is unsafe", at, rid)
@@ -191,11 +228,15 @@
                 else:
                     told.setdefault(entry.member, entry.t)
             elif entry.k == "command" and entry.router >= 0 and entry.member in told:
-                heard = max((end for begin, end in self.stalls[entry.router] if begin <= told[entry.member] <= end),
-                            default=told[entry.member])  # a router that stands still hears of it afterwards
+                heard = max(
+                    (end for begin, end in self.stalls[entry.router] if begin <= told[entry.member] <= end),
+                    default=told[entry.member],
+                )  # a router that stands still hears of it afterwards
                 late = entry.t - heard - self.head.told_within - self.head.drain_grace
                 if late > 0:
-                    self.broken(3, f"{entry.member} got a command {late:.3f} s after the grace", entry.t, entry.rid)
+                    self.broken(
+                        3, f"{entry.member} got a command {late:.3f} s after the grace", entry.t, entry.rid
+                    )
 
     def cold(self) -> None:
         head = self.head
@@ -216,7 +257,9 @@
                 capacity = head.cold_share + (1 - head.cold_share) * min(1.0, middle / head.cold_time)
                 allowed = head.fall_multiple * capacity * head.cores * head.fall_time
                 self.verdict.counts["most of a cold member's budget, per cent"] = max(
-                    self.verdict.counts["most of a cold member's budget, per cent"], round(100 * sent / allowed))
+                    self.verdict.counts["most of a cold member's budget, per cent"],
+                    round(100 * sent / allowed),
+                )
                 if sent > allowed:
                     self.broken(4, f"{start.member} got {sent / allowed:.2f} of what it can bear", end, "")
                     break
@@ -225,8 +268,11 @@
         """Each acknowledged write against the final log of its group."""
         for short in lines.short:
             self.broken(2, f"{short.member} began a line short of what it had received", short.t, "")
-        finals = {self.head.groups[entry.member]: Place(entry.line, entry.offset)
-                  for entry in self.entries if entry.k == "end" and entry.member and not entry.keys}
+        finals = {
+            self.head.groups[entry.member]: Place(entry.line, entry.offset)
+            for entry in self.entries
+            if entry.k == "end" and entry.member and not entry.keys
+        }
         where: dict[str, str] = {}
         ends: dict[str, set[bool]] = defaultdict(set)  # of each effect: on a line that won, on one that lost
         for line, runs in lines.runs.items():
@@ -237,8 +283,12 @@
                     ends[run.rid.partition(".")[0]].add(won)
         counts = self.verdict.counts
         counts["effects that ran on a line that lost"] = sum(won == {False} for won in ends.values())
-        counts["effects that ran on a line that won and on one that lost"] = sum(len(won) > 1 for won in ends.values())
-        counts["effects acknowledged and kept"] = counts["acknowledged effects lost by the store at a fail-over"] = 0
+        counts["effects that ran on a line that won and on one that lost"] = sum(
+            len(won) > 1 for won in ends.values()
+        )
+        counts["effects acknowledged and kept"] = counts[
+            "acknowledged effects lost by the store at a fail-over"
+        ] = 0
         for rid, one in self.tries.items():
             answer = one.served
             if answer is None or self.head.classes[one.ask.kind]["need"] != "write":
--- a/banklift/judge/trace.py
+++ b/banklift/judge/trace.py
@@ -40,8 +40,24 @@
 
 class Entry(msgspec.Struct, kw_only=True, omit_defaults=True):
     t: float
-    k: Literal["ask", "answer", "left", "broke", "command", "ran", "reply", "cut", "told", "cold", "killed",
-               "stalled", "role", "says", "line", "end"]
+    k: Literal[
+        "ask",
+        "answer",
+        "left",
+        "broke",
+        "command",
+        "ran",
+        "reply",
+        "cut",
+        "told",
+        "cold",
+        "killed",
+        "stalled",
+        "role",
+        "says",
+        "line",
+        "end",
+    ]
     rid: str = ""
     kind: str = ""  # class
     router: int = -1
@@ -52,7 +68,9 @@
     keys: list[str] = []
     value: str = ""  # of an answer: as it came; of others by their kind
     values: list[str] = []  # of a read's answer or an `end`: what the keys hold, "" for nothing
-    verdict: str = ""  # served, refused, repeat, failed, error; answered, turned away; why a connection closed
+    verdict: str = (
+        ""  # served, refused, repeat, failed, error; answered, turned away; why a connection closed
+    )
     line: str = ""  # the log that a member writes or follows ...
     offset: int = 0  # ... and how far it has got there
     log: list[list[str]] = []  # commands that a write put there
--- a/banklift/net/daemon.py
+++ b/banklift/net/daemon.py
@@ -66,6 +66,7 @@
             host = RouterHost(env, machine, config.listen, note, config.source)
             host.tell(build.roster(config, groups, clock() - time.time()))
             if config.fleet is not None:
+
                 def oust(reason: str) -> None:
                     ousted.append(reason)
                     tasks.cancel_scope.cancel()
@@ -86,8 +87,16 @@
         raise Ousted(ousted[0])
 
 
-def join(config: Config, fleet: Fleet, folder: Path, env: SocketEnv, host: RouterHost, tasks: TaskGroup,
-         oust: Callable[[str], None], log: Callable[[str, dict[str, object]], None]) -> FleetHost:
+def join(
+    config: Config,
+    fleet: Fleet,
+    folder: Path,
+    env: SocketEnv,
+    host: RouterHost,
+    tasks: TaskGroup,
+    oust: Callable[[str], None],
+    log: Callable[[str, dict[str, object]], None],
+) -> FleetHost:
     """Make this router a part of its fleet; it takes no request before it has a lease. Errors: `Ousted`, `OSError`."""
     plan = Plan(fleet.name, config.name, tuple(fleet.voters), fleet.lease, fleet.drift)
     slots, record, absent = None, None, True
@@ -103,8 +112,15 @@
             raise Ousted(f"fleet.folder: {error}") from None
         absent = loaded.absent
         record = _record(loaded.content, place, plan) if loaded.content is not None else None
-        log("state read", {"whole": record is not None, "absent": absent, "generation": loaded.generation,
-                           "damaged": list(loaded.damaged)})
+        log(
+            "state read",
+            {
+                "whole": record is not None,
+                "absent": absent,
+                "generation": loaded.generation,
+                "damaged": list(loaded.damaged),
+            },
+        )
     descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     known: dict[bytes, policy.Policy] = {}
 
@@ -129,15 +145,31 @@
 
         tasks.start_soon(write)
 
-    node = Node(plan, time.time_ns() // 1000, random.SystemRandom().randrange(2**63), policy.of(config), check,
-                record, absent)
+    node = Node(
+        plan,
+        time.time_ns() // 1000,
+        random.SystemRandom().randrange(2**63),
+        policy.of(config),
+        check,
+        record,
+        absent,
+    )
     listen = None
     if config.name in fleet.voters:
         listen = fleet.listen or fleet.voters[config.name]
         split_address(listen)
     host.tell(ev.Until(float("-inf"), fleet.lease / 20))
-    fleet_host = FleetHost(env, node, dict(fleet.voters), listen, save, adopt,
-                           lambda until, back: host.tell(ev.Until(until, back)), oust, log)
+    fleet_host = FleetHost(
+        env,
+        node,
+        dict(fleet.voters),
+        listen,
+        save,
+        adopt,
+        lambda until, back: host.tell(ev.Until(until, back)),
+        oust,
+        log,
+    )
     fleet_host.start()
     return fleet_host
 
@@ -157,13 +189,17 @@
     try:
         head = msgspec.msgpack.decode(content)
         if isinstance(head, dict) and isinstance(head.get("format"), int) and head["format"] > FORMAT:
-            raise Ousted(f"fleet.folder: {place}: a state of a newer build (format {head['format']}, here {FORMAT})")
+            raise Ousted(
+                f"fleet.folder: {place}: a state of a newer build (format {head['format']}, here {FORMAT})"
+            )
         record = msgspec.msgpack.decode(content, type=Record)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise Ousted(f"fleet.folder: {place}: not a state that this build knows: {error}") from None
     if (record.fleet, record.voter) != (plan.fleet, plan.name):
-        raise Ousted(f"fleet.folder: {place}: the state of voter {record.voter!r} of fleet {record.fleet!r}, and this "
-                     f"is {plan.name!r} of {plan.fleet!r}")
+        raise Ousted(
+            f"fleet.folder: {place}: the state of voter {record.voter!r} of fleet {record.fleet!r}, and this "
+            f"is {plan.name!r} of {plan.fleet!r}"
+        )
     return record
 
 
--- a/banklift/net/fleet.py
+++ b/banklift/net/fleet.py
@@ -23,9 +23,18 @@
     Errors: `OSError` if the address can't be had.
     """
 
-    def __init__(self, env: Env, node: Node, addresses: dict[str, str], listen: str | None,
-                 save: Callable[[bytes, Saved], None], adopt: Callable[[int, bytes], None],
-                 until: Callable[[float, float], None], ousted: Callable[[str], None], log: Log) -> None:
+    def __init__(
+        self,
+        env: Env,
+        node: Node,
+        addresses: dict[str, str],
+        listen: str | None,
+        save: Callable[[bytes, Saved], None],
+        adopt: Callable[[int, bytes], None],
+        until: Callable[[float, float], None],
+        ousted: Callable[[str], None],
+        log: Log,
+    ) -> None:
         self.env, self.node, self.addresses = env, node, addresses
         self.save, self.adopt, self.until, self.ousted, self.log = save, adopt, until, ousted, log
         self.handles: dict[int, Handle] = {}
--- a/banklift/net/operator.py
+++ b/banklift/net/operator.py
@@ -50,7 +50,14 @@
         return self.come.pop(0)
 
 
-FAULTS = (OSError, TimeoutError, Garbage, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
+FAULTS = (
+    OSError,
+    TimeoutError,
+    Garbage,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
 
 
 async def greet(address: str, fleet: str) -> Talk:
@@ -64,8 +71,13 @@
     return talk
 
 
-async def ask(voters: dict[str, str], fleet: str, message: Show | Set, seconds: float,
-              progress: Callable[[Progress], None] = lambda progress: None) -> Shown | Ended | Unmade:
+async def ask(
+    voters: dict[str, str],
+    fleet: str,
+    message: Show | Set,
+    seconds: float,
+    progress: Callable[[Progress], None] = lambda progress: None,
+) -> Shown | Ended | Unmade:
     """The answer of the first voter that has one. Errors: `Unreachable` when the time is over: what became of a change
     is then not known, and it may be asked for again by its id."""
     end, last = time.monotonic() + seconds, dict.fromkeys(voters, "not tried")
@@ -89,9 +101,9 @@
                         elif isinstance(answer, Shown | Ended | Unmade):
                             return answer
             except FAULTS as error:
-                last[name] = str(error) or ("no answer" if isinstance(error, TimeoutError) else "the connection broke")
+                last[name] = str(error) or (
+                    "no answer" if isinstance(error, TimeoutError) else "the connection broke"
+                )
         if time.monotonic() >= end:
             raise Unreachable("; ".join(f"{name}: {reason}" for name, reason in last.items()))
         await anyio.sleep(PAUSE)
-
-
--- a/banklift/resp/commands.py
+++ b/banklift/resp/commands.py
@@ -30,42 +30,62 @@
     def keys(self, args: list[bytes]) -> list[bytes]:
         """The keys among the arguments. Errors: `ValueError` for a count of keys that doesn't fit."""
         if self.counted:
-            keys = args[self.first:self.counted] if self.first < self.counted and self.first else []
+            keys = args[self.first : self.counted] if self.first < self.counted and self.first else []
             count = int(args[self.counted])
-            named = args[self.counted + 1:self.counted + 1 + count]
+            named = args[self.counted + 1 : self.counted + 1 + count]
             if count < 1 or len(named) < count:
                 raise ValueError("number of keys is wrong")
             return [*keys, *named]
         if not self.first:
             return []
         last = self.last if self.last >= 0 else len(args) + self.last
-        return args[self.first:last + 1:self.step]
+        return args[self.first : last + 1 : self.step]
 
 
 def _table() -> dict[bytes, Command]:
     table: dict[bytes, Command] = {}
 
-    def add(kind: Kind, names: str, first: int = 1, last: int = 1, step: int = 1, counted: int = 0,
-            arity: int = 2) -> None:
+    def add(
+        kind: Kind, names: str, first: int = 1, last: int = 1, step: int = 1, counted: int = 0, arity: int = 2
+    ) -> None:
         for name in names.split():
             table[name.encode()] = Command(name, kind, first, last, step, counted, arity)
 
-    add(Kind.READ, "GET STRLEN TYPE TTL PTTL EXPIRETIME PEXPIRETIME DUMP HGETALL HKEYS HVALS HLEN LLEN SMEMBERS SCARD "
-                   "ZCARD XLEN BITCOUNT SRANDMEMBER HRANDFIELD ZRANDMEMBER")
-    add(Kind.READ, "GETBIT BITPOS HGET HEXISTS HSTRLEN HMGET HSCAN LINDEX LPOS SISMEMBER SMISMEMBER SSCAN ZSCORE "
-                   "ZMSCORE ZRANK ZREVRANK ZSCAN PFCOUNT GEOHASH GEOPOS XPENDING", arity=3)
-    add(Kind.READ, "GETRANGE SUBSTR LRANGE ZRANGE ZREVRANGE ZRANGEBYSCORE ZREVRANGEBYSCORE ZRANGEBYLEX "
-                   "ZREVRANGEBYLEX ZCOUNT ZLEXCOUNT XRANGE XREVRANGE GEODIST GEOSEARCH", arity=4)
+    add(
+        Kind.READ,
+        "GET STRLEN TYPE TTL PTTL EXPIRETIME PEXPIRETIME DUMP HGETALL HKEYS HVALS HLEN LLEN SMEMBERS SCARD "
+        "ZCARD XLEN BITCOUNT SRANDMEMBER HRANDFIELD ZRANDMEMBER",
+    )
+    add(
+        Kind.READ,
+        "GETBIT BITPOS HGET HEXISTS HSTRLEN HMGET HSCAN LINDEX LPOS SISMEMBER SMISMEMBER SSCAN ZSCORE "
+        "ZMSCORE ZRANK ZREVRANK ZSCAN PFCOUNT GEOHASH GEOPOS XPENDING",
+        arity=3,
+    )
+    add(
+        Kind.READ,
+        "GETRANGE SUBSTR LRANGE ZRANGE ZREVRANGE ZRANGEBYSCORE ZREVRANGEBYSCORE ZRANGEBYLEX "
+        "ZREVRANGEBYLEX ZCOUNT ZLEXCOUNT XRANGE XREVRANGE GEODIST GEOSEARCH",
+        arity=4,
+    )
     add(Kind.READ, "MGET EXISTS TOUCH SINTER SUNION SDIFF", last=-1)
     add(Kind.READ, "PFCOUNT", last=-1)
     add(Kind.READ, "LCS", last=2, arity=3)
     add(Kind.READ, "ZUNION ZINTER ZDIFF SINTERCARD ZINTERCARD", first=0, counted=1, arity=3)
     add(Kind.READ, "BITFIELD_RO SORT_RO GEORADIUS_RO GEORADIUSBYMEMBER_RO")
     add(Kind.WRITE, "INCR DECR GETDEL GETEX PERSIST LPOP RPOP SPOP ZPOPMIN ZPOPMAX SORT BITFIELD PFADD")
-    add(Kind.WRITE, "SET SETNX GETSET APPEND INCRBY DECRBY INCRBYFLOAT EXPIRE PEXPIRE EXPIREAT PEXPIREAT HDEL LPUSH "
-                    "RPUSH LPUSHX RPUSHX SADD SREM ZREM XACK XDEL XTRIM GEOADD", arity=3)
-    add(Kind.WRITE, "SETEX PSETEX SETRANGE SETBIT HSET HMSET HSETNX HINCRBY HINCRBYFLOAT LSET LTRIM LREM LINSERT ZADD "
-                    "ZINCRBY ZREMRANGEBYSCORE ZREMRANGEBYRANK ZREMRANGEBYLEX XADD XCLAIM XAUTOCLAIM RESTORE", arity=4)
+    add(
+        Kind.WRITE,
+        "SET SETNX GETSET APPEND INCRBY DECRBY INCRBYFLOAT EXPIRE PEXPIRE EXPIREAT PEXPIREAT HDEL LPUSH "
+        "RPUSH LPUSHX RPUSHX SADD SREM ZREM XACK XDEL XTRIM GEOADD",
+        arity=3,
+    )
+    add(
+        Kind.WRITE,
+        "SETEX PSETEX SETRANGE SETBIT HSET HMSET HSETNX HINCRBY HINCRBYFLOAT LSET LTRIM LREM LINSERT ZADD "
+        "ZINCRBY ZREMRANGEBYSCORE ZREMRANGEBYRANK ZREMRANGEBYLEX XADD XCLAIM XAUTOCLAIM RESTORE",
+        arity=4,
+    )
     add(Kind.WRITE, "DEL UNLINK", last=-1)
     add(Kind.WRITE, "MSET MSETNX", last=-1, step=2, arity=3)
     add(Kind.WRITE, "RENAME RENAMENX COPY RPOPLPUSH LMOVE SMOVE ZRANGESTORE GEOSEARCHSTORE", last=2, arity=3)
@@ -79,9 +99,14 @@
     add(Kind.LOCAL, "ECHO AUTH SELECT CLIENT BANKLIFT.SEEN", first=0)
     add(Kind.LOCAL, "WAIT", first=0, arity=3)
     add(Kind.LOCAL, "BANKLIFT.TOKEN", first=0, arity=1)
-    add(Kind.ALONE, "WATCH UNWATCH BLPOP BRPOP BLMOVE BRPOPLPUSH BLMPOP BZPOPMIN BZPOPMAX BZMPOP XREAD XREADGROUP "
-                    "SUBSCRIBE PSUBSCRIBE SSUBSCRIBE UNSUBSCRIBE PUNSUBSCRIBE SUNSUBSCRIBE PUBLISH SPUBLISH MONITOR "
-                    "WAITAOF SYNC PSYNC REPLCONF SCRIPT FUNCTION FCALL FCALL_RO", first=0, arity=1)
+    add(
+        Kind.ALONE,
+        "WATCH UNWATCH BLPOP BRPOP BLMOVE BRPOPLPUSH BLMPOP BZPOPMIN BZPOPMAX BZMPOP XREAD XREADGROUP "
+        "SUBSCRIBE PSUBSCRIBE SSUBSCRIBE UNSUBSCRIBE PUNSUBSCRIBE SUNSUBSCRIBE PUBLISH SPUBLISH MONITOR "
+        "WAITAOF SYNC PSYNC REPLCONF SCRIPT FUNCTION FCALL FCALL_RO",
+        first=0,
+        arity=1,
+    )
     return table
 
 
--- a/banklift/resp/frames.py
+++ b/banklift/resp/frames.py
@@ -58,11 +58,11 @@
                 kind = data[pos]
                 if kind == 36 and data[pos + 1] != 63:
                     try:
-                        length = int(data[pos + 1:end])
+                        length = int(data[pos + 1 : end])
                     except ValueError:
                         break
                     end += length + 2 if length >= 0 else 0
-                    if length > self.limit or end + 2 > size or data[end:end + 2] != b"\r\n":
+                    if length > self.limit or end + 2 > size or data[end : end + 2] != b"\r\n":
                         break
                 elif kind not in PLAIN:
                     break
@@ -74,8 +74,8 @@
             data = data[pos:]
         self.buffer += data
         while self._advance():
-            frames.append(bytes(self.buffer[:self.pos]))
-            del self.buffer[:self.pos]
+            frames.append(bytes(self.buffer[: self.pos]))
+            del self.buffer[: self.pos]
             self.pos = 0
         if len(self.buffer) > self.limit:
             raise ProtocolError("frame too large")
@@ -96,7 +96,7 @@
                 if self._ended():
                     return True
             elif kind in BLOBS:
-                if kind == 36 and buffer[self.pos + 1:end] == b"?":
+                if kind == 36 and buffer[self.pos + 1 : end] == b"?":
                     self._open(CHUNKS)
                     self.pos = after
                     continue
@@ -107,13 +107,13 @@
                         raise ProtocolError("frame too large")
                     if len(buffer) < after:
                         return False
-                    if buffer[after - 2:after] != b"\r\n":
+                    if buffer[after - 2 : after] != b"\r\n":
                         raise ProtocolError("bulk string without its end")
                 self.pos = after
                 if self._ended():
                     return True
             elif kind in AGGREGATES:
-                if buffer[self.pos + 1:end] == b"?":
+                if buffer[self.pos + 1 : end] == b"?":
                     self._open(STREAM)
                     self.pos = after
                     continue
@@ -143,7 +143,7 @@
                     if self._ended():
                         return True
             else:
-                raise ProtocolError(f"unknown type byte {bytes(buffer[self.pos:self.pos + 1])!r}")
+                raise ProtocolError(f"unknown type byte {bytes(buffer[self.pos : self.pos + 1])!r}")
 
     def _open(self, count: int) -> None:
         if len(self.stack) >= MAX_DEPTH:
@@ -164,7 +164,7 @@
 
     def _count(self, end: int) -> int:
         try:
-            count = int(self.buffer[self.pos + 1:end])
+            count = int(self.buffer[self.pos + 1 : end])
         except ValueError:
             raise ProtocolError("invalid length") from None
         if count < -1:
@@ -194,10 +194,10 @@
     def feed(self, data: bytes) -> None:
         if self.pos < len(self.buffer):
             # what is read already is dropped, but for the command that is being read
-            self.buffer = self.buffer[self._start:] + data
+            self.buffer = self.buffer[self._start :] + data
             self.pos -= self._start
         else:
-            self.buffer = self.buffer[self._start:] + data if self._args is not None else data
+            self.buffer = self.buffer[self._start :] + data if self._args is not None else data
             self.pos = self.pos - self._start if self._args is not None else 0
         self._start = 0
 
@@ -209,8 +209,11 @@
                 self._start = pos
                 end = buffer.find(b"\n", pos)
                 if (len(buffer) if end < 0 else end) - pos > MAX_LINE:
-                    raise ProtocolError("too big mbulk count string" if buffer[pos:pos + 1] == b"*"
-                                        else "too big inline request")
+                    raise ProtocolError(
+                        "too big mbulk count string"
+                        if buffer[pos : pos + 1] == b"*"
+                        else "too big inline request"
+                    )
                 if end < 0:
                     return None
                 self.pos = end + 1
@@ -219,7 +222,7 @@
                         self.raw = None
                         return words
                     continue
-                self._want = number(buffer[pos + 1:end], "invalid multibulk length", MAX_ARGS)
+                self._want = number(buffer[pos + 1 : end], "invalid multibulk length", MAX_ARGS)
                 self._args, self._size = [], 0
                 pos = end + 1
             args = self._args
@@ -231,7 +234,7 @@
                     return None
                 if buffer[pos] != 36:
                     raise ProtocolError(f"expected '$', got '{chr(buffer[pos])}'")
-                size = number(buffer[pos + 1:end], "invalid bulk length", self.limit)
+                size = number(buffer[pos + 1 : end], "invalid bulk length", self.limit)
                 self._size += size
                 if size < 0 or self._size > self.limit:
                     raise ProtocolError("invalid bulk length")
@@ -239,12 +242,12 @@
                 if len(buffer) < begin + size + 2:
                     self._size -= size  # the header is read again with the rest
                     return None
-                args.append(buffer[begin:begin + size])
+                args.append(buffer[begin : begin + size])
                 self.pos = pos = begin + size + 2
                 self._want -= 1
             self._args = None
             if args:
-                self.raw = buffer[self._start:pos]
+                self.raw = buffer[self._start : pos]
                 return args
 
 
@@ -276,11 +279,11 @@
             assert word is not None
             if byte == quote:
                 quote = 0
-                if pos + 1 < len(line) and not line[pos + 1:pos + 2].isspace():
+                if pos + 1 < len(line) and not line[pos + 1 : pos + 2].isspace():
                     raise ProtocolError("unbalanced quotes in request")
-            elif byte == 92 and quote == 34 and line[pos + 1:pos + 2] == b"x":
+            elif byte == 92 and quote == 34 and line[pos + 1 : pos + 2] == b"x":
                 try:
-                    word.append(int(line[pos + 2:pos + 4], 16))
+                    word.append(int(line[pos + 2 : pos + 4], 16))
                 except ValueError:
                     raise ProtocolError("unbalanced quotes in request") from None
                 pos += 3
@@ -289,7 +292,7 @@
                 word.append(escapes.get(line[pos], line[pos]) if quote == 34 else line[pos])
             else:
                 word.append(byte)
-        elif line[pos:pos + 1].isspace():
+        elif line[pos : pos + 1].isspace():
             if word is not None:
                 words.append(bytes(word))
             word = None
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -306,18 +306,27 @@
             shown = args[0][:128].decode("utf-8", "replace")
             rest = " ".join(f"'{arg[:128].decode('utf-8', 'replace')}'" for arg in args[1:4])
             state.spoilt = True
-            return self._say(state, place, Error(f"ERR unknown command '{shown}', with args beginning with: {rest}"))
+            return self._say(
+                state, place, Error(f"ERR unknown command '{shown}', with args beginning with: {rest}")
+            )
         if len(args) < known.arity:
             state.spoilt = True
-            return self._say(state, place, Error(f"ERR wrong number of arguments for '{known.name.lower()}' command"))
+            return self._say(
+                state, place, Error(f"ERR wrong number of arguments for '{known.name.lower()}' command")
+            )
         if known.kind is Kind.ALONE:
             state.spoilt = True
-            return self._say(state, place, Error(f"ERR {known.name} needs a connection of its own, "
-                                                 "which this router doesn't give"))
+            return self._say(
+                state,
+                place,
+                Error(f"ERR {known.name} needs a connection of its own, which this router doesn't give"),
+            )
         if known.kind is Kind.LOCAL:
             if state.units is not None and name not in (b"EXEC", b"DISCARD", b"MULTI", b"QUIT", b"RESET"):
                 state.spoilt = True
-                return self._say(state, place, Error(f"ERR {known.name} can't stand in a MULTI of this router"))
+                return self._say(
+                    state, place, Error(f"ERR {known.name} can't stand in a MULTI of this router")
+                )
             return self._local(state, place, name, args)
         try:
             keys = known.keys(args)
@@ -339,12 +348,18 @@
         if state.units is not None:
             if any(other != group for _, _, _, other in state.units):
                 state.spoilt = True
-                return self._say(state, place, Error("CROSSSLOT Keys of one MULTI belong to different groups"))
+                return self._say(
+                    state, place, Error("CROSSSLOT Keys of one MULTI belong to different groups")
+                )
             state.units.append((known, args, kind, group))
             return self._say(state, place, Simple("QUEUED"))
-        self._submit(state, place, kind, group, Single(state.proto, state.reader.raw or command(*args), writes))
+        self._submit(
+            state, place, kind, group, Single(state.proto, state.reader.raw or command(*args), writes)
+        )
 
-    def _submit(self, state: Client, place: Place, kind: RequestClass, group: int, exchange: Single | Unit) -> None:
+    def _submit(
+        self, state: Client, place: Place, kind: RequestClass, group: int, exchange: Single | Unit
+    ) -> None:
         gate = state.gates.get(group)
         if gate is None:
             gate = state.gates[group] = Gate()
@@ -465,8 +480,10 @@
 
     def _login(self, state: Client, user: str, password: bytes) -> Error | None:
         if not self.passwords:
-            return Error("ERR AUTH <password> called without any password configured for the default user. "
-                         "Are you sure your configuration is correct?")
+            return Error(
+                "ERR AUTH <password> called without any password configured for the default user. "
+                "Are you sure your configuration is correct?"
+            )
         if self.passwords.get(user, "").encode() != password or user not in self.passwords:
             return Error("WRONGPASS invalid username-password pair or user is disabled.")
         state.user = user
@@ -490,15 +507,31 @@
             else:
                 return self._say(state, place, Error("ERR Syntax error in HELLO"))
         if self.passwords and state.user is None:
-            return self._say(state, place, Error(
-                "NOAUTH HELLO must be called with the client already authenticated, otherwise the HELLO <proto> AUTH "
-                "<user> <pass> option can be used to authenticate the client and select the RESP protocol version at "
-                "the same time"))
+            return self._say(
+                state,
+                place,
+                Error(
+                    "NOAUTH HELLO must be called with the client already authenticated, otherwise the "
+                    "HELLO <proto> AUTH <user> <pass> option can be used to authenticate the client and select "
+                    "the RESP protocol version at the same time"
+                ),
+            )
         if name is not None and (error := self._rename(state, name)) is not None:
             return self._say(state, place, error)
         state.proto = proto
-        self._say(state, place, {"server": "banklift", "version": VERSION, "proto": proto, "id": state.id,
-                                 "mode": "standalone", "role": "master", "modules": []})
+        self._say(
+            state,
+            place,
+            {
+                "server": "banklift",
+                "version": VERSION,
+                "proto": proto,
+                "id": state.id,
+                "mode": "standalone",
+                "role": "master",
+                "modules": [],
+            },
+        )
 
     def _rename(self, state: Client, name: bytes) -> Error | None:
         if any(byte < 33 or byte > 126 for byte in name):
@@ -522,10 +555,15 @@
         elif sub in (b"SETINFO", b"NO-EVICT", b"NO-TOUCH"):
             self._say(state, place, OK)
         elif sub == b"INFO":
-            self._say(state, place, f"id={state.id} name={state.name} resp={state.proto} "
-                                    f"user={state.user or 'default'}\n")
+            self._say(
+                state,
+                place,
+                f"id={state.id} name={state.name} resp={state.proto} user={state.user or 'default'}\n",
+            )
         else:
-            self._say(state, place, Error(f"ERR unknown subcommand '{args[1][:128].decode('utf-8', 'replace')}'"))
+            self._say(
+                state, place, Error(f"ERR unknown subcommand '{args[1][:128].decode('utf-8', 'replace')}'")
+            )
 
     def _commands(self, state: Client, place: Place, args: list[bytes]) -> None:
         sub = args[1].upper() if len(args) > 1 else b"INFO"
@@ -543,19 +581,27 @@
             return self._say(state, place, keys or Error("ERR The command has no key arguments"))
         if sub == b"DOCS":
             names = [name.upper() for name in args[2:]] or list(carried)
-            return self._say(state, place, {name.lower().decode(): {"summary": "carried by banklift"}
-                                            for name in names if name in carried})
+            return self._say(
+                state,
+                place,
+                {
+                    name.lower().decode(): {"summary": "carried by banklift"}
+                    for name in names
+                    if name in carried
+                },
+            )
         if sub == b"INFO":
             names = [name.upper() for name in args[2:]] or list(carried)
-            return self._say(state, place, [_describe(carried[name]) if name in carried else None
-                                            for name in names])
+            return self._say(
+                state, place, [_describe(carried[name]) if name in carried else None for name in names]
+            )
         self._say(state, place, Error(f"ERR unknown subcommand '{args[1][:128].decode('utf-8', 'replace')}'"))
 
     def _info(self, sections: list[bytes]) -> str:
         wanted = {section.lower() for section in sections} or {b"default"}
         parts = {
             b"server": f"# Server\r\nredis_version:{VERSION}\r\nredis_mode:standalone\r\n"
-                       f"banklift_router:{self.config.name}\r\n",
+            f"banklift_router:{self.config.name}\r\n",
             b"clients": f"# Clients\r\nconnected_clients:{len(self.clients)}\r\n",
             b"replication": "# Replication\r\nrole:master\r\nconnected_slaves:0\r\n",
         }
@@ -568,11 +614,19 @@
             return self._say(state, place, Error("ERR EXEC without MULTI"))
         if state.spoilt:
             state.spoilt = False
-            return self._say(state, place, Error("EXECABORT Transaction discarded because of previous errors."))
+            return self._say(
+                state, place, Error("EXECABORT Transaction discarded because of previous errors.")
+            )
         if not units:
             return self._say(state, place, [])
-        kind = strongest([self.routes.kind(known.name.encode(), known.keys(args), known.kind is Kind.WRITE,
-                                           state.user or "default") for known, args, _, _ in units])
+        kind = strongest(
+            [
+                self.routes.kind(
+                    known.name.encode(), known.keys(args), known.kind is Kind.WRITE, state.user or "default"
+                )
+                for known, args, _, _ in units
+            ]
+        )
         writes = kind.need is Need.WRITE
         data = tuple(command(*args) for _, args, _, _ in units)
         self._submit(state, place, kind, units[0][3], Unit(state.proto, data, writes))
@@ -581,9 +635,14 @@
 
     def _token(self, state: Client) -> str:
         """Where the session's writes stand: `group=history:offset`, or `group=?` where that is not known."""
-        return ",".join(f"{self.group_names[group]}=" + (f"{seen.replid}:{seen.offset}" if seen.replid else "?")
-                        for group, mark in sorted(self._marks(state).items(), key=lambda pair: pair[0])
-                        for seen in mark.parts()) or "-"
+        return (
+            ",".join(
+                f"{self.group_names[group]}=" + (f"{seen.replid}:{seen.offset}" if seen.replid else "?")
+                for group, mark in sorted(self._marks(state).items(), key=lambda pair: pair[0])
+                for seen in mark.parts()
+            )
+            or "-"
+        )
 
     def _seen(self, state: Client, place: Place, token: bytes) -> None:
         marks: dict[int, Seen] = {}
@@ -598,7 +657,9 @@
             return self._say(state, place, Error("ERR not a token of BANKLIFT.TOKEN"))
         state.shown = True
         for group, shown in marks.items():
-            met = [self._tracks[group].meet(seen.replid, self.core.now) for seen in shown.parts() if seen.replid]
+            met = [
+                self._tracks[group].meet(seen.replid, self.core.now) for seen in shown.parts() if seen.replid
+            ]
             if any(met):
                 self.core.refresh(group)  # somebody leads a history that is news here
         own = self._marks(state)
@@ -634,8 +695,20 @@
 
 def _describe(known: Command) -> list[object]:
     """A command in the form of `COMMAND INFO`."""
-    flags = [Simple("write" if known.kind is Kind.WRITE else "readonly" if known.kind is Kind.READ else "fast")]
+    flags = [
+        Simple("write" if known.kind is Kind.WRITE else "readonly" if known.kind is Kind.READ else "fast")
+    ]
     if known.counted:
         flags.append(Simple("movablekeys"))
-    return [known.name.lower(), -known.arity, flags, known.first, known.last if known.first else 0,
-            known.step if known.first else 0, [], [], [], []]
+    return [
+        known.name.lower(),
+        -known.arity,
+        flags,
+        known.first,
+        known.last if known.first else 0,
+        known.step if known.first else 0,
+        [],
+        [],
+        [],
+        [],
+    ]
--- a/banklift/resp/proofs.py
+++ b/banklift/resp/proofs.py
@@ -39,7 +39,9 @@
     def __init__(self, core: Machine, groups: int) -> None:
         self.core = core
         self.tracks = [Track() for _ in range(groups)]
-        self.delayed: dict[int, list[tuple[Node, float, float]]] = {}  # reports that wait for a sample, by group
+        self.delayed: dict[
+            int, list[tuple[Node, float, float]]
+        ] = {}  # reports that wait for a sample, by group
 
     def lore(self) -> Lore:
         return Lore()
@@ -85,7 +87,9 @@
                     seen = self.tracks[node.group].seen(node.name, after.offset if after else None, now)
                 served = Served(result.answer, seen)
         load = result.standing.load if result.standing is not None else None
-        return Judged(status, Told(fact.primary, None, io.Report(position=fact.position, in_flight=load)), served)
+        return Judged(
+            status, Told(fact.primary, None, io.Report(position=fact.position, in_flight=load)), served
+        )
 
     def cut(self, attempt: Attempt, result: Result) -> Served:
         return Served(result.answer, Seen(self.core.now))
@@ -109,7 +113,9 @@
         fact = self.tracks[node.group].learn(node.name, told, asked, self.core.now, waiting)
         if fact.unsure:
             node.lore.doubt = True
-            if node.state is State.READY and not node.probes:  # it has another role than before: ask for its history
+            if (
+                node.state is State.READY and not node.probes
+            ):  # it has another role than before: ask for its history
                 self.probing(node)
                 self.core.probe(node)
         elif told.replid is not None:
@@ -143,8 +149,14 @@
             return
         waiting = node.lore.unanswered
         if waiting is None:
-            waiting = min((link.attempt.asked for link in node.links.values() if link.attempt is not None
-                           and link.attempt.open.ask.kind.need is Need.WRITE), default=None)
+            waiting = min(
+                (
+                    link.attempt.asked
+                    for link in node.links.values()
+                    if link.attempt is not None and link.attempt.open.ask.kind.need is Need.WRITE
+                ),
+                default=None,
+            )
         fact = self.learn(node, told, asked, waiting)
         owner = self._owner(node)
         if fact.primary is not True and owner is not None and owner.probes and owner.probes[0] <= asked:
@@ -171,6 +183,7 @@
             position, _ = self.tracks[group].place(node.name)
             self._report(node, asked, False, position, load)
 
-    def _report(self, node: Node, asked: float, primary: bool | None, position: float | None,
-                load: float | None) -> None:
+    def _report(
+        self, node: Node, asked: float, primary: bool | None, position: float | None, load: float | None
+    ) -> None:
         self.core.report(node, asked, io.Report(position, primary, load, None, asked))
--- a/banklift/resp/replies.py
+++ b/banklift/resp/replies.py
@@ -61,10 +61,16 @@
         primary = facts["role"] == "master"
         offset = int(facts["master_repl_offset"] if primary else facts["slave_repl_offset"])
         load = facts.get("commands_in_flight")
-        return Standing(primary, offset, "" if primary else f"{facts['master_host']}:{facts['master_port']}",
-                        primary or facts.get("master_link_status") == "up", facts.get("master_replid"),
-                        facts.get("master_replid2"), int(facts.get("second_repl_offset", -1)),
-                        None if load is None else float(load))
+        return Standing(
+            primary,
+            offset,
+            "" if primary else f"{facts['master_host']}:{facts['master_port']}",
+            primary or facts.get("master_link_status") == "up",
+            facts.get("master_replid"),
+            facts.get("master_replid2"),
+            int(facts.get("second_repl_offset", -1)),
+            None if load is None else float(load),
+        )
     except (KeyError, ValueError):
         return None
 
--- a/banklift/resp/routes.py
+++ b/banklift/resp/routes.py
@@ -22,17 +22,46 @@
 
 class Routes:
     def __init__(self, config: Config) -> None:
-        self.classes = {kind.name: RequestClass(
-            kind.name, kind.effect, kind.need, kind.aim, kind.deadline, kind.worth, kind.late_worth, kind.bound,
-            window=kind.window, group_only=kind.group_only) for kind in config.classes}
-        self.routes = [(frozenset(name.upper().encode() for name in route.commands), route.keys, route.user,
-                        self.classes[route.to]) for route in config.routes]
+        self.classes = {
+            kind.name: RequestClass(
+                kind.name,
+                kind.effect,
+                kind.need,
+                kind.aim,
+                kind.deadline,
+                kind.worth,
+                kind.late_worth,
+                kind.bound,
+                window=kind.window,
+                group_only=kind.group_only,
+            )
+            for kind in config.classes
+        }
+        self.routes = [
+            (
+                frozenset(name.upper().encode() for name in route.commands),
+                route.keys,
+                route.user,
+                self.classes[route.to],
+            )
+            for route in config.routes
+        ]
         self.read = self.classes[config.default_read]
         self.write = self.classes[config.default_write]
-        self.prefixes = sorted(((prefix.encode(), place) for place, group in enumerate(config.groups)
-                                for prefix in group.prefixes), key=lambda pair: (-len(pair[0]), pair[0]))
-        self.slots: dict[int, int] = {number: place for place, group in enumerate(config.groups)
-                                      for first, last in group.slots for number in range(first, last + 1)}
+        self.prefixes = sorted(
+            (
+                (prefix.encode(), place)
+                for place, group in enumerate(config.groups)
+                for prefix in group.prefixes
+            ),
+            key=lambda pair: (-len(pair[0]), pair[0]),
+        )
+        self.slots: dict[int, int] = {
+            number: place
+            for place, group in enumerate(config.groups)
+            for first, last in group.slots
+            for number in range(first, last + 1)
+        }
 
     def group(self, keys: list[bytes]) -> int:
         """The group that owns the keys. Errors: `CrossGroup`, `Unowned`."""
@@ -68,5 +97,12 @@
 
 def strongest(kinds: list[RequestClass]) -> RequestClass:
     """The class that a unit of several commands goes by: the strongest effect, then the most demanding need."""
-    return max(kinds, key=lambda kind: (STRENGTH[kind.need] == 4, EFFECTS[kind.effect], STRENGTH[kind.need],
-                                        -kind.deadline))
+    return max(
+        kinds,
+        key=lambda kind: (
+            STRENGTH[kind.need] == 4,
+            EFFECTS[kind.effect],
+            STRENGTH[kind.need],
+            -kind.deadline,
+        ),
+    )
--- a/banklift/resp/slots.py
+++ b/banklift/resp/slots.py
@@ -12,5 +12,5 @@
     if start >= 0:
         end = key.find(b"}", start + 1)
         if end > start + 1:
-            key = key[start + 1:end]
+            key = key[start + 1 : end]
     return binascii.crc_hqx(key, 0) % SLOTS
--- a/banklift/resp/wire.py
+++ b/banklift/resp/wire.py
@@ -92,9 +92,16 @@
         return RespProofs(core, groups)
 
 
-ASKS = {Question.NONE: b"", Question.STANDING: ROLE, Question.HISTORY: INFO, Question.BOTH: ROLE,
-        Question.HISTORY_BOTH: INFO}
-BEHIND = {question: ROLE if question in (Question.BOTH, Question.HISTORY_BOTH) else b"" for question in Question}
+ASKS = {
+    Question.NONE: b"",
+    Question.STANDING: ROLE,
+    Question.HISTORY: INFO,
+    Question.BOTH: ROLE,
+    Question.HISTORY_BOTH: INFO,
+}
+BEHIND = {
+    question: ROLE if question in (Question.BOTH, Question.HISTORY_BOTH) else b"" for question in Question
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +123,9 @@
             return Result(status(frames[0]), frames[0])
         if len(frames) == 1:
             verdict = status(frames[0])
-            if verdict is Status.FULL and not self.writes:  # to the question in front: the command fares no better
+            if (
+                verdict is Status.FULL and not self.writes
+            ):  # to the question in front: the command fares no better
                 return Result(verdict)
             return None
         if self.writes:
@@ -169,7 +178,9 @@
 
     def _verdict(self, body: list[bytes], standing: Standing | None) -> Result:
         answer = body[-1]
-        if answer.startswith(b"-EXECABORT"):  # nothing ran; the error of what was not queued tells why, or it does
+        if answer.startswith(
+            b"-EXECABORT"
+        ):  # nothing ran; the error of what was not queued tells why, or it does
             errors = [frame for frame in body[:-1] if frame[:1] == b"-"]
             verdict = next((status(frame) for frame in errors if status(frame) is not Status.OK), Status.OK)
             if DEMOTED in answer:
--- a/banklift/rig/clients.py
+++ b/banklift/rig/clients.py
@@ -14,7 +14,9 @@
 class Client:
     """Asks one router every `every` seconds, without waiting for answers, up to `most` unanswered at a time."""
 
-    def __init__(self, env: Env, router: str, address: str, every: float, trace: Trace, most: int = 64) -> None:
+    def __init__(
+        self, env: Env, router: str, address: str, every: float, trace: Trace, most: int = 64
+    ) -> None:
         self.env, self.router, self.address, self.trace = env, router, address, trace
         self.every, self.most = every, most
         self.count = 0
@@ -46,8 +48,15 @@
         lines = (self.rest + data).split(b"\r\n")
         self.rest = lines.pop()
         for line in lines:
-            answer = "served" if line == b"$-1" else "refused" if line.startswith(b"-TRYAGAIN") else \
-                "failed" if line.startswith(b"-UNCERTAIN") else f"error {line[:60].decode('latin-1')}"
+            answer = (
+                "served"
+                if line == b"$-1"
+                else "refused"
+                if line.startswith(b"-TRYAGAIN")
+                else "failed"
+                if line.startswith(b"-UNCERTAIN")
+                else f"error {line[:60].decode('latin-1')}"
+            )
             self.trace.add(Entry(self.env.now(), "got", self.line.pop(0), self.router, answer=answer))
 
     def lost(self) -> None:
--- a/banklift/rig/judge.py
+++ b/banklift/rig/judge.py
@@ -87,19 +87,28 @@
             first = min((one.got for one in new), default=math.inf)
             for one in old:
                 if one.sent > first:
-                    verdict.breaks.append(f"never mixed: {one.key} at {one.router} was sent {one.sent - first:.3f} s "
-                                          "after one was served under the new policy, and taken under the old one")
+                    verdict.breaks.append(
+                        f"never mixed: {one.key} at {one.router} was sent {one.sent - first:.3f} s "
+                        "after one was served under the new policy, and taken under the old one"
+                    )
                 if one.sent > window.told:
-                    verdict.breaks.append(f"in force everywhere: {one.key} at {one.router} was sent "
-                                          f"{one.sent - window.told:.3f} s after the change was told to be in force")
-            verdict.case("never mixed: sent once the first was served under the new policy",
-                         sum(one.sent > first for one in new))
+                    verdict.breaks.append(
+                        f"in force everywhere: {one.key} at {one.router} was sent "
+                        f"{one.sent - window.told:.3f} s after the change was told to be in force"
+                    )
+            verdict.case(
+                "never mixed: sent once the first was served under the new policy",
+                sum(one.sent > first for one in new),
+            )
             verdict.case("in force: sent once it was told", sum(one.sent > window.told for one in new))
             verdict.case("changes in force")
             parity = window.parity
         else:
-            verdict.breaks += [f"nowhere: {one.key} at {one.router} was taken under a policy that was "
-                               f"{window.outcome or 'never told to be in force'}" for one in new]
+            verdict.breaks += [
+                f"nowhere: {one.key} at {one.router} was taken under a policy that was "
+                f"{window.outcome or 'never told to be in force'}"
+                for one in new
+            ]
             verdict.case("nowhere: sent during or after a change that did not take hold", len(old))
             verdict.case("changes not in force")
     for one in every:
@@ -121,7 +130,9 @@
             served.setdefault(one.router, []).append(one.got)
     for router, begins, ends in lives(entries):
         times = sorted(time for time in served.get(router, []) if begins <= time <= ends)
-        gaps = [(later - before, before) for before, later in zip([begins, *times], [*times, ends], strict=True)]
+        gaps = [
+            (later - before, before) for before, later in zip([begins, *times], [*times, ends], strict=True)
+        ]
         longest, at = max(gaps)
         verdict.case("lives of routers")
         if longest > dark:
--- a/banklift/rig/processes.py
+++ b/banklift/rig/processes.py
@@ -43,8 +43,16 @@
 class Rig:
     """`voters` of `names` are the first ones. `times`: of the site's deadlines. Must be closed."""
 
-    def __init__(self, env: Env, folder: Path, names: list[str], voters: int, lease: float, seed: int = 1,
-                 times: float = 1.0) -> None:
+    def __init__(
+        self,
+        env: Env,
+        folder: Path,
+        names: list[str],
+        voters: int,
+        lease: float,
+        seed: int = 1,
+        times: float = 1.0,
+    ) -> None:
         self.env, self.folder, self.names, self.voters, self.lease = env, folder, names, names[:voters], lease
         self.times = times
         self.trace = Trace()
@@ -59,12 +67,17 @@
             for voter in self.voters:
                 if name != voter:
                     target = f"127.0.0.1:{self.ports[voter]}"
-                    self.relays[name, voter] = Relay(env, lambda target=target: target,  # type: ignore[misc]
-                                                     seed * 1000 + number)
+                    self.relays[name, voter] = Relay(
+                        env,
+                        lambda target=target: target,  # type: ignore[misc]
+                        seed * 1000 + number,
+                    )
 
     def _tap(self, now: float, member: str, act: Act) -> None:
         if act.what == "command" and len(act.args) == 2 and act.args[0].upper() == b"GET":
-            self.trace.add(Entry(now, "ran", act.args[1].decode("latin-1"), member=member, role=self.roles[member]))
+            self.trace.add(
+                Entry(now, "ran", act.args[1].decode("latin-1"), member=member, role=self.roles[member])
+            )
 
     def note(self, kind: str, **fields: Any) -> None:
         self.trace.add(Entry(self.env.now(), kind, **fields))
@@ -73,11 +86,17 @@
 
     def file(self, name: str, **changes: Any) -> Path:
         """The router's file; `changes` go over the whole of it."""
-        voters = {voter: f"127.0.0.1:{self.ports[voter]}" if name == voter else self.relays[name, voter].address
-                  for voter in self.voters}
-        content = {**site.config(self.times), "groups": msgspec.to_builtins(self.stand.groups()), "name": name,
-                   "listen": self.addresses.get(name, "127.0.0.1:0"),
-                   "fleet": {"name": "rig", "voters": voters, "lease": self.lease, "folder": f"{name}.state"}}
+        voters = {
+            voter: f"127.0.0.1:{self.ports[voter]}" if name == voter else self.relays[name, voter].address
+            for voter in self.voters
+        }
+        content = {
+            **site.config(self.times),
+            "groups": msgspec.to_builtins(self.stand.groups()),
+            "name": name,
+            "listen": self.addresses.get(name, "127.0.0.1:0"),
+            "fleet": {"name": "rig", "voters": voters, "lease": self.lease, "folder": f"{name}.state"},
+        }
         for key, value in changes.items():
             content[key] = {**content[key], **value} if isinstance(value, dict) else value
         path = self.folder / f"{name}.json"
@@ -94,8 +113,10 @@
 
         with log.open("ab") as errors:
             process = await anyio.open_process(
-                [sys.executable, "-m", "banklift", "router", "--config", str(path)], stderr=errors,
-                stdout=subprocess.PIPE)
+                [sys.executable, "-m", "banklift", "router", "--config", str(path)],
+                stderr=errors,
+                stdout=subprocess.PIPE,
+            )
         if descriptors is not None:  # before it looks: it imports for longer than this takes
             resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (descriptors, descriptors))
         self.processes[name] = process
@@ -168,10 +189,21 @@
         begin = self.env.now()
 
         def shown() -> bool:
-            sent = {entry.key: entry.router for entry in self.trace.entries if entry.k == "sent" and entry.t >= begin}
-            done = {sent[entry.key] for entry in self.trace.entries if entry.key in sent and (
-                (entry.k == "got" and entry.answer == "served") if parity is None else
-                (entry.k == "ran" and entry.role == "replica" and entry.key[0] == "ab"[parity]))}
+            sent = {
+                entry.key: entry.router
+                for entry in self.trace.entries
+                if entry.k == "sent" and entry.t >= begin
+            }
+            done = {
+                sent[entry.key]
+                for entry in self.trace.entries
+                if entry.key in sent
+                and (
+                    (entry.k == "got" and entry.answer == "served")
+                    if parity is None
+                    else (entry.k == "ran" and entry.role == "replica" and entry.key[0] == "ab"[parity])
+                )
+            }
             return set(names) <= done
 
         await self.until(shown)
@@ -189,14 +221,18 @@
         path.write_text(site.text(parity, self.times, **policy))
         config = self.file(by or self.names[-1])
         self.note("set", parity=parity)
-        code, out, errors = await self.banklift("policy", "set", str(path), "--config", str(config), "--json", *more)
+        code, out, errors = await self.banklift(
+            "policy", "set", str(path), "--config", str(config), "--json", *more
+        )
         answer = json.loads(out) if out.strip() else {}
         self.note("told", answer=answer.get("result", "unknown"), parity=parity)
         return {**answer, "code": code, "errors": errors}
 
     async def fleet(self, by: str = "") -> dict[str, Any]:
         """`banklift fleet`."""
-        code, out, errors = await self.banklift("fleet", "--config", str(self.file(by or self.names[-1])), "--json")
+        code, out, errors = await self.banklift(
+            "fleet", "--config", str(self.file(by or self.names[-1])), "--json"
+        )
         return json.loads(out) if code == 0 else {"code": code, "errors": errors}
 
     async def close(self) -> None:
@@ -216,6 +252,7 @@
 def _free_port() -> int:
     """Of the kernel's choice; free at this moment."""
     import socket
+
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
         return int(free.getsockname()[1])
--- a/banklift/rig/relay.py
+++ b/banklift/rig/relay.py
@@ -56,11 +56,11 @@
             way.flip -= 1
             relay.count("flip")
             place = relay.random.randrange(len(data))
-            data = data[:place] + bytes([data[place] ^ 1 << relay.random.randrange(8)]) + data[place + 1:]
+            data = data[:place] + bytes([data[place] ^ 1 << relay.random.randrange(8)]) + data[place + 1 :]
         if way.cut:
             way.cut -= 1
             relay.count("cut")
-            self.pass_on(data[:relay.random.randrange(len(data))])
+            self.pass_on(data[: relay.random.randrange(len(data))])
             relay.env.at(relay.env.now(), self.shut)
             return
         if way.stall:
@@ -162,9 +162,12 @@
         self.far: Handle | None = None
         self.up = False
         self.over = False
-        self.streams = {THERE: Stream(relay, relay.ways[THERE], lambda: self.far if self.up else None, self.shut,
-                                      lambda: self.over),
-                        BACK: Stream(relay, relay.ways[BACK], lambda: self.near, self.shut, lambda: self.over)}
+        self.streams = {
+            THERE: Stream(
+                relay, relay.ways[THERE], lambda: self.far if self.up else None, self.shut, lambda: self.over
+            ),
+            BACK: Stream(relay, relay.ways[BACK], lambda: self.near, self.shut, lambda: self.over),
+        }
 
     def shut(self) -> None:
         if not self.over:
--- a/banklift/rig/world.py
+++ b/banklift/rig/world.py
@@ -98,22 +98,35 @@
 class FleetWorld:
     """`rates`: how far clocks run from the true one, at the most, as a part; the plan states twice that."""
 
-    def __init__(self, seed: int, routers: int, voters: int, lease: float = 4.0, drift: float = 0.01,
-                 node: type[Node] = Node) -> None:
+    def __init__(
+        self,
+        seed: int,
+        routers: int,
+        voters: int,
+        lease: float = 4.0,
+        drift: float = 0.01,
+        node: type[Node] = Node,
+    ) -> None:
         self.world, self.random, self.node = World(seed, 0.001), Random(seed), node
         self.lease, self.drift = lease, drift
         self.names = [f"r{number}" for number in range(routers)]
         self.voters = tuple(self.names[:voters])
         self.ports = {name: f"10.0.0.1:{7000 + place}" for place, name in enumerate(self.voters)}
-        self.routers = {name: Router(name, self.random.uniform(1 - drift / 2, 1 + drift / 2), Disk())
-                        for name in self.names}
+        self.routers = {
+            name: Router(name, self.random.uniform(1 - drift / 2, 1 + drift / 2), Disk())
+            for name in self.names
+        }
         self.relays: dict[tuple[str, str], Relay] = {}
         for name in self.names:
             for voter in self.voters:
                 if name != voter:
                     target = self.ports[voter]
-                    self.relays[name, voter] = Relay(self.world, lambda target=target: target,  # type: ignore[misc]
-                                                     self.random.randrange(2**32), "10.0.0.2:0")
+                    self.relays[name, voter] = Relay(
+                        self.world,
+                        lambda target=target: target,  # type: ignore[misc]
+                        self.random.randrange(2**32),
+                        "10.0.0.2:0",
+                    )
         self.starts = 0
         self.newest = 0  # epoch adopted by anybody
         self.policies: dict[int, str] = {}  # digest by epoch
@@ -141,14 +154,29 @@
                 record = None
         absent = router.disk.content is None
         plan = Plan("rig", name, self.voters, self.lease, self.drift)
-        node = self.node(plan, 1_000 + self.starts, self.random.randrange(2**32), b"first",
-                         lambda text: router.reasons if REFUSED in text else (), record, absent)
-        addresses = {voter: self.relays[name, voter].address if name != voter else "" for voter in self.voters}
+        node = self.node(
+            plan,
+            1_000 + self.starts,
+            self.random.randrange(2**32),
+            b"first",
+            lambda text: router.reasons if REFUSED in text else (),
+            record,
+            absent,
+        )
+        addresses = {
+            voter: self.relays[name, voter].address if name != voter else "" for voter in self.voters
+        }
         host: FleetHost = FleetHost(
-            env, node, addresses, self.ports.get(name), lambda record, done: self._save(router, host, record, done),
+            env,
+            node,
+            addresses,
+            self.ports.get(name),
+            lambda record, done: self._save(router, host, record, done),
             lambda epoch, text: self._adopt(router, epoch, text),
-            lambda until, back: self._until(router, until), lambda reason: self._ousted(router, reason),
-            lambda event, fields: self.log.append((self.world.now(), name, event, fields)))
+            lambda until, back: self._until(router, until),
+            lambda reason: self._ousted(router, reason),
+            lambda event, fields: self.log.append((self.world.now(), name, event, fields)),
+        )
         router.host, router.serving, router.until, router.ousted = host, 0, -math.inf, ""
         host.start()
 
@@ -186,19 +214,27 @@
     def _adopt(self, router: Router, epoch: int, text: bytes) -> None:
         now, known = self.world.now(), digest(text)
         if self.policies.setdefault(epoch, known) != known:
-            self.breaks.append(f"{now:.3f} one policy to an epoch: {router.name} adopts another one as {epoch}")
+            self.breaks.append(
+                f"{now:.3f} one policy to an epoch: {router.name} adopts another one as {epoch}"
+            )
         if known in self.aborted:
-            self.breaks.append(f"{now:.3f} nowhere: {router.name} adopts a policy that was told to be aborted")
+            self.breaks.append(
+                f"{now:.3f} nowhere: {router.name} adopts a policy that was told to be aborted"
+            )
         if epoch < self.newest:
-            self.breaks.append(f"{now:.3f} never mixed: {router.name} adopts {epoch}, and {self.newest} was in force")
+            self.breaks.append(
+                f"{now:.3f} never mixed: {router.name} adopts {epoch}, and {self.newest} was in force"
+            )
         if epoch > 1 and list(self.policies.values()).count(known) > 1:
             self.breaks.append(f"{now:.3f} made twice: {router.name} adopts {known} as {epoch}")
         for other in self.routers.values():
             if other is not router and other.host is not None and other.serving and other.until > now:
                 self.case("never mixed: adopted while another served")
                 if other.serving < epoch:
-                    self.breaks.append(f"{now:.3f} never mixed: {router.name} adopts {epoch}, and {other.name} may "
-                                       f"serve {other.serving} for {other.until - now:.3f} s")
+                    self.breaks.append(
+                        f"{now:.3f} never mixed: {router.name} adopts {epoch}, and {other.name} may "
+                        f"serve {other.serving} for {other.until - now:.3f} s"
+                    )
         self.newest = max(self.newest, epoch)
         router.serving = epoch
 
@@ -208,8 +244,10 @@
         if end > now and self.newest > 1:
             self.case("never mixed: renewed")
             if router.serving < self.newest:
-                self.breaks.append(f"{now:.3f} never mixed: {router.name} may serve {router.serving} for "
-                                   f"{end - now:.3f} s, and {self.newest} was in force")
+                self.breaks.append(
+                    f"{now:.3f} never mixed: {router.name} may serve {router.serving} for "
+                    f"{end - now:.3f} s, and {self.newest} was in force"
+                )
         router.until = end
 
     def votes(self, name: str) -> bool:
@@ -219,7 +257,11 @@
     def serving(self) -> dict[str, int]:
         """Who may take requests now, under which epoch."""
         now = self.world.now()
-        return {name: one.serving for name, one in self.routers.items() if one.host is not None and one.until > now}
+        return {
+            name: one.serving
+            for name, one in self.routers.items()
+            if one.host is not None and one.until > now
+        }
 
     # ---- operators
 
@@ -235,19 +277,25 @@
                 self.forced[outcome.id] = outcome.digest
                 self.case("told in force")
                 if self.policies.get(outcome.epoch, outcome.digest) != outcome.digest:
-                    self.breaks.append(f"in force: {outcome.id} as epoch {outcome.epoch}, which is another policy")
+                    self.breaks.append(
+                        f"in force: {outcome.id} as epoch {outcome.epoch}, which is another policy"
+                    )
             elif outcome.result is Result.ABORTED:
                 self.case("told aborted")
                 self.aborted.add(outcome.digest)
                 if outcome.digest in self.policies.values():
-                    self.breaks.append(f"nowhere: {outcome.id} was told to be aborted, and its policy was served")
+                    self.breaks.append(
+                        f"nowhere: {outcome.id} was told to be aborted, and its policy was served"
+                    )
             return str(outcome.result)
         return "unmade" if isinstance(answer, Unmade) else "unknown"
 
     def run(self, seconds: float) -> None:
         self.world.run(self.world.now() + seconds)
 
-    def change(self, text: bytes, voter: str | None = None, patience: float = 20.0, seconds: float = 60.0) -> str:
+    def change(
+        self, text: bytes, voter: str | None = None, patience: float = 20.0, seconds: float = 60.0
+    ) -> str:
         """Propose a policy and wait for the outcome, as a tool would: by another voter if one does not answer."""
         result: list[str] = []
         version: list[int] = []
@@ -264,7 +312,11 @@
             return "unknown"
         wanted = Set(f"{version[0]}-{self.random.randrange(10**9)}", text, patience)
         while not result and self.world.now() < end:
-            self.ask(voter or self.random.choice(self.voters), wanted, lambda answer: result.append(self.told(answer)))
+            self.ask(
+                voter or self.random.choice(self.voters),
+                wanted,
+                lambda answer: result.append(self.told(answer)),
+            )
             asked = self.world.now()
             while not result and self.world.now() < min(end, asked + 10.0):
                 self.run(0.05)
--- a/banklift/store/slots.py
+++ b/banklift/store/slots.py
@@ -41,8 +41,15 @@
         self.kind = kind
 
 
-KINDS = {errno.ENOSPC: "full", errno.EDQUOT: "full", errno.EROFS: "read-only", errno.EACCES: "read-only",
-         errno.EPERM: "read-only", errno.ENOENT: "not a folder", errno.ENOTDIR: "not a folder"}
+KINDS = {
+    errno.ENOSPC: "full",
+    errno.EDQUOT: "full",
+    errno.EROFS: "read-only",
+    errno.EACCES: "read-only",
+    errno.EPERM: "read-only",
+    errno.ENOENT: "not a folder",
+    errno.ENOTDIR: "not a folder",
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,10 +72,13 @@
     """Generation and content; None if it is not whole."""
     if len(data) < HEAD + SUM or not data.startswith(MAGIC):
         return None
-    length = int.from_bytes(data[HEAD - 8:HEAD], "big")
-    if len(data) != HEAD + length + SUM or hashlib.blake2b(data[:-SUM], digest_size=SUM).digest() != data[-SUM:]:
+    length = int.from_bytes(data[HEAD - 8 : HEAD], "big")
+    if (
+        len(data) != HEAD + length + SUM
+        or hashlib.blake2b(data[:-SUM], digest_size=SUM).digest() != data[-SUM:]
+    ):
         return None
-    return int.from_bytes(data[len(MAGIC):HEAD - 8], "big"), data[HEAD:-SUM]
+    return int.from_bytes(data[len(MAGIC) : HEAD - 8], "big"), data[HEAD:-SUM]
 
 
 class Slots:
@@ -112,7 +122,7 @@
             try:
                 view = memoryview(pack(generation, content))
                 while view:
-                    view = view[os.write(file, view):]
+                    view = view[os.write(file, view) :]
                 os.fsync(file)
             finally:
                 os.close(file)
--- a/benchmarks/days.py
+++ b/benchmarks/days.py
@@ -1,6 +1,6 @@
 """Every day of trouble on sockets: four router processes, three groups, thousands of sessions; counts kept as a table.
 
-    .venv/bin/python benchmarks/days.py [--sessions 3000] [--rate 400] [--out benchmarks/results/days.json] [DAY ...]
+.venv/bin/python benchmarks/days.py [--sessions 3000] [--rate 400] [--out benchmarks/results/days.json] [DAY ...]
 """
 
 from __future__ import annotations
@@ -23,14 +23,24 @@
 def three_groups(config: Config) -> Config:
     """The example's two groups, and a third one made from the last part of their slots."""
     west, east = config.groups
-    members = [{"name": f"south-{number}", "address": "127.0.0.1:0", "primary": number == 0} for number in range(3)]
+    members = [
+        {"name": f"south-{number}", "address": "127.0.0.1:0", "primary": number == 0} for number in range(3)
+    ]
     south = msgspec.convert({"name": "south", "slots": [[10923, 16383]], "members": members}, Group)
-    return msgspec.structs.replace(config, groups=[
-        msgspec.structs.replace(west, slots=[(0, 5461)]), msgspec.structs.replace(east, slots=[(5462, 10922)]), south])
+    return msgspec.structs.replace(
+        config,
+        groups=[
+            msgspec.structs.replace(west, slots=[(0, 5461)]),
+            msgspec.structs.replace(east, slots=[(5462, 10922)]),
+            south,
+        ],
+    )
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("days", nargs="*")
     parser.add_argument("--sessions", type=int, default=3000)
     parser.add_argument("--rate", type=float, default=400)
@@ -43,21 +53,35 @@
         config = three_groups(config)
         with tempfile.TemporaryDirectory() as folder:
             trace = Path(folder) / "trace"
-            anyio.run(play, day, config, 4, 1, trace, lambda at, text: None, backend_options={"use_uvloop": True})
+            anyio.run(
+                play, day, config, 4, 1, trace, lambda at, text: None, backend_options={"use_uvloop": True}
+            )
             head, entries = read(trace)
         verdict, seen = judge(head, entries), symptoms(head, entries)
         tallies = verdict.tallies.values()
-        rows.append({
-            "day": name, "sessions": given.sessions, "asked": sum(tally.asked for tally in tallies),
-            "served": sum(tally.served for tally in tallies), "refused": sum(tally.refused for tally in tallies),
-            "failed": sum(tally.failed for tally in tallies), "left": sum(tally.left for tally in tallies),
-            "reads judged": sum(tally.reads for tally in tallies),
-            "of these a wrong answer would have been seen": sum(tally.shown for tally in tallies),
-            "of these an old answer would have been seen": sum(tally.aged for tally in tallies),
-            **dict(sorted(verdict.counts.items())), "excused": dict(sorted(verdict.excused.items())),
-            "rules broken": [f"{found.rule}: {found.reason} ({found.rid} at {found.at:.3f})"
-                             for found in verdict.breaks[:5]],
-            "symptoms": {symptom: [round(seen.get(symptom, 0), 1), least] for symptom, least in day.shows.items()}})
+        rows.append(
+            {
+                "day": name,
+                "sessions": given.sessions,
+                "asked": sum(tally.asked for tally in tallies),
+                "served": sum(tally.served for tally in tallies),
+                "refused": sum(tally.refused for tally in tallies),
+                "failed": sum(tally.failed for tally in tallies),
+                "left": sum(tally.left for tally in tallies),
+                "reads judged": sum(tally.reads for tally in tallies),
+                "of these a wrong answer would have been seen": sum(tally.shown for tally in tallies),
+                "of these an old answer would have been seen": sum(tally.aged for tally in tallies),
+                **dict(sorted(verdict.counts.items())),
+                "excused": dict(sorted(verdict.excused.items())),
+                "rules broken": [
+                    f"{found.rule}: {found.reason} ({found.rid} at {found.at:.3f})"
+                    for found in verdict.breaks[:5]
+                ],
+                "symptoms": {
+                    symptom: [round(seen.get(symptom, 0), 1), least] for symptom, least in day.shows.items()
+                },
+            }
+        )
         print(json.dumps(rows[-1]), flush=True)
         given.out.parent.mkdir(exist_ok=True)
         given.out.write_text("[\n" + ",\n".join(json.dumps(row) for row in rows) + "\n]\n")
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -54,7 +54,7 @@
             times = []
             for seed in range(seeds):
                 fleet = started(seed, routers, voters, lease)
-                for name in fleet.names[routers - down:]:
+                for name in fleet.names[routers - down :]:
                     fleet.kill(name)
                 begin = fleet.world.now()
                 assert fleet.change(b"second", patience=3 * lease, seconds=6 * lease) == "in force"
@@ -62,18 +62,24 @@
                 fleet.run(1.0)
                 assert fleet.breaks == [] and set(fleet.serving().values()) == {2}
             found[f"{routers} routers, {voters} voters, {down} down"] = {
-                "seconds, median": round(statistics.median(times), 2), "seconds, most": round(max(times), 2)}
+                "seconds, median": round(statistics.median(times), 2),
+                "seconds, most": round(max(times), 2),
+            }
         fleet = started(1, routers, voters, lease)
         counted.messages = counted.bytes = 0
         fleet.run(60.0)
         found[f"{routers} routers at rest, a minute"] = {
-            "messages a router": round(counted.messages / routers), "bytes a router": round(counted.bytes / routers),
-            "messages a voter": round(counted.messages / voters)}
+            "messages a router": round(counted.messages / routers),
+            "bytes a router": round(counted.bytes / routers),
+            "messages a voter": round(counted.messages / voters),
+        }
     return found
 
 
 if __name__ == "__main__":
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--routers", type=int, nargs="+", default=[5, 40, 230])
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--lease", type=float, default=10.0)
--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -40,11 +40,20 @@
 
     def __init__(self) -> None:
         example = load(EXAMPLE)
-        group = msgspec.structs.replace(example.groups[0], slots=[(0, 16383)], members=[
-            msgspec.structs.replace(member, address=f"m:{number}", primary=number == 0)
-            for number, member in enumerate(example.groups[0].members[:2])])
-        classes = [msgspec.structs.replace(kind, deadline=600.0, aim=300.0 if kind.need.value == "write" else kind.aim)
-                   for kind in example.classes]
+        group = msgspec.structs.replace(
+            example.groups[0],
+            slots=[(0, 16383)],
+            members=[
+                msgspec.structs.replace(member, address=f"m:{number}", primary=number == 0)
+                for number, member in enumerate(example.groups[0].members[:2])
+            ],
+        )
+        classes = [
+            msgspec.structs.replace(
+                kind, deadline=600.0, aim=300.0 if kind.need.value == "write" else kind.aim
+            )
+            for kind in example.classes
+        ]
         limits = msgspec.structs.replace(example.limits, clients=100_000, **LIMITS)
         self.config = msgspec.structs.replace(example, groups=[group], classes=classes, limits=limits)
         self.machine: Machine = build.machine(self.config, 1)
@@ -78,13 +87,18 @@
             elif at >= 0 and part == "APPEND":
                 found += b":1\r\n"
             elif at >= 0 and part == "INFO":
-                text = (f"role:{'master' if primary else 'slave'}\r\nmaster_host:m\r\nmaster_port:0\r\n"
-                        f"master_link_status:up\r\nslave_repl_offset:5\r\nmaster_replid:{HISTORY}\r\n"
-                        f"master_replid2:{'0' * 40}\r\nmaster_repl_offset:5\r\nsecond_repl_offset:-1").encode()
+                text = (
+                    f"role:{'master' if primary else 'slave'}\r\nmaster_host:m\r\nmaster_port:0\r\n"
+                    f"master_link_status:up\r\nslave_repl_offset:5\r\nmaster_replid:{HISTORY}\r\n"
+                    f"master_replid2:{'0' * 40}\r\nmaster_repl_offset:5\r\nsecond_repl_offset:-1"
+                ).encode()
                 found += b"$%d\r\n%b\r\n" % (len(text), text)
             elif at >= 0 and data.find(ROLE) >= 0:
-                found += (b"*3\r\n$6\r\nmaster\r\n:5\r\n*0\r\n" if primary else
-                          b"*5\r\n$5\r\nslave\r\n$1\r\nm\r\n:0\r\n$9\r\nconnected\r\n:5\r\n")
+                found += (
+                    b"*3\r\n$6\r\nmaster\r\n:5\r\n*0\r\n"
+                    if primary
+                    else b"*5\r\n$5\r\nslave\r\n$1\r\nm\r\n:0\r\n$9\r\nconnected\r\n:5\r\n"
+                )
         return found
 
     def wakes(self) -> None:
@@ -141,11 +155,15 @@
     for _ in range(ROUNDS):
         for size, (site, reader, _) in sites.items():
             reads[size].append(site.reads(reader))
-    leavers = {size: site.leave(Random(1).sample(flood, LEAVERS)) for size, (site, _, flood) in sites.items() if size}
+    leavers = {
+        size: site.leave(Random(1).sample(flood, LEAVERS)) for size, (site, _, flood) in sites.items() if size
+    }
     least = {size: min(times) for size, times in reads.items()}
-    return {"read, us": {size: round(1e6 * took, 1) for size, took in least.items()},
-            "read, ratio to none open": {size: round(took / least[0], 2) for size, took in least.items()},
-            "leaver, us": {size: round(1e6 * took, 1) for size, took in leavers.items()}}
+    return {
+        "read, us": {size: round(1e6 * took, 1) for size, took in least.items()},
+        "read, ratio to none open": {size: round(took / least[0], 2) for size, took in least.items()},
+        "leaver, us": {size: round(1e6 * took, 1) for size, took in leavers.items()},
+    }
 
 
 def memory() -> dict[str, int]:
@@ -175,7 +193,9 @@
 
 
 if __name__ == "__main__":
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--keep", action="store_true", help="write the results to benchmarks/results")
     given = parser.parse_args()
     found = measure() | memory()
--- a/benchmarks/machine.py
+++ b/benchmarks/machine.py
@@ -1,6 +1,6 @@
 """What a request costs the machine alone, without sockets: processor time, the least of some rounds.
 
-    .venv/bin/python benchmarks/machine.py [--rounds 12]
+.venv/bin/python benchmarks/machine.py [--rounds 12]
 """
 
 from __future__ import annotations
@@ -60,6 +60,8 @@
 
 
 if __name__ == "__main__":
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--rounds", type=int, default=12)
     main(parser.parse_args().rounds)
--- a/benchmarks/mutate.py
+++ b/benchmarks/mutate.py
@@ -27,10 +27,20 @@
 from random import Random
 
 ROOT = Path(__file__).resolve().parent.parent
-FILES = ("banklift/proxy/machine.py", "banklift/proxy/timers.py", "banklift/decide/offsets.py",
-         "banklift/decide/queues.py", "banklift/resp/front.py")
-TESTS = ("tests/test_machine.py", "tests/test_queues.py", "tests/test_offsets.py", "tests/test_front.py",
-         "tests/test_config.py")
+FILES = (
+    "banklift/proxy/machine.py",
+    "banklift/proxy/timers.py",
+    "banklift/decide/offsets.py",
+    "banklift/decide/queues.py",
+    "banklift/resp/front.py",
+)
+TESTS = (
+    "tests/test_machine.py",
+    "tests/test_queues.py",
+    "tests/test_offsets.py",
+    "tests/test_front.py",
+    "tests/test_config.py",
+)
 CLIENTS = "tests/test_clients.py"  # real clients on sockets, for the front's own commands
 PATIENCE = 120.0  # seconds for the tests or the days of one mutant
 DAYS = """
@@ -62,8 +72,17 @@
         sys.exit(f"random day {seed}")
 """
 SWAPS: dict[type[ast.cmpop], type[ast.cmpop]] = {
-    ast.Lt: ast.LtE, ast.LtE: ast.Lt, ast.Gt: ast.GtE, ast.GtE: ast.Gt, ast.Eq: ast.NotEq, ast.NotEq: ast.Eq,
-    ast.Is: ast.IsNot, ast.IsNot: ast.Is, ast.In: ast.NotIn, ast.NotIn: ast.In}
+    ast.Lt: ast.LtE,
+    ast.LtE: ast.Lt,
+    ast.Gt: ast.GtE,
+    ast.GtE: ast.Gt,
+    ast.Eq: ast.NotEq,
+    ast.NotEq: ast.Eq,
+    ast.Is: ast.IsNot,
+    ast.IsNot: ast.Is,
+    ast.In: ast.NotIn,
+    ast.NotIn: ast.In,
+}
 
 
 def sites(tree: ast.Module) -> Iterator[tuple[int, str]]:
@@ -79,7 +98,9 @@
             yield place, "number"
         elif isinstance(node, ast.Constant) and type(node.value) is bool:
             yield place, "flag"
-        elif (isinstance(node, ast.Expr) and isinstance(node.value, ast.Call)) or isinstance(node, ast.AugAssign):
+        elif (isinstance(node, ast.Expr) and isinstance(node.value, ast.Call)) or isinstance(
+            node, ast.AugAssign
+        ):
             yield place, "drop"
         elif isinstance(node, ast.BinOp) and isinstance(node.op, ast.Add | ast.Sub):
             yield place, "plus-minus"
@@ -117,8 +138,9 @@
     """Empty if it passed; else its last words."""
     env = {**os.environ, "PYTHONPATH": str(folder), "PYTHONDONTWRITEBYTECODE": "1"}
     try:
-        done = subprocess.run([sys.executable, *command], cwd=folder, env=env, timeout=PATIENCE,
-                              capture_output=True, text=True)
+        done = subprocess.run(
+            [sys.executable, *command], cwd=folder, env=env, timeout=PATIENCE, capture_output=True, text=True
+        )
     except subprocess.TimeoutExpired:
         return "timeout"
     if done.returncode == 0:
@@ -145,7 +167,9 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--count", type=int, default=240)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--workers", type=int, default=8)
@@ -158,16 +182,25 @@
         tree, line, change = mutate(trees[name], place, how)
         jobs.append((name, ast.unparse(tree), line, f"{how}: {change}"))
     with ThreadPoolExecutor(given.workers) as pool:
-        found = sorted(pool.map(judge_mutant, jobs), key=lambda one: (str(one["file"]), int(str(one["line"]))))
+        found = sorted(
+            pool.map(judge_mutant, jobs), key=lambda one: (str(one["file"]), int(str(one["line"])))
+        )
     ends = Counter(str(one["end"]) for one in found)
     survivors = [one for one in found if one["end"] == "survived"]
     for one in survivors:
         print(f"{one['file']}:{one['line']}: {one['change']}")
     print(f"{len(places)} places, {len(found)} mutants: {dict(ends)}")
     if given.keep:
-        result = {"places": len(places), "mutants": len(found), "seed": given.seed, "ends": dict(ends),
-                  "by file": {name: dict(Counter(str(one["end"]) for one in found if one["file"] == name))
-                              for name in FILES}, "survivors": survivors}
+        result = {
+            "places": len(places),
+            "mutants": len(found),
+            "seed": given.seed,
+            "ends": dict(ends),
+            "by file": {
+                name: dict(Counter(str(one["end"]) for one in found if one["file"] == name)) for name in FILES
+            },
+            "survivors": survivors,
+        }
         (Path(__file__).with_name("results") / "mutants.json").write_text(json.dumps(result, indent=1) + "\n")
 
 
--- a/benchmarks/pg_machine.py
+++ b/benchmarks/pg_machine.py
@@ -23,27 +23,46 @@
 from banklift.proxy.machine import Machine
 from banklift.proxy.plan import Limits
 
-CLASSES = (io.RequestClass("view", Effect.SAFE, Need.BOUNDED, 0.5, 2.0, 1.0, bound=0.8),
-           io.RequestClass("own", Effect.SAFE, Need.SESSION, 0.5, 1.2, 3.0),
-           io.RequestClass("save", Effect.UNSAFE, Need.WRITE, 1.0, 2.0, 6.0, 0.3))
-SETTINGS = io.Settings(classes=CLASSES, max_attempts=6, may_cancel=True, may_probe=True, max_retry_after=1.0,
-                       must_ask=True, ask_within=6.0, lists_roles=True, answers_carry_position=True,
-                       client_tokens=True, drain_grace=2.0, cold_share=0.3, cold_time=10.0, fall_multiple=3.0,
-                       fall_time=3.0)
+CLASSES = (
+    io.RequestClass("view", Effect.SAFE, Need.BOUNDED, 0.5, 2.0, 1.0, bound=0.8),
+    io.RequestClass("own", Effect.SAFE, Need.SESSION, 0.5, 1.2, 3.0),
+    io.RequestClass("save", Effect.UNSAFE, Need.WRITE, 1.0, 2.0, 6.0, 0.3),
+)
+SETTINGS = io.Settings(
+    classes=CLASSES,
+    max_attempts=6,
+    may_cancel=True,
+    may_probe=True,
+    max_retry_after=1.0,
+    must_ask=True,
+    ask_within=6.0,
+    lists_roles=True,
+    answers_carry_position=True,
+    client_tokens=True,
+    drain_grace=2.0,
+    cold_share=0.3,
+    cold_time=10.0,
+    fall_multiple=3.0,
+    fall_time=3.0,
+)
 STEP = 0.004  # seconds between requests
 
 
 def answer(now: float, primary: bool) -> bytes:
     told = frames.parameter("server_role", "writer" if primary else "reader")
     told += frames.parameter("commit_clock", str(int(now * 1000)))
-    description = frames.message(b"T", b"\0\x01content\0" + b"\0" * 6 + b"\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01")
+    description = frames.message(
+        b"T", b"\0\x01content\0" + b"\0" * 6 + b"\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01"
+    )
     row = frames.message(b"D", b"\0\x01\0\0\0\x08" + b"12345678")
     return description + row + frames.message(b"C", b"SELECT 1\0") + told + frames.READY
 
 
 def usage(now: float, primary: bool) -> bytes:
     text = b"x0=%.3f,x1=%d,inflight=1,queue=0" % (now, primary)
-    description = frames.message(b"T", b"\0\x01usage\0" + b"\0" * 6 + b"\0\0\0\x19\xff\xff\xff\xff\xff\xff\0\0")
+    description = frames.message(
+        b"T", b"\0\x01usage\0" + b"\0" * 6 + b"\0\0\0\x19\xff\xff\xff\xff\xff\xff\0\0"
+    )
     row = frames.message(b"D", b"\0\x01" + len(text).to_bytes(4, "big") + text)
     return description + row + frames.message(b"C", b"SHOW\0") + frames.READY
 
@@ -52,16 +71,25 @@
     """One machine, three groups of three nodes that answer after a while."""
 
     def __init__(self) -> None:
-        self.machine = Machine(SETTINGS, Limits(pipeline=16), 0, 1, PgWire(),
-                               lambda core: PgFront(core, SETTINGS, core.limits, 2.0))
+        self.machine = Machine(
+            SETTINGS,
+            Limits(pipeline=16),
+            0,
+            1,
+            PgWire(),
+            lambda core: PgFront(core, SETTINGS, core.limits, 2.0),
+        )
         self.now = 1000.0
         self.links: dict[int, str] = {}
         self.soon: list[tuple[float, int, ev.Event]] = []
         self.count = 0
         self.served = 0
         self.spent = 0.0
-        members = tuple(ev.Listed(f"s{group}{place}", group, f"s{group}{place}:1", State.READY, place == 0)
-                        for group in range(3) for place in range(3))
+        members = tuple(
+            ev.Listed(f"s{group}{place}", group, f"s{group}{place}:1", State.READY, place == 0)
+            for group in range(3)
+            for place in range(3)
+        )
         self.tell(ev.Roster(members))
 
     def later(self, delay: float, event: ev.Event) -> None:
@@ -132,12 +160,16 @@
         cost = (site.spent - before) / (requests // 4) * 1e6
         held = len(gc.get_objects())
         size = f", {tracemalloc.get_traced_memory()[0]:,} bytes" if trace else ""
-        print(f"quarter {quarter + 1}: {cost:.0f} us a request, {held:,} objects{size}, "
-              f"{len(site.machine.timers)} timers, {site.machine.timers.room} places, served {site.served}")
+        print(
+            f"quarter {quarter + 1}: {cost:.0f} us a request, {held:,} objects{size}, "
+            f"{len(site.machine.timers)} timers, {site.machine.timers.room} places, served {site.served}"
+        )
     print(f"after a full collection: {gc.collect():,} found, {len(gc.get_objects()):,} objects left")
 
 
 if __name__ == "__main__":
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--requests", type=int, default=20_000)
     main(parser.parse_args().requests)
