--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -29,8 +29,13 @@
 import uvloop
 
 ROLE = b"*3\r\n$6\r\nmaster\r\n:1000\r\n*0\r\n"
-INFO = ("# Replication\r\nrole:master\r\nmaster_replid:" + "a" * 40 + "\r\nmaster_replid2:" + "0" * 40 +
-        "\r\nmaster_repl_offset:1000\r\nsecond_repl_offset:-1\r\n").encode()
+INFO = (
+    "# Replication\r\nrole:master\r\nmaster_replid:"
+    + "a" * 40
+    + "\r\nmaster_replid2:"
+    + "0" * 40
+    + "\r\nmaster_repl_offset:1000\r\nsecond_repl_offset:-1\r\n"
+).encode()
 CASES = [(1, 1), (64, 1), (512, 1), (1, 16), (64, 16), (512, 16)]  # clients, pipeline
 VALUE = b"$32\r\n" + b"v" * 32 + b"\r\n"
 GET = b"*2\r\n$3\r\nGET\r\n$7\r\nalert:1\r\n"
@@ -80,7 +85,11 @@
         await sink.aclose()
 
     async def handle(client: anyio.abc.ByteStream) -> None:
-        async with client, await anyio.connect_tcp("127.0.0.1", port) as member, anyio.create_task_group() as tasks:
+        async with (
+            client,
+            await anyio.connect_tcp("127.0.0.1", port) as member,
+            anyio.create_task_group() as tasks,
+        ):
             tasks.start_soon(copy, client, member)
             tasks.start_soon(copy, member, client)
 
@@ -150,18 +159,32 @@
 def configuration(port: int) -> dict[str, Any]:
     """One member, one class that any member may serve, aims that refuse nothing."""
     return {
-        "listen": "127.0.0.1:0", "default_read": "any", "default_write": "save", "limits": {"links": 600},
-        "groups": [{"name": "g", "slots": [[0, 16383]],
-                    "members": [{"name": "m", "address": f"127.0.0.1:{port}", "primary": True}]}],
-        "classes": [{"name": "any", "effect": "safe", "need": "any", "aim": 5, "deadline": 10},
-                    {"name": "save", "effect": "unsafe", "need": "write", "aim": 1, "deadline": 5}]}
+        "listen": "127.0.0.1:0",
+        "default_read": "any",
+        "default_write": "save",
+        "limits": {"links": 600},
+        "groups": [
+            {
+                "name": "g",
+                "slots": [[0, 16383]],
+                "members": [{"name": "m", "address": f"127.0.0.1:{port}", "primary": True}],
+            }
+        ],
+        "classes": [
+            {"name": "any", "effect": "safe", "need": "any", "aim": 5, "deadline": 10},
+            {"name": "save", "effect": "unsafe", "need": "write", "aim": 1, "deadline": 5},
+        ],
+    }
 
 
 def router(port: int, folder: Path) -> tuple[subprocess.Popen[bytes], int]:
     path = folder / "router.json"
     path.write_text(json.dumps(configuration(port)))
-    process = subprocess.Popen([sys.executable, "-m", "banklift", "router", "--config", str(path)],
-                               stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "banklift", "router", "--config", str(path)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+    )
     assert process.stdout is not None
     return process, int(json.loads(process.stdout.readline())["listening"].rpartition(":")[2])
 
@@ -200,7 +223,9 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--seconds", type=float, default=2.0)
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--out", type=Path, default=Path(__file__).with_name("results") / "relay.json")
@@ -216,19 +241,35 @@
             for clients, depth in CASES:
                 figures: dict[str, list[tuple[float, float, int]]] = {"router": [], "relay": [], "direct": []}
                 for _ in range(given.rounds):
-                    for name, port in (("router", router_port), ("relay", relay_port), ("direct", member_port)):
+                    for name, port in (
+                        ("router", router_port),
+                        ("relay", relay_port),
+                        ("direct", member_port),
+                    ):
                         loader, pipe = start(load, port, clients, depth, given.seconds)
                         figures[name].append(pipe.recv())
                         loader.join()
-                rate = {name: statistics.median(rate for rate, _, _ in found) for name, found in figures.items()}
-                wait = {name: statistics.median(wait for _, wait, _ in found) for name, found in figures.items()}
+                rate = {
+                    name: statistics.median(rate for rate, _, _ in found) for name, found in figures.items()
+                }
+                wait = {
+                    name: statistics.median(wait for _, wait, _ in found) for name, found in figures.items()
+                }
                 added = (wait["router"] - wait["direct"]) / max(wait["relay"] - wait["direct"], 1e-9)
-                rows.append({"clients": clients, "pipeline": depth, "router/s": round(rate["router"]),
-                             "relay/s": round(rate["relay"]),
-                             "throughput ratio": round(rate["router"] / rate["relay"], 2),
-                             "added latency ratio": round(added, 2), "router ms": round(1000 * wait["router"], 3),
-                             "relay ms": round(1000 * wait["relay"], 3), "direct ms": round(1000 * wait["direct"], 3),
-                             "refused": sum(refused for _, _, refused in figures["router"])})
+                rows.append(
+                    {
+                        "clients": clients,
+                        "pipeline": depth,
+                        "router/s": round(rate["router"]),
+                        "relay/s": round(rate["relay"]),
+                        "throughput ratio": round(rate["router"] / rate["relay"], 2),
+                        "added latency ratio": round(added, 2),
+                        "router ms": round(1000 * wait["router"], 3),
+                        "relay ms": round(1000 * wait["relay"], 3),
+                        "direct ms": round(1000 * wait["direct"], 3),
+                        "refused": sum(refused for _, _, refused in figures["router"]),
+                    }
+                )
                 print(rows[-1], flush=True)
         finally:
             process.terminate()
@@ -236,9 +277,14 @@
     bare.terminate()
     member.terminate()
     idle, opened = memory()
-    result = {"machine": f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}",
-              "seconds": given.seconds, "rounds": given.rounds, "cases": rows,
-              "bytes for an idle client": round(idle), "bytes more for an open request": round(opened)}
+    result = {
+        "machine": f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}",
+        "seconds": given.seconds,
+        "rounds": given.rounds,
+        "cases": rows,
+        "bytes for an idle client": round(idle),
+        "bytes more for an open request": round(opened),
+    }
     given.out.parent.mkdir(exist_ok=True)
     given.out.write_text(json.dumps(result, indent=1) + "\n")
     print(result)
--- a/benchmarks/service.py
+++ b/benchmarks/service.py
@@ -28,15 +28,58 @@
 
 SETTINGS = {
     "services": [
-        {"name": "view", "semantics": "retryable", "aim_s": 0.5, "deadline_s": 2.0, "points": 1, "late_worth": 0},
-        {"name": "own", "semantics": "retryable", "aim_s": 0.5, "deadline_s": 1.2, "points": 3, "late_worth": 0},
-        {"name": "save", "semantics": "fragile", "aim_s": 1.0, "deadline_s": 2.0, "points": 6, "late_worth": 0.3}],
-    "family_info": {"class_read": ["recent", "own_writes", "update"], "staleness_bound_s": [0.8, 0, 0],
-                    "role_in_list": "initial", "stamps": True, "token_mode": "client"},
-    "tenants": [{"name": "acme", "share": 1.0}], "membership_mode": "subscribe", "balancers": 1,
-    "allowed": {"max_attempts": 6, "may_cancel": True, "probing": True, "retry_after": True, "max_retry_after_s": 1.0},
-    "rules": {"ask_within_s": 10.0, "drain_grace_s": 2.0, "cold_share": 0.3, "cold_s": 10.0, "fall_multiple": 3.0,
-              "fall_s": 3.0, "grace_to_answer_s": 0.0}}
+        {
+            "name": "view",
+            "semantics": "retryable",
+            "aim_s": 0.5,
+            "deadline_s": 2.0,
+            "points": 1,
+            "late_worth": 0,
+        },
+        {
+            "name": "own",
+            "semantics": "retryable",
+            "aim_s": 0.5,
+            "deadline_s": 1.2,
+            "points": 3,
+            "late_worth": 0,
+        },
+        {
+            "name": "save",
+            "semantics": "fragile",
+            "aim_s": 1.0,
+            "deadline_s": 2.0,
+            "points": 6,
+            "late_worth": 0.3,
+        },
+    ],
+    "family_info": {
+        "class_read": ["recent", "own_writes", "update"],
+        "staleness_bound_s": [0.8, 0, 0],
+        "role_in_list": "initial",
+        "stamps": True,
+        "token_mode": "client",
+    },
+    "tenants": [{"name": "acme", "share": 1.0}],
+    "membership_mode": "subscribe",
+    "balancers": 1,
+    "allowed": {
+        "max_attempts": 6,
+        "may_cancel": True,
+        "probing": True,
+        "retry_after": True,
+        "max_retry_after_s": 1.0,
+    },
+    "rules": {
+        "ask_within_s": 10.0,
+        "drain_grace_s": 2.0,
+        "cold_share": 0.3,
+        "cold_s": 10.0,
+        "fall_multiple": 3.0,
+        "fall_s": 3.0,
+        "grace_to_answer_s": 0.0,
+    },
+}
 
 
 class Caller(Peer):
@@ -97,7 +140,9 @@
         note = f"/* id={self.asked:016x},c={kind},t=acme,d=2000,cluster={self.asked % 3} */"
         text = f"SELECT content FROM kv WHERE name = 'k{self.asked}' {note}"
         if kind == "save":
-            text = f"INSERT INTO kv (name, content) VALUES ('k{self.asked}', '\\x9f03') RETURNING content {note}"
+            text = (
+                f"INSERT INTO kv (name, content) VALUES ('k{self.asked}', '\\x9f03') RETURNING content {note}"
+            )
         if self.idle and self.asked % 8:
             self.idle.popleft().ask(text.encode(), False)
         else:
@@ -126,17 +171,29 @@
                 catalogue.list(f"s{group}{place}", node.address, group, writes=place == 0)
         with tempfile.TemporaryDirectory() as folder:
             listen = "127.0.0.1:47411"
-            config = {"name": "n0", "listen": listen, "discovery": catalogue.address, "seed": "1f",
-                      "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "known": catalogue.whole(),
-                      "settings": SETTINGS}
+            config = {
+                "name": "n0",
+                "listen": listen,
+                "discovery": catalogue.address,
+                "seed": "1f",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+                "known": catalogue.whole(),
+                "settings": SETTINGS,
+            }
             path = os.path.join(folder, "config.json")
             with open(path, "w") as file:
                 json.dump(config, file)
-            environment = {**os.environ, "ROUTER_NAME": "n0", "ROUTER_LISTEN": listen,
-                           "ROUTER_DISCOVERY": catalogue.address, "ROUTER_CONFIG": path}
+            environment = {
+                **os.environ,
+                "ROUTER_NAME": "n0",
+                "ROUTER_LISTEN": listen,
+                "ROUTER_DISCOVERY": catalogue.address,
+                "ROUTER_CONFIG": path,
+            }
             how = ["-m", "cProfile", "-o", profile, "-m"] if profile else ["-m"]
-            process = subprocess.Popen([sys.executable, *how, "banklift.net.service"], env=environment,
-                                       stderr=subprocess.DEVNULL)
+            process = subprocess.Popen(
+                [sys.executable, *how, "banklift.net.service"], env=environment, stderr=subprocess.DEVNULL
+            )
             await anyio.sleep(1.0)
             load = Load(env, listen, rate)
             load.next()
@@ -144,13 +201,17 @@
                 before, served = spent(process.pid)[0], load.asked
                 await anyio.sleep(seconds / 4)
                 cpu, resident = spent(process.pid)
-                print(f"quarter {quarter + 1}: {(cpu - before) / (load.asked - served) * 1e6:.0f} us a request, "
-                      f"{resident / 1024:.1f} MB")
+                print(
+                    f"quarter {quarter + 1}: {(cpu - before) / (load.asked - served) * 1e6:.0f} us a request, "
+                    f"{resident / 1024:.1f} MB"
+                )
             load.stopped = True
             load.times.sort()
             middle, late = (load.times[len(load.times) * part // 100] * 1000 for part in (50, 99))
-            print(f"asked {load.asked}, served {load.served}, refused {load.refused}, median {middle:.1f} ms, "
-                  f"99% {late:.1f} ms")
+            print(
+                f"asked {load.asked}, served {load.served}, refused {load.refused}, median {middle:.1f} ms, "
+                f"99% {late:.1f} ms"
+            )
             process.terminate()
             with anyio.move_on_after(10):
                 while process.poll() is None:
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -23,16 +23,26 @@
 from banklift.net.router import RouterHost
 from banklift.net.sockets import SocketEnv
 
-PLACES = [("banklift/balance", "decisions"), ("banklift/decide", "decisions"), ("random.py", "decisions"),
-          ("banklift/resp", "codec and front"), ("banklift/proxy", "requests, attempts, links"),
-          ("banklift/net", "I/O"), ("anyio", "I/O"), ("uvloop", "I/O"), ("asyncio", "I/O")]
+PLACES = [
+    ("banklift/balance", "decisions"),
+    ("banklift/decide", "decisions"),
+    ("random.py", "decisions"),
+    ("banklift/resp", "codec and front"),
+    ("banklift/proxy", "requests, attempts, links"),
+    ("banklift/net", "I/O"),
+    ("anyio", "I/O"),
+    ("uvloop", "I/O"),
+    ("asyncio", "I/O"),
+]
 
 
 def place(file: str, name: str) -> str:
     for part, kind in PLACES:
         if part in file:
             return kind
-    return "I/O" if any(word in name for word in ("socket", "epoll", "Future", "loop")) else "built-in functions"
+    return (
+        "I/O" if any(word in name for word in ("socket", "epoll", "Future", "loop")) else "built-in functions"
+    )
 
 
 async def profile(given: argparse.Namespace, folder: Path) -> dict[str, object]:
@@ -45,8 +55,9 @@
         host = RouterHost(SocketEnv(tasks), machine, "127.0.0.1:0", lambda event, fields: None)
         host.tell(build.roster(config, config.groups, 0.0))
         profiler = cProfile.Profile()
-        loader, pipe = relay.start(relay.load, int(host.address.rpartition(":")[2]), given.clients, given.pipeline,
-                                   given.seconds)
+        loader, pipe = relay.start(
+            relay.load, int(host.address.rpartition(":")[2]), given.clients, given.pipeline, given.seconds
+        )
         profiler.enable()
         while not pipe.poll():
             await anyio.sleep(0.05)
@@ -59,12 +70,19 @@
     for (file, _, name), (_, _, own, _, _) in pstats.Stats(profiler).stats.items():  # type: ignore[attr-defined]
         times[place(file, name)] += own
     total = sum(times.values())
-    return {"clients": given.clients, "pipeline": given.pipeline, "requests a second, profiled": round(rate),
-            "refused": refused, "shares": {name: round(own / total, 2) for name, own in times.most_common()}}
+    return {
+        "clients": given.clients,
+        "pipeline": given.pipeline,
+        "requests a second, profiled": round(rate),
+        "refused": refused,
+        "shares": {name: round(own / total, 2) for name, own in times.most_common()},
+    }
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--clients", type=int, default=64)
     parser.add_argument("--pipeline", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=4.0)
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -29,8 +29,14 @@
 def making(kind: type[Machine], front: type[RespFront] = RespFront) -> Make:
     def make(config: Config, seed: int) -> Machine:
         honest = build.machine(config, seed)
-        return kind(honest.balancer.settings, config.limits, len(config.groups), seed, honest.wire,
-                    lambda core: front(config, core))
+        return kind(
+            honest.balancer.settings,
+            config.limits,
+            len(config.groups),
+            seed,
+            honest.wire,
+            lambda core: front(config, core),
+        )
 
     return make
 
@@ -39,8 +45,10 @@
     """A router whose file says something else of some classes than the honest one."""
 
     def make(config: Config, seed: int) -> Machine:
-        classes = [msgspec.structs.replace(kind, **changes.get(kind.name.replace("-", "_"), {}))
-                   for kind in config.classes]
+        classes = [
+            msgspec.structs.replace(kind, **changes.get(kind.name.replace("-", "_"), {}))
+            for kind in config.classes
+        ]
         return build.machine(msgspec.structs.replace(config, classes=classes), seed)
 
     return make
@@ -306,8 +314,11 @@
 
     def _flush(self, state: Client) -> None:
         line = list(state.line)
-        if (len(line) > 1 and all(place.answer is not None and place.request is not None for place in line)
-                and all(str(place.answer)[2] in "$*" for place in line)):
+        if (
+            len(line) > 1
+            and all(place.answer is not None and place.request is not None for place in line)
+            and all(str(place.answer)[2] in "$*" for place in line)
+        ):
             answers = [place.answer for place in line]
             for place, answer in zip(line, answers[-1:] + answers[:-1], strict=True):
                 place.answer = answer
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -18,18 +18,68 @@
 
 SETTINGS: dict[str, Any] = {
     "services": [
-        {"name": "view", "semantics": "retryable", "aim_s": 0.5, "deadline_s": 2.0, "points": 1, "late_worth": 0},
-        {"name": "own", "semantics": "retryable", "aim_s": 0.5, "deadline_s": 1.2, "points": 3, "late_worth": 0},
-        {"name": "any", "semantics": "retryable", "aim_s": 0.5, "deadline_s": 1.2, "points": 3, "late_worth": 0},
-        {"name": "save", "semantics": "fragile", "aim_s": 1.0, "deadline_s": 2.0, "points": 6, "late_worth": 0.3}],
-    "family_info": {"class_read": ["recent", "own_writes", "loose", "update"],
-                    "staleness_bound_s": [0.8, 0, 0, 0], "role_in_list": "initial", "stamps": True,
-                    "token_mode": "client"},
-    "tenants": [{"name": "acme", "share": 1.0}], "membership_mode": "subscribe", "balancers": 1,
-    "allowed": {"max_attempts": 6, "may_cancel": True, "probing": True, "retry_after": True, "max_retry_after_s": 1.0,
-                "conn_idle_s": 30.0, "connect_timeout_s": 0.25},
-    "rules": {"ask_within_s": 10.0, "drain_grace_s": 2.0, "cold_share": 0.3, "cold_s": 10.0, "fall_multiple": 3.0,
-              "fall_s": 3.0, "grace_to_answer_s": 0.0}}
+        {
+            "name": "view",
+            "semantics": "retryable",
+            "aim_s": 0.5,
+            "deadline_s": 2.0,
+            "points": 1,
+            "late_worth": 0,
+        },
+        {
+            "name": "own",
+            "semantics": "retryable",
+            "aim_s": 0.5,
+            "deadline_s": 1.2,
+            "points": 3,
+            "late_worth": 0,
+        },
+        {
+            "name": "any",
+            "semantics": "retryable",
+            "aim_s": 0.5,
+            "deadline_s": 1.2,
+            "points": 3,
+            "late_worth": 0,
+        },
+        {
+            "name": "save",
+            "semantics": "fragile",
+            "aim_s": 1.0,
+            "deadline_s": 2.0,
+            "points": 6,
+            "late_worth": 0.3,
+        },
+    ],
+    "family_info": {
+        "class_read": ["recent", "own_writes", "loose", "update"],
+        "staleness_bound_s": [0.8, 0, 0, 0],
+        "role_in_list": "initial",
+        "stamps": True,
+        "token_mode": "client",
+    },
+    "tenants": [{"name": "acme", "share": 1.0}],
+    "membership_mode": "subscribe",
+    "balancers": 1,
+    "allowed": {
+        "max_attempts": 6,
+        "may_cancel": True,
+        "probing": True,
+        "retry_after": True,
+        "max_retry_after_s": 1.0,
+        "conn_idle_s": 30.0,
+        "connect_timeout_s": 0.25,
+    },
+    "rules": {
+        "ask_within_s": 10.0,
+        "drain_grace_s": 2.0,
+        "cold_share": 0.3,
+        "cold_s": 10.0,
+        "fall_multiple": 3.0,
+        "fall_s": 3.0,
+        "grace_to_answer_s": 0.0,
+    },
+}
 
 
 class Caller(Peer):
@@ -67,7 +117,7 @@
         found, pos = [], 0
         while pos < len(data):
             (length,) = struct.unpack_from("!I", data, pos + 1)
-            found.append((chr(data[pos]), data[pos + 5:pos + 1 + length]))
+            found.append((chr(data[pos]), data[pos + 5 : pos + 1 + length]))
             pos += 1 + length
         return found
 
@@ -79,19 +129,36 @@
 class Site:
     """One group: a primary p and two replicas r1, r2; one router."""
 
-    def __init__(self, sockets: int = 256, delay: float = 0.0, world: World | None = None,
-                 settings: dict[str, Any] = SETTINGS) -> None:
+    def __init__(
+        self,
+        sockets: int = 256,
+        delay: float = 0.0,
+        world: World | None = None,
+        settings: dict[str, Any] = SETTINGS,
+    ) -> None:
         self.world = world or World(1)
         self.ids = 0
         store: dict[bytes, bytes] = {}
-        self.nodes = {name: PgNode(self.world, f"10.0.0.{place}:6432", name == "p", delay, store).start()
-                      for place, name in enumerate(("p", "r1", "r2"), 1)}
+        self.nodes = {
+            name: PgNode(self.world, f"10.0.0.{place}:6432", name == "p", delay, store).start()
+            for place, name in enumerate(("p", "r1", "r2"), 1)
+        }
         self.catalogue = Catalogue(self.world, "10.9.0.1:8500").start()
         for name, node in self.nodes.items():
             self.catalogue.list(name, node.address, writes=node.primary)
         known = catalogue.convert(self.catalogue.whole())
-        self.start = Start("n0", "10.1.0.1:6432", self.catalogue.address, 5, sockets, known,
-                           parse_settings(settings), 30.0, 0.25, 0.25)
+        self.start = Start(
+            "n0",
+            "10.1.0.1:6432",
+            self.catalogue.address,
+            5,
+            sockets,
+            known,
+            parse_settings(settings),
+            30.0,
+            0.25,
+            0.25,
+        )
         self.notes: list[tuple[str, dict[str, object]]] = []
         self.service = Service(cast(SocketEnv, self.world), self.start, {}, self.note)
         self.machine, self.host = self.service.machine, self.service.host
@@ -108,17 +175,24 @@
 
     def comment(self, kind: str, patience: int = 2000, **more: object) -> str:
         self.ids += 1
-        rest = "".join(f",{name}={value}" for name, value in more.items() if name not in ("id", "cluster", "t"))
-        return (f"/* id={more.get('id', f'{self.ids:016x}')},c={kind},t={more.get('t', 'acme')},d={patience},"
-                f"cluster={more.get('cluster', 0)}{rest} */")
+        rest = "".join(
+            f",{name}={value}" for name, value in more.items() if name not in ("id", "cluster", "t")
+        )
+        return (
+            f"/* id={more.get('id', f'{self.ids:016x}')},c={kind},t={more.get('t', 'acme')},d={patience},"
+            f"cluster={more.get('cluster', 0)}{rest} */"
+        )
 
     def read(self, kind: str = "view", key: str = "k", patience: int = 2000, **more: object) -> str:
         return f"SELECT content FROM kv WHERE name = '{key}' {self.comment(kind, patience, **more)}"
 
-    def write(self, key: str = "k", value: str = "9f03", kind: str = "save", patience: int = 2000,
-              **more: object) -> str:
-        return (f"INSERT INTO kv (name, content) VALUES ('{key}', '\\x{value}') RETURNING content "
-                f"{self.comment(kind, patience, **more)}")
+    def write(
+        self, key: str = "k", value: str = "9f03", kind: str = "save", patience: int = 2000, **more: object
+    ) -> str:
+        return (
+            f"INSERT INTO kv (name, content) VALUES ('{key}', '\\x{value}') RETURNING content "
+            f"{self.comment(kind, patience, **more)}"
+        )
 
     def run_later(self, seconds: float, call: Callable[[], None]) -> None:
         self.world.at(self.world.now() + seconds, call)
--- a/tests/surroundings.py
+++ b/tests/surroundings.py
@@ -11,11 +11,14 @@
 from banklift.net.env import Peer
 from banklift.net.sockets import SocketEnv
 
-PATIENCE = 20.0  # seconds after which what has not come does not come; no verdict hangs on it where all is well
+PATIENCE = (
+    20.0  # seconds after which what has not come does not come; no verdict hangs on it where all is well
+)
 
 
 def run(act: Callable[[SocketEnv], Callable[[], bool]], alone: bool = True) -> None:
     """Let `act` begin, and run until what it returned is true."""
+
     async def play() -> None:
         async with anyio.create_task_group() as tasks:
             env = SocketEnv(tasks, alone=alone)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -140,9 +140,20 @@
 
 def test_the_adapter_needs_nothing_else() -> None:
     """It starts where only the standard library is installed."""
-    code = ("import sys, banklift.adapter; "
-            "print([name for name in sys.modules if name.startswith('banklift.') or name in ('anyio', 'msgspec')])")
-    found = subprocess.run([sys.executable, "-S", "-c", code], capture_output=True, text=True, check=True,
-                           cwd=Path(__file__).parent.parent).stdout
-    assert sorted(ast.literal_eval(found)) == ["banklift.adapter", "banklift.balance", "banklift.interface",
-                                               "banklift.reasons"]
+    code = (
+        "import sys, banklift.adapter; "
+        "print([name for name in sys.modules if name.startswith('banklift.') or name in ('anyio', 'msgspec')])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-S", "-c", code],
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=Path(__file__).parent.parent,
+    ).stdout
+    assert sorted(ast.literal_eval(found)) == [
+        "banklift.adapter",
+        "banklift.balance",
+        "banklift.interface",
+        "banklift.reasons",
+    ]
--- a/tests/test_adopt.py
+++ b/tests/test_adopt.py
@@ -55,8 +55,10 @@
     rig.ask("SET", "note:1", "a")  # 2 s
     link = rig.up("p:1")
     rig.tell(ev.ClientOpened(2))
-    classes = [msgspec.structs.replace(kind, aim=0.2, deadline=0.3) if kind.name == "note" else kind
-               for kind in rig.config.classes]
+    classes = [
+        msgspec.structs.replace(kind, aim=0.2, deadline=0.3) if kind.name == "note" else kind
+        for kind in rig.config.classes
+    ]
     change(rig, classes=classes)
     rig.ask("SET", "note:2", "b", client=2)
     rig.wait(0.5)
@@ -96,8 +98,14 @@
         assert rig.answer(client) == b"+OK\r\n"
     rig.ask("GET", "alert:1")
     link = rig.up("r:1")
-    rig.tell(build.adopt(rig.config, msgspec.structs.replace(
-        before, users=[User(name="ann", password="two"), User(name="bob", password="b")])))
+    rig.tell(
+        build.adopt(
+            rig.config,
+            msgspec.structs.replace(
+                before, users=[User(name="ann", password="two"), User(name="bob", password="b")]
+            ),
+        )
+    )
     assert rig.closed_clients == []
     rig.tell(ev.LinkData(link, info(False, 5) + b"$1\r\nx\r\n"))
     assert rig.answer() == b"$1\r\nx\r\n" and rig.closed_clients == [1]
@@ -137,16 +145,22 @@
     assert b"nothing ran" not in rig.answer(4)
 
 
-@pytest.mark.parametrize(("text", "reason"), [
-    (b"{", "$: not JSON"),
-    (b'{"listen": "x:1"}', "$.listen: a policy can't change it: a router listens where it was started"),
-    (b'{"groups": []}', "$.groups: a policy can't change it: members come from the roster"),
-    (b'{"fleet": {}}', "$.fleet: a policy can't change it"),
-    (b'{"classs": []}', "$: Object contains unknown field `classs`"),
-    (b'{"default_read": "a", "default_write": "b"}', "$: Object missing required field `classes`"),
-    (b'{"classes": [{"name": "a", "effect": "safe", "need": "any", "aim": 2, "deadline": 1}], "default_read": "a", '
-     b'"default_write": "a"}', "$.classes[0].aim: 2 s is beyond the deadline of 1 s"),
-])
+@pytest.mark.parametrize(
+    ("text", "reason"),
+    [
+        (b"{", "$: not JSON"),
+        (b'{"listen": "x:1"}', "$.listen: a policy can't change it: a router listens where it was started"),
+        (b'{"groups": []}', "$.groups: a policy can't change it: members come from the roster"),
+        (b'{"fleet": {}}', "$.fleet: a policy can't change it"),
+        (b'{"classs": []}', "$: Object contains unknown field `classs`"),
+        (b'{"default_read": "a", "default_write": "b"}', "$: Object missing required field `classes`"),
+        (
+            b'{"classes": [{"name": "a", "effect": "safe", "need": "any", "aim": 2, "deadline": 1}], '
+            b'"default_read": "a", "default_write": "a"}',
+            "$.classes[0].aim: 2 s is beyond the deadline of 1 s",
+        ),
+    ],
+)
 def test_a_bad_policy_is_refused_with_its_place(text: bytes, reason: str) -> None:
     found = policy.against(Rig().config, text, 1024)
     assert any(one.startswith(reason) for one in found), found
@@ -162,6 +176,10 @@
 
 def test_clients_that_are_stated_have_to_fit_the_descriptors() -> None:
     rig = Rig()
-    stated = policy.encode(msgspec.structs.replace(policy.decode(policy.of(rig.config)), limits=Limits(clients=5000)))
-    assert policy.against(rig.config, stated, 1024)[0].startswith("$.limits.clients: 5000 clients, and this process")
+    stated = policy.encode(
+        msgspec.structs.replace(policy.decode(policy.of(rig.config)), limits=Limits(clients=5000))
+    )
+    assert policy.against(rig.config, stated, 1024)[0].startswith(
+        "$.limits.clients: 5000 clients, and this process"
+    )
     assert policy.against(rig.config, stated, 65536) == ()
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -49,10 +49,21 @@
     RequestClass("recent", Effect.SAFE, Need.BOUNDED, aim=0.5, deadline=2.0, worth=1.0, bound=0.8),
     RequestClass("loose", Effect.SAFE, Need.ANY, aim=0.5, deadline=2.0, worth=1.0),
 )
-SETTINGS = Settings(classes=CLASSES, max_attempts=6, may_cancel=True, may_probe=True,
-                    answers_carry_position=True, client_tokens=True, lists_roles=True,
-                    drain_grace=1.0, cold_share=0.2, cold_time=18.0,
-                    fall_multiple=3.0, fall_time=3.0, max_retry_after=1.0)
+SETTINGS = Settings(
+    classes=CLASSES,
+    max_attempts=6,
+    may_cancel=True,
+    may_probe=True,
+    answers_carry_position=True,
+    client_tokens=True,
+    lists_roles=True,
+    drain_grace=1.0,
+    cold_share=0.2,
+    cold_time=18.0,
+    fall_multiple=3.0,
+    fall_time=3.0,
+    max_retry_after=1.0,
+)
 T0 = 1000.0
 MEMBERS = tuple(Entry(name, 1, primary=name == "p") for name in ("p", "r1", "r2", "r3"))
 
@@ -60,8 +71,9 @@
 class Bench:
     """One balancer and a clock; keeps timers and numbers requests."""
 
-    def __init__(self, settings: Settings = SETTINGS, members: Iterable[Entry] = MEMBERS,
-                 seed: int = 7) -> None:
+    def __init__(
+        self, settings: Settings = SETTINGS, members: Iterable[Entry] = MEMBERS, seed: int = 7
+    ) -> None:
         self.balancer = Balancer(settings, seed)
         self.now = T0
         self.timers: list[tuple[float, int]] = []
@@ -79,8 +91,15 @@
         self.ids += 1
         return self.do(Request(self.ids, kind, 1, self.now + left, **more))  # type: ignore[arg-type]
 
-    def answer(self, request: int, member: str, status: Status = Status.OK, attempt: int = 0,
-               primary: bool | None = None, position: float | None = None) -> list[Action]:
+    def answer(
+        self,
+        request: int,
+        member: str,
+        status: Status = Status.OK,
+        attempt: int = 0,
+        primary: bool | None = None,
+        position: float | None = None,
+    ) -> list[Action]:
         finished = status is Status.OK
         return self.do(Outcome(request, attempt, member, status, finished, 0.01, primary, position))
 
@@ -124,10 +143,10 @@
     bench.positions()
     bench.now += 5.0
     actions = bench.ask("loose")
-    first, = (probe.member for probe in of(Probe, actions))
+    (first,) = (probe.member for probe in of(Probe, actions))
     assert first != "p" and not of(Send, actions)
     actions = bench.do(Probed(first, True, 0.001, Report(bench.now, False, in_flight=13.0)))
-    second, = (probe.member for probe in of(Probe, actions))  # only because the first is crowded
+    (second,) = (probe.member for probe in of(Probe, actions))  # only because the first is crowded
     assert targets(bench.do(Probed(second, True, 0.001, Report(bench.now, False, in_flight=5.0)))) == [second]
 
 
@@ -135,7 +154,7 @@
     bench = Bench()
     bench.positions()
     bench.now += 5.0
-    first, = (probe.member for probe in of(Probe, bench.ask("loose")))
+    (first,) = (probe.member for probe in of(Probe, bench.ask("loose")))
     actions = bench.do(Probed(first, True, 0.001, Report(bench.now, False, in_flight=0.0)))
     assert targets(actions) == [first] and not of(Probe, actions)
 
@@ -153,7 +172,7 @@
 def test_gone_members_are_dropped_and_served_again_when_they_return() -> None:
     bench = Bench()
     bench.positions()
-    target, = targets(bench.ask("loose"))
+    (target,) = targets(bench.ask("loose"))
     entry = next(entry for entry in MEMBERS if entry.member == target)
     for turn in range(20):
         bench.do(Listing(ListKind.CHANGES, (Entry(f"new{turn}", 1), replace(entry, state=State.GONE))))
@@ -170,8 +189,8 @@
     bench = Bench()
     bench.positions()
     bench.now += 5.0
-    first, = (probe.member for probe in of(Probe, bench.ask("loose")))
-    second, = (probe.member for probe in of(Probe, bench.run(0.1)))
+    (first,) = (probe.member for probe in of(Probe, bench.ask("loose")))
+    (second,) = (probe.member for probe in of(Probe, bench.run(0.1)))
     assert second != first
     assert targets(bench.do(Probed(second, True, 0.001, Report(bench.now, False)))) == [second]
 
@@ -480,25 +499,45 @@
     bench.ask("write")
     bench.do(Abandoned(1))
     assert not bench.answer(1, "p")
-    for event in (Abandoned(77), Timer(99), Probed("nobody", True, 0.1, Report(position=T0)),
-                  Outcome(77, 0, "p", Status.OK, True, 0.1),
-                  Outcome(77, 3, "nobody", Status.ERROR, False, 0.1)):
+    for event in (
+        Abandoned(77),
+        Timer(99),
+        Probed("nobody", True, 0.1, Report(position=T0)),
+        Outcome(77, 0, "p", Status.OK, True, 0.1),
+        Outcome(77, 3, "nobody", Status.ERROR, False, 0.1),
+    ):
         assert not of(Send, bench.do(event))
 
 
 def test_same_events_same_actions_whatever_the_hash_seed() -> None:
-    script = ("from tests.test_balance import Bench\nb = Bench()\nb.positions()\n"
-              "for i in range(50):\n    b.ask(('loose', 'recent', 'write')[i % 3], session=i)\n"
-              "    b.run(0.05)\nprint(b.log)")
-    runs = [subprocess.run([sys.executable, "-c", script], env={"PYTHONHASHSEED": seed, "PYTHONPATH": "."},
-                           capture_output=True, text=True, check=True).stdout for seed in ("1", "2")]
+    script = (
+        "from tests.test_balance import Bench\nb = Bench()\nb.positions()\n"
+        "for i in range(50):\n    b.ask(('loose', 'recent', 'write')[i % 3], session=i)\n"
+        "    b.run(0.05)\nprint(b.log)"
+    )
+    runs = [
+        subprocess.run(
+            [sys.executable, "-c", script],
+            env={"PYTHONHASHSEED": seed, "PYTHONPATH": "."},
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
+        for seed in ("1", "2")
+    ]
     assert runs[0] == runs[1] and "Send" in runs[0]
 
 
-@pytest.mark.parametrize(("change", "field"), [
-    ({"classes": ()}, "classes"), ({"balancers": 0}, "balancers"), ({"fall_time": -1.0}, "fall_time"),
-    ({"classes": CLASSES + CLASSES[:1]}, "classes"), ({"tenants": (Tenant("t", -1.0, 0.5),)}, "tenants"),
-])
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"classes": ()}, "classes"),
+        ({"balancers": 0}, "balancers"),
+        ({"fall_time": -1.0}, "fall_time"),
+        ({"classes": CLASSES + CLASSES[:1]}, "classes"),
+        ({"tenants": (Tenant("t", -1.0, 0.5),)}, "tenants"),
+    ],
+)
 def test_settings_that_make_no_sense_are_refused(change: dict[str, object], field: str) -> None:
     with pytest.raises(ValueError, match=field):
         replace(SETTINGS, **change)  # type: ignore[arg-type]
@@ -521,8 +560,17 @@
             sends = of(Send, bench.ask(random.choice(("loose", "own", "write", "keyed"))))
         else:
             request, attempt, member = out.pop(random.randrange(len(out)))
-            status = random.choice((Status.OK, Status.OK, Status.TIMEOUT, Status.CANCELLED, Status.RESET, Status.MISS,
-                                    Status.CONNECT_FAILED))
+            status = random.choice(
+                (
+                    Status.OK,
+                    Status.OK,
+                    Status.TIMEOUT,
+                    Status.CANCELLED,
+                    Status.RESET,
+                    Status.MISS,
+                    Status.CONNECT_FAILED,
+                )
+            )
             sends = of(Send, bench.do(Outcome(request, attempt, member, status, status is Status.OK, 0.01)))
         for send in sends:
             pending = bench.balancer.requests[send.request]
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -69,8 +69,10 @@
 
 def patient(config: Config, times: float = 10) -> Config:
     """Deadlines that no machine is too slow for."""
-    classes = [msgspec.structs.replace(kind, aim=times * kind.aim, deadline=times * kind.deadline)
-               for kind in config.classes]
+    classes = [
+        msgspec.structs.replace(kind, aim=times * kind.aim, deadline=times * kind.deadline)
+        for kind in config.classes
+    ]
     return msgspec.structs.replace(config, classes=classes)
 
 
@@ -97,7 +99,9 @@
 
 @pytest.mark.parametrize("proto", [2, 3])
 def test_redis_py(site: Site, proto: int) -> None:
-    with redis.Redis(port=site.port(), protocol=proto, client_name=f"py-{proto}", socket_timeout=20) as client:
+    with redis.Redis(
+        port=site.port(), protocol=proto, client_name=f"py-{proto}", socket_timeout=20
+    ) as client:
         assert client.ping() is True
         assert client.set(f"pick:{proto}", "a") is True
         assert client.get(f"pick:{proto}") == b"a"
@@ -145,9 +149,20 @@
 
 def test_a_bare_reader_gets_its_answers_in_order(site: Site) -> None:
     with site.raw() as sock:
-        sent = b"".join(command(*args) for args in (
-            ("SET", "pick:1", "x"), ("GET", "pick:1"), ("PING",), ("GET", "alert:none"), ("ECHO", "e"),
-            ("APPEND", "pick:1", "y"), ("GET", "pick:none"), ("STRLEN", "pick:1"), ("PING", "last")))
+        sent = b"".join(
+            command(*args)
+            for args in (
+                ("SET", "pick:1", "x"),
+                ("GET", "pick:1"),
+                ("PING",),
+                ("GET", "alert:none"),
+                ("ECHO", "e"),
+                ("APPEND", "pick:1", "y"),
+                ("GET", "pick:none"),
+                ("STRLEN", "pick:1"),
+                ("PING", "last"),
+            )
+        )
         sock.sendall(sent + b"QUIT\r\n")
         reader = hiredis.Reader()
         reader.feed(read_all(sock))
@@ -158,11 +173,16 @@
 def test_the_words_of_refusals(site: Site) -> None:
     with redis.Redis(port=site.port(), socket_timeout=20) as client:
         for args, text in [
-            (("BLPOP", "a", 0), "needs a connection of its own"), (("WATCH", "a"), "needs a connection of its own"),
-            (("SUBSCRIBE", "c"), "needs a connection of its own"), (("NOSUCH", "x"), "unknown command 'NOSUCH'"),
-            (("GET",), "wrong number of arguments for 'get'"), (("SELECT", "1"), "DB index is out of range"),
-            (("EVAL", "return 1", "0", "x"), "keys can't be told"), (("EXEC",), "EXEC without MULTI"),
-            (("DISCARD",), "DISCARD without MULTI"), (("BANKLIFT.SEEN", "x"), "not a token"),
+            (("BLPOP", "a", 0), "needs a connection of its own"),
+            (("WATCH", "a"), "needs a connection of its own"),
+            (("SUBSCRIBE", "c"), "needs a connection of its own"),
+            (("NOSUCH", "x"), "unknown command 'NOSUCH'"),
+            (("GET",), "wrong number of arguments for 'get'"),
+            (("SELECT", "1"), "DB index is out of range"),
+            (("EVAL", "return 1", "0", "x"), "keys can't be told"),
+            (("EXEC",), "EXEC without MULTI"),
+            (("DISCARD",), "DISCARD without MULTI"),
+            (("BANKLIFT.SEEN", "x"), "not a token"),
         ]:
             with pytest.raises(redis.ResponseError, match=text):
                 client.connection_pool.get_connection().disconnect()
@@ -173,8 +193,10 @@
 
 def test_a_unit_is_all_or_nothing(site: Site) -> None:
     with site.raw() as sock:
-        sock.sendall(b"MULTI\r\nSET {u}a 1\r\nNOSUCH\r\nEXEC\r\nGET {u}a\r\nMULTI\r\nEXEC\r\nMULTI\r\nSET {u}a 2\r\n"
-                     b"INCR {u}a\r\nEXEC\r\nMULTI\r\nSET k1 1\r\nSET k2 2\r\nSET k3 3\r\nEXEC\r\nQUIT\r\n")
+        sock.sendall(
+            b"MULTI\r\nSET {u}a 1\r\nNOSUCH\r\nEXEC\r\nGET {u}a\r\nMULTI\r\nEXEC\r\nMULTI\r\nSET {u}a 2\r\n"
+            b"INCR {u}a\r\nEXEC\r\nMULTI\r\nSET k1 1\r\nSET k2 2\r\nSET k3 3\r\nEXEC\r\nQUIT\r\n"
+        )
         lines = read_all(sock).split(b"\r\n")
     assert lines[:2] == [b"+OK", b"+QUEUED"] and lines[2].startswith(b"-ERR unknown command")
     assert lines[3].startswith(b"-EXECABORT") and lines[4] == b"$-1"
@@ -183,11 +205,14 @@
     assert any(line.startswith(b"-CROSSSLOT") for line in lines[13:]) and lines[-3].startswith(b"-EXECABORT")
 
 
-@pytest.mark.parametrize(("sent", "answer"), [
-    (b"*1\r\n:3\r\n", b"-ERR Protocol error: expected '$', got ':'\r\n"),
-    (b"*-5x\r\n", b"-ERR Protocol error: invalid multibulk length\r\n"),
-    (b"PING\r\n*1\r\n$999999999999\r\n", b"+PONG\r\n-ERR Protocol error: invalid bulk length\r\n"),
-])
+@pytest.mark.parametrize(
+    ("sent", "answer"),
+    [
+        (b"*1\r\n:3\r\n", b"-ERR Protocol error: expected '$', got ':'\r\n"),
+        (b"*-5x\r\n", b"-ERR Protocol error: invalid multibulk length\r\n"),
+        (b"PING\r\n*1\r\n$999999999999\r\n", b"+PONG\r\n-ERR Protocol error: invalid bulk length\r\n"),
+    ],
+)
 def test_broken_framing_is_told_and_closed(site: Site, sent: bytes, answer: bytes) -> None:
     with site.raw() as sock:
         sock.sendall(sent)
@@ -197,7 +222,9 @@
 def test_a_client_that_closes_its_side_gets_what_is_under_way(site: Site) -> None:
     with site.raw() as sock:
         sock.sendall(b"SET half 0\r\n")
-        assert sock.recv(5, socket.MSG_WAITALL) == b"+OK\r\n"  # so the next one waits for no word of the primary
+        assert (
+            sock.recv(5, socket.MSG_WAITALL) == b"+OK\r\n"
+        )  # so the next one waits for no word of the primary
         sock.sendall(b"SET half 1\r\nGET half\r\n")
         sock.shutdown(socket.SHUT_WR)
         answers = read_all(sock)
@@ -220,11 +247,18 @@
 
 def test_users_have_to_log_in() -> None:
     config = patient(load(EXAMPLE))
-    place = Site(msgspec.structs.replace(config, users=[User(name="dam", password="secret")],
-                                         limits=Limits(clients=2, frame=1000, pipeline=4)))
+    place = Site(
+        msgspec.structs.replace(
+            config,
+            users=[User(name="dam", password="secret")],
+            limits=Limits(clients=2, frame=1000, pipeline=4),
+        )
+    )
     try:
         with place.raw() as sock:
-            sock.sendall(b"GET a\r\nAUTH dam wrong\r\nAUTH dam secret\r\nSET a 1\r\nHELLO 3 SETNAME x\r\nGET a\r\n")
+            sock.sendall(
+                b"GET a\r\nAUTH dam wrong\r\nAUTH dam secret\r\nSET a 1\r\nHELLO 3 SETNAME x\r\nGET a\r\n"
+            )
             sock.shutdown(socket.SHUT_WR)
             answers = read_all(sock)
             assert answers.startswith(b"-NOAUTH Authentication required.\r\n-WRONGPASS")
@@ -275,8 +309,11 @@
     try:
         with redis.Redis(port=place.port(), socket_timeout=20) as client:
             client.set("pick:1", "a")
-            name = next(name for name, host in place.stand.nodes.items() if b"pick:1" in host.node.data
-                        and host.node.primary is None)
+            name = next(
+                name
+                for name, host in place.stand.nodes.items()
+                if b"pick:1" in host.node.data and host.node.primary is None
+            )
             place.call(lambda: setattr(place.stand.nodes[name].node.faults, "hang", True))
             with pytest.raises(redis.ResponseError, match="UNCERTAIN failed: it may have run"):
                 client.set("pick:1", "b")
@@ -291,8 +328,11 @@
 
             anyio.run(main)
             # in the other group a note, safe to repeat, is swallowed: the words say so, and the error stays the same
-            other = next(host for host in place.stand.nodes.values()
-                         if host.node.primary is None and host.listener is not None)
+            other = next(
+                host
+                for host in place.stand.nodes.values()
+                if host.node.primary is None and host.listener is not None
+            )
             keys = (f"note:{number}" for number in range(100))
             key = next(key for key in keys if slot(key.encode()) // 8192 != slot(b"pick:1") // 8192)
             client.set(key, "a")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -41,33 +41,62 @@
     (lambda d: d["groups"][1].update(name="west"), "$.groups[1].name: 'west' occurs twice"),
     (lambda d: d["groups"][1].update(slots=[[8191, 16383]]), "$.groups[1].slots: 8191 belongs to 'west' too"),
     (lambda d: d["groups"][1].update(slots=[[8192, 16384]]), "$.groups[1].slots: 8192-16384 is no range"),
-    (lambda d: d["groups"][1]["members"][0].update(name="west-0"), "$.groups[1].members[0].name: 'west-0' occurs"),
-    (lambda d: d["groups"][1]["members"][0].update(address="nowhere"), "$.groups[1].members[0].address: 'nowhere' is"),
-    (lambda d: [m.update(address="h:1") for m in d["groups"][0]["members"]],
-     "$.groups[0].members[1].address: h:1 is 'west-0' too"),
-    (lambda d: d["groups"][0]["members"][1].update(primary=True), "$.groups[0].members: more than one is marked"),
-    (lambda d: d["groups"][0]["members"][1].update(state="ill"), "$.groups[0].members[1].state: 'ill' is none of"),
-    (lambda d: d["groups"][0].update(prefixes=["a"]) or d["groups"][1].update(prefixes=["a"]),
-     "$.groups[1].prefixes: 'a' belongs to 'west' too"),
-    (lambda d: d["classes"][0].update(effect="harmless"), "$.classes[0].effect: Invalid enum value 'harmless'"),
+    (
+        lambda d: d["groups"][1]["members"][0].update(name="west-0"),
+        "$.groups[1].members[0].name: 'west-0' occurs",
+    ),
+    (
+        lambda d: d["groups"][1]["members"][0].update(address="nowhere"),
+        "$.groups[1].members[0].address: 'nowhere' is",
+    ),
+    (
+        lambda d: [m.update(address="h:1") for m in d["groups"][0]["members"]],
+        "$.groups[0].members[1].address: h:1 is 'west-0' too",
+    ),
+    (
+        lambda d: d["groups"][0]["members"][1].update(primary=True),
+        "$.groups[0].members: more than one is marked",
+    ),
+    (
+        lambda d: d["groups"][0]["members"][1].update(state="ill"),
+        "$.groups[0].members[1].state: 'ill' is none of",
+    ),
+    (
+        lambda d: d["groups"][0].update(prefixes=["a"]) or d["groups"][1].update(prefixes=["a"]),
+        "$.groups[1].prefixes: 'a' belongs to 'west' too",
+    ),
+    (
+        lambda d: d["classes"][0].update(effect="harmless"),
+        "$.classes[0].effect: Invalid enum value 'harmless'",
+    ),
     (lambda d: d["classes"][0].update(aim=0), "$.classes[0].aim: Expected `float` > 0.0"),
     (lambda d: d["classes"][0].update(aim=3), "$.classes[0].aim: 3 s is beyond the deadline of 2 s"),
     (lambda d: d["classes"][1].update(name="pick-save"), "$.classes[1].name: 'pick-save' occurs twice"),
     (lambda d: d["classes"][4].pop("bound"), "$.classes[4].bound: a bounded read needs a bound above 0"),
-    (lambda d: d["classes"][1].update(effect="keyed"), "$.classes[1].window: a keyed class needs a window above 0"),
+    (
+        lambda d: d["classes"][1].update(effect="keyed"),
+        "$.classes[1].window: a keyed class needs a window above 0",
+    ),
     (lambda d: d["routes"][0].update(to="nothing"), "$.routes[0].to: no class is named 'nothing'"),
-    (lambda d: d.update(default_write="own-picks"), "$.default_write: 'own-picks' does not go to the primary"),
+    (
+        lambda d: d.update(default_write="own-picks"),
+        "$.default_write: 'own-picks' does not go to the primary",
+    ),
     (lambda d: d.update(default_read="x"), "$.default_read: no class is named 'x'"),
     (lambda d: d.update(sessions="maybe"), "$.sessions: must be 'roaming' or 'connection'"),
     (lambda d: d.update(listen="6380"), "$.listen: '6380' is not host:port"),
     (lambda d: d.update(limits={"links": 0}), "$.limits.links: Expected `int` >= 1"),
-    (lambda d: d.update(users=[{"name": "a", "password": "x"}, {"name": "a", "password": "y"}]),
-     "$.users: a name occurs twice"),
+    (
+        lambda d: d.update(users=[{"name": "a", "password": "x"}, {"name": "a", "password": "y"}]),
+        "$.users: a name occurs twice",
+    ),
 ]
 
 
 @pytest.mark.parametrize(("change", "reason"), BAD)
-def test_a_bad_file_is_refused_for_its_reason(tmp_path: Path, change: Callable[[Doc], object], reason: str) -> None:
+def test_a_bad_file_is_refused_for_its_reason(
+    tmp_path: Path, change: Callable[[Doc], object], reason: str
+) -> None:
     path = tmp_path / "bad.jsonnet"
     path.write_text(json.dumps(spoil(change)))
     with pytest.raises(ConfigError) as caught:
@@ -107,12 +136,16 @@
     routes = Routes(config)
     assert routes.kind(b"GET", [b"trace:1"], False, "default").name == "trace-view"
     assert routes.kind(b"GET", [b"trace:1", b"pick:1"], False, "default").name == "own-picks"
-    assert routes.kind(b"LPOP", [b"trace:1"], True, "default").name == "pick-save"  # a read's route is none for a write
+    assert (
+        routes.kind(b"LPOP", [b"trace:1"], True, "default").name == "pick-save"
+    )  # a read's route is none for a write
     assert routes.kind(b"SET", [b"note:1"], True, "default").name == "note"
     assert routes.group([b"{a}1", b"{a}2"]) in (0, 1)
     with pytest.raises(CrossGroup):
         routes.group([b"a", b"b", b"c", b"d", b"e"])
-    holed = msgspec.structs.replace(config, groups=[msgspec.structs.replace(config.groups[0], prefixes=["pick:"])])
+    holed = msgspec.structs.replace(
+        config, groups=[msgspec.structs.replace(config.groups[0], prefixes=["pick:"])]
+    )
     routes = Routes(holed)
     assert routes.group([b"pick:anything"]) == 0
     with pytest.raises(Unowned):
@@ -145,9 +178,11 @@
     """The daemon by itself: its line on standard output, a client's PING, a bad roster, SIGTERM."""
     config = msgspec.structs.replace(load(EXAMPLE), listen="127.0.0.1:0", roster="roster.json")
     (tmp_path / "router.json").write_bytes(msgspec.json.encode(config))
+
     async def main() -> None:
-        async with await anyio.open_process([sys.executable, "-m", "banklift", "router", "--config",
-                                             str(tmp_path / "router.json")]) as process:
+        async with await anyio.open_process(
+            [sys.executable, "-m", "banklift", "router", "--config", str(tmp_path / "router.json")]
+        ) as process:
             assert process.stdout is not None and process.stderr is not None
             line = json.loads(await process.stdout.receive())
             assert line["router"] == "router"
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -69,7 +69,9 @@
 
 
 @pytest.mark.parametrize("alone", [True, False])
-def test_what_was_ready_on_a_closed_connection_is_not_told_to_one_that_got_its_descriptor(alone: bool) -> None:
+def test_what_was_ready_on_a_closed_connection_is_not_told_to_one_that_got_its_descriptor(
+    alone: bool,
+) -> None:
     """Two connections are ready in one batch; the first closes the second and connects, and the kernel gives the new
     connection the descriptor. It is on its way, and must not take what was ready for the sign that it is up."""
     deaf, new = Deaf(), Noting()
@@ -85,7 +87,9 @@
                 return
             old = second if handle is first.handle else first
             number = old.handle._sock.fileno()  # type: ignore[attr-defined]
-            while (filler := os.open(os.devnull, os.O_RDONLY)) < number:  # so that its number is the lowest free one
+            while (
+                filler := os.open(os.devnull, os.O_RDONLY)
+            ) < number:  # so that its number is the lowest free one
                 fillers.append(filler)
             os.close(filler)
             old.handle.close()
@@ -178,7 +182,9 @@
     run(act)
     assert peer.notes == ["up", "data 5"]
     assert callers[0].recv(100) == b"answered"
-    with contextlib.suppress(ConnectionResetError):  # which tells that the second was not taken, as its end does
+    with contextlib.suppress(
+        ConnectionResetError
+    ):  # which tells that the second was not taken, as its end does
         assert callers[0].recv(100) == b""
     callers[0].close()
 
@@ -255,8 +261,12 @@
     assert ".venv/bin/python" in run_line
     path = os.pathsep.join([str(tmp_path), str(ROOT)])
     platform.process = subprocess.Popen(
-        ["/bin/sh", "-c", run_line.replace(".venv/bin/python", sys.executable)], cwd=ROOT, text=True,
-        env={**platform.environment(), "PYTHONPATH": path}, stderr=subprocess.PIPE)
+        ["/bin/sh", "-c", run_line.replace(".venv/bin/python", sys.executable)],
+        cwd=ROOT,
+        text=True,
+        env={**platform.environment(), "PYTHONPATH": path},
+        stderr=subprocess.PIPE,
+    )
     platform.said("listening")
     platform.process.send_signal(signal.SIGHUP)  # and from then on it is heeded
     platform.said("configuration read again")
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -47,7 +47,9 @@
     """One group before many routers. Members answer at once what they can and queue the rest."""
 
     def __init__(self, seed: int, routers: int = ROUTERS, checks: bool = False) -> None:
-        settings = replace(SETTINGS, balancers=routers, cold_share=COLD, cold_time=COLD_TIME, members_check=checks)
+        settings = replace(
+            SETTINGS, balancers=routers, cold_share=COLD, cold_time=COLD_TIME, members_check=checks
+        )
         self.random = Random(seed)
         self.now = 1000.0
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -59,12 +61,19 @@
         self.free: dict[str, float] = defaultdict(float)  # when a member has done what it holds
         self.sent: dict[str, deque[float]] = {}
         self.crush = 0.0  # the most that a cold member was sent, in parts of what the rule allows
-        self.asked, self.served, self.probes, self.probed_at = Counter[str](), Counter[str](), 0, Counter[str]()
+        self.asked, self.served, self.probes, self.probed_at = (
+            Counter[str](),
+            Counter[str](),
+            0,
+            Counter[str](),
+        )
         self.sent_writes = Counter[str]()
         self.kinds: dict[tuple[int, int], str] = {}
         for router in range(routers):
-            self.tell(router, Listing(ListKind.CACHED, tuple(Entry(name, 1, primary=name == "p")
-                                                             for name in self.members)))
+            self.tell(
+                router,
+                Listing(ListKind.CACHED, tuple(Entry(name, 1, primary=name == "p") for name in self.members)),
+            )
 
     def at(self, when: float, call: Callable[[], None]) -> None:
         self.numbers += 1
@@ -100,15 +109,21 @@
                 case Probe(member):
                     self.probes += 1
                     self.probed_at[member] += 1
-                    self.at(self.now + 0.002, lambda member=member, asked=self.now: self.tell(  # type: ignore[misc]
-                        router, Probed(member, True, self.now - asked, self.report(member))))
+                    self.at(
+                        self.now + 0.002,
+                        lambda member=member, asked=self.now: self.tell(  # type: ignore[misc]
+                            router, Probed(member, True, self.now - asked, self.report(member))
+                        ),
+                    )
                 case Send(request, member):
                     self.send(router, request, member)
                 case Refuse(request) | Fail(request):
                     self.kinds.pop((router, request), None)
 
     def report(self, member: str) -> Report:
-        return Report(self.now - (0.0 if member == self.primary else 0.02), member == self.primary, self.held(member))
+        return Report(
+            self.now - (0.0 if member == self.primary else 0.02), member == self.primary, self.held(member)
+        )
 
     def held(self, member: str) -> float:
         """Requests that a member has."""
@@ -131,25 +146,47 @@
         number = sum(1 for tried in self.routers[router].requests[request].tried) - 1
         at = self.now
         if kind == "write" and member != self.primary:
-            self.at(at + 0.002, lambda: self.tell(router, Outcome(
-                request, number, member, Status.MISS, False, self.now - at, False)))
+            self.at(
+                at + 0.002,
+                lambda: self.tell(
+                    router, Outcome(request, number, member, Status.MISS, False, self.now - at, False)
+                ),
+            )
             return
         if self.held(member) > MOST:
-            self.at(at + 0.002, lambda: self.tell(router, Outcome(
-                request, number, member, Status.FULL, False, self.now - at)))
+            self.at(
+                at + 0.002,
+                lambda: self.tell(
+                    router, Outcome(request, number, member, Status.FULL, False, self.now - at)
+                ),
+            )
             return
         self.free[member] = max(self.free[member], at) + 1 / (CAPACITY * self.part(member))
         done = self.free[member] + WORK
         if done > at + 2.0:
-            self.at(at + 2.0, lambda: self.tell(router, Outcome(request, number, member, Status.TIMEOUT, False, 2.0)))
+            self.at(
+                at + 2.0,
+                lambda: self.tell(router, Outcome(request, number, member, Status.TIMEOUT, False, 2.0)),
+            )
             return
         self.at(done, lambda: self.answer(router, request, number, member, at, kind))
 
     def answer(self, router: int, request: int, number: int, member: str, at: float, kind: str) -> None:
         if self.kinds.pop((router, request), None) is not None and self.now < at + 1.0:
             self.served[kind] += 1
-        self.tell(router, Outcome(request, number, member, Status.OK, True, self.now - at, member == self.primary,
-                                  self.now - 0.02))
+        self.tell(
+            router,
+            Outcome(
+                request,
+                number,
+                member,
+                Status.OK,
+                True,
+                self.now - at,
+                member == self.primary,
+                self.now - 0.02,
+            ),
+        )
 
 
 def test_a_crowd_asks_only_for_proof_and_for_writes() -> None:
@@ -208,8 +245,12 @@
     fleet.members["n"] = -1e9
     fleet.primary = "r2"
     for router in range(ROUTERS):  # lists come within a second, and name no roles
-        fleet.at(fleet.now + fleet.random.random(), lambda router=router: fleet.tell(  # type: ignore[misc]
-            router, Listing(ListKind.CHANGES, (Entry("p", 1, State.DRAINING), Entry("n", 1)))))
+        fleet.at(
+            fleet.now + fleet.random.random(),
+            lambda router=router: fleet.tell(  # type: ignore[misc]
+                router, Listing(ListKind.CHANGES, (Entry("p", 1, State.DRAINING), Entry("n", 1)))
+            ),
+        )
     fleet.run(2.0)
     fleet.asked.clear()
     fleet.served.clear()
@@ -228,10 +269,19 @@
         fleet.members[name] = fleet.now
     fleet.primary = "c1"
     for router in range(ROUTERS):
-        fleet.at(fleet.now + 0.5 * fleet.random.random(), lambda router=router, started=fleet.now: fleet.tell(  # type: ignore[misc]
-            router, Listing(ListKind.CHANGES, (
-                *(Entry(name, 1, State.DRAINING) for name in ("p", "r1", "r2")),
-                *(Entry(name, 1, started=started) for name in ("c1", "c2", "c3"))))))
+        fleet.at(
+            fleet.now + 0.5 * fleet.random.random(),
+            lambda router=router, started=fleet.now: fleet.tell(  # type: ignore[misc]
+                router,
+                Listing(
+                    ListKind.CHANGES,
+                    (
+                        *(Entry(name, 1, State.DRAINING) for name in ("p", "r1", "r2")),
+                        *(Entry(name, 1, started=started) for name in ("c1", "c2", "c3")),
+                    ),
+                ),
+            ),
+        )
     fleet.run(2.0)
     fleet.asked.clear()
     fleet.served.clear()
@@ -245,8 +295,11 @@
     settings = replace(SETTINGS, balancers=ROUTERS, must_ask=True, ask_within=10.0)
     routers = [Balancer(settings, seed) for seed in range(ROUTERS)]
     for again in range(1, 5):  # each failure doubles the wait, up to a part of what the rule allows
-        delays = sorted(timer.delay for router in routers
-                        for timer in of(SetTimer, router.handle(1000.0 + again, Listing(ListKind.FAILED))))
+        delays = sorted(
+            timer.delay
+            for router in routers
+            for timer in of(SetTimer, router.handle(1000.0 + again, Listing(ListKind.FAILED)))
+        )
         assert len(delays) == ROUTERS and delays[-1] <= 0.4 * settings.ask_within
         span = delays[-1] - delays[0]
         assert span > 0.4 * delays[-1]
@@ -256,7 +309,9 @@
 
 def test_a_report_as_old_as_reports_are_accuses_no_primary_where_aims_are_short() -> None:
     """Reports are refreshed every 50 to 170 ms and come up to 75 ms late, however short the aims of a day are."""
-    short = tuple(replace(kind, aim=kind.aim * 0.3, deadline=kind.deadline * 0.3) for kind in SETTINGS.classes)
+    short = tuple(
+        replace(kind, aim=kind.aim * 0.3, deadline=kind.deadline * 0.3) for kind in SETTINGS.classes
+    )
     bench = Bench(replace(SETTINGS, classes=short, balancers=ROUTERS))
     bench.ask("write", 0.6)
     bench.run(0.005)
@@ -279,7 +334,9 @@
     fleet.sent["r3"].clear()
     fleet.sent_writes.clear()
     for router in range(ROUTERS):
-        fleet.tell(router, Listing(ListKind.CHANGES, (Entry("p", 1, State.GONE), Entry("r3", 1, started=started))))
+        fleet.tell(
+            router, Listing(ListKind.CHANGES, (Entry("p", 1, State.GONE), Entry("r3", 1, started=started)))
+        )
     fleet.run(5.0)
     assert fleet.crush < 0.5  # 0.9 to 1.0 where it is tried like the others
     assert fleet.sent_writes["r1"] > 100 and not fleet.sent_writes["r3"]
@@ -314,13 +371,24 @@
 def test_reads_push_no_cold_replica_over_where_all_is_crowded(seed: int) -> None:
     """Most of the group has gone, and far more is asked than the rest can do: the even part of a cold member is too
     much for it, and only its own word tells."""
-    fleet = Fleet(seed, checks=True)  # no read needs a report for its proof, and these routers have just started
+    fleet = Fleet(
+        seed, checks=True
+    )  # no read needs a report for its proof, and these routers have just started
     fleet.members["r3"] = started = fleet.now
     fleet.offer(4.0, 5.0)
     for router in range(ROUTERS):
-        fleet.tell(router, Listing(ListKind.CHANGES, (
-            Entry("p", 1, State.GONE), Entry("r1", 1, State.GONE), Entry("r2", 1, State.GONE),
-            Entry("r3", 1, started=started))))
+        fleet.tell(
+            router,
+            Listing(
+                ListKind.CHANGES,
+                (
+                    Entry("p", 1, State.GONE),
+                    Entry("r1", 1, State.GONE),
+                    Entry("r2", 1, State.GONE),
+                    Entry("r3", 1, started=started),
+                ),
+            ),
+        )
     fleet.run(3.0)
     assert len(fleet.sent["r3"]) > 20
     assert fleet.crush < 0.6  # 0.85 to 0.99 where nobody asks
@@ -345,9 +413,17 @@
     assert bool(of(Send, bench.ask("loose"))) is not loads
 
 
-@pytest.mark.parametrize(("feedback", "told"), [
-    (None, True), ({}, True), ({"how": "on_probe", "fields": ["x0", "x1"]}, False),
-    ({"how": "on_probe", "fields": ["x0", "backlog"]}, True), ({"how": "inline", "fields": ["outstanding"]}, True),
-    ({"how": "off", "fields": ["outstanding"]}, False), ({"how": "off", "fields": None}, False)])
+@pytest.mark.parametrize(
+    ("feedback", "told"),
+    [
+        (None, True),
+        ({}, True),
+        ({"how": "on_probe", "fields": ["x0", "x1"]}, False),
+        ({"how": "on_probe", "fields": ["x0", "backlog"]}, True),
+        ({"how": "inline", "fields": ["outstanding"]}, True),
+        ({"how": "off", "fields": ["outstanding"]}, False),
+        ({"how": "off", "fields": None}, False),
+    ],
+)
 def test_the_settings_say_whether_members_report_their_load(feedback: object, told: bool) -> None:
     assert parse_settings({**PLATFORM, "feedback": feedback}).reports_load is told
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -13,9 +13,27 @@
 from banklift.judge.symptoms import symptoms
 from banklift.judge.trace import Entry
 
-KINDS = ("ageing", "balancer_roll", "balancer_stall", "conn_squeeze", "crash", "deploy", "discovery_stale",
-         "false_reports", "fast_errors", "flapping", "give_up", "grow", "handshake_slow", "hang", "heavy_tail",
-         "one_sided", "preempt", "replica_lag", "slow")
+KINDS = (
+    "ageing",
+    "balancer_roll",
+    "balancer_stall",
+    "conn_squeeze",
+    "crash",
+    "deploy",
+    "discovery_stale",
+    "false_reports",
+    "fast_errors",
+    "flapping",
+    "give_up",
+    "grow",
+    "handshake_slow",
+    "hang",
+    "heavy_tail",
+    "one_sided",
+    "preempt",
+    "replica_lag",
+    "slow",
+)
 SERVED = {"give_up": 0.75, "deploy": 0.85}  # least share of what was asked; elsewhere 0.95
 
 
@@ -58,16 +76,26 @@
     return _QUIET
 
 
-@pytest.mark.parametrize(("text", "reason"), [
-    ("{", "bad.jsonnet"), ("{ title: 'x' }", "$: Object missing required field `seconds`"),
-    ("import '../secret'", "outside the folder of the file"),
-    ("{ title: 'x', seconds: 1, rate: 1, requests: [], troubles: [{ at: 1, do: 'dance' }] }",
-     "$.troubles[0].do: 'dance' is none of hang"),
-    ("{ title: 'x', seconds: 1, rate: 1, requests: [{ kind: 'q', share: 1, key: 'a' }] }",
-     "$.requests[0].kind: no class is named 'q'"),
-    ("{ title: 'x', seconds: 1, rate: 1, requests: [{ kind: 'q', share: 0, key: 'a' }] }",
-     "$.requests[0].share: Expected `float` > 0.0"),
-])
+@pytest.mark.parametrize(
+    ("text", "reason"),
+    [
+        ("{", "bad.jsonnet"),
+        ("{ title: 'x' }", "$: Object missing required field `seconds`"),
+        ("import '../secret'", "outside the folder of the file"),
+        (
+            "{ title: 'x', seconds: 1, rate: 1, requests: [], troubles: [{ at: 1, do: 'dance' }] }",
+            "$.troubles[0].do: 'dance' is none of hang",
+        ),
+        (
+            "{ title: 'x', seconds: 1, rate: 1, requests: [{ kind: 'q', share: 1, key: 'a' }] }",
+            "$.requests[0].kind: no class is named 'q'",
+        ),
+        (
+            "{ title: 'x', seconds: 1, rate: 1, requests: [{ kind: 'q', share: 0, key: 'a' }] }",
+            "$.requests[0].share: Expected `float` > 0.0",
+        ),
+    ],
+)
 def test_a_bad_day_is_refused_with_its_place(tmp_path: Path, text: str, reason: str) -> None:
     path = tmp_path / "bad.jsonnet"
     path.write_text(text)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,8 +11,10 @@
 from banklift.interface import ListKind, State
 from banklift.proxy.events import Roster
 
-GOOD = (b'{"rev":43,"all":true,"targets":[{"uid":"s1","endpoint":"10.1.0.18:6432","az":"a","model":"m2","pod_group":3,'
-        b'"state":"DRAINING","capacity_hint":1.0,"boot_ms":1500,"access":"writer"}]}')
+GOOD = (
+    b'{"rev":43,"all":true,"targets":[{"uid":"s1","endpoint":"10.1.0.18:6432","az":"a","model":"m2","pod_group":3,'
+    b'"state":"DRAINING","capacity_hint":1.0,"boot_ms":1500,"access":"writer"}]}'
+)
 
 
 def answer(body: bytes, status: bytes = b"200 OK", more: bytes = b"") -> bytes:
@@ -57,12 +59,18 @@
     assert sent(client).startswith(b"GET /catalog/members?after=41&wait_ms=4000 HTTP/1.1\r\n")
     data = answer(GOOD)
     for place in range(len(data)):
-        client.data(100.5, data[place:place + 1])
+        client.data(100.5, data[place : place + 1])
     roster = listed(client)
     assert roster.kind is ListKind.FULL
     (member,) = roster.members
     assert (member.name, member.group, member.address, member.state, member.primary, member.started) == (
-        "s1", 3, "10.1.0.18:6432", State.DRAINING, True, 1.5)
+        "s1",
+        3,
+        "10.1.0.18:6432",
+        State.DRAINING,
+        True,
+        1.5,
+    )
     assert not any(isinstance(action, Connect | Close) for action in client.actions)
     assert b"after=43" in sent(client)
     client.data(101.0, answer(GOOD.replace(b'"all":true', b'"all":false')))
@@ -79,11 +87,22 @@
     assert listed(client).members and not any(isinstance(action, Send) for action in client.actions)
 
 
-@pytest.mark.parametrize("data", [
-    answer(b"", b"503 Service Unavailable"), answer(GOOD[:-1]), answer(b"[]"), answer(b'{"rev":43}'), b"noise\r\n\r\n",
-    answer(GOOD.replace(b"DRAINING", b"RESTING")), answer(GOOD.replace(b'"pod_group":3', b'"pod_group":"x"')),
-    answer(GOOD.replace(b"10.1.0.18:6432", b"somewhere")), answer(GOOD.replace(b'"rev":43', b'"rev":-1')),
-    answer(b"\xff\xfe" * 20), b""])
+@pytest.mark.parametrize(
+    "data",
+    [
+        answer(b"", b"503 Service Unavailable"),
+        answer(GOOD[:-1]),
+        answer(b"[]"),
+        answer(b'{"rev":43}'),
+        b"noise\r\n\r\n",
+        answer(GOOD.replace(b"DRAINING", b"RESTING")),
+        answer(GOOD.replace(b'"pod_group":3', b'"pod_group":"x"')),
+        answer(GOOD.replace(b"10.1.0.18:6432", b"somewhere")),
+        answer(GOOD.replace(b'"rev":43', b'"rev":-1')),
+        answer(b"\xff\xfe" * 20),
+        b"",
+    ],
+)
 def test_an_answer_that_is_none_fails_the_call_once(data: bytes) -> None:
     client = calling()
     client.actions.clear()
--- a/tests/test_fleet_planted.py
+++ b/tests/test_fleet_planted.py
@@ -84,7 +84,9 @@
     result = fleet.change(b"second " + REFUSED)
     fleet.run(5.0)
     served = fleet.serving()
-    return fleet.breaks + ([] if result == "aborted" and served == dict.fromkeys(fleet.names, 1) else [result])
+    return fleet.breaks + (
+        [] if result == "aborted" and served == dict.fromkeys(fleet.names, 1) else [result]
+    )
 
 
 def late_refuser() -> list[str]:
@@ -181,8 +183,19 @@
     return fleet.breaks
 
 
-SCENARIOS = (cut_off, deaf, slow_link, clocks, refuser, late_refuser, asked_again, rolled_back, voter_restarts,
-             impatient, split)
+SCENARIOS = (
+    cut_off,
+    deaf,
+    slow_link,
+    clocks,
+    refuser,
+    late_refuser,
+    asked_again,
+    rolled_back,
+    voter_restarts,
+    impatient,
+    split,
+)
 
 
 # ---- bugs
@@ -221,8 +234,9 @@
 def retried_change_made_twice(patch: Patch) -> None:
     real = state.propose
 
-    def propose(old: state.State, change: str, policy: bytes, by: str, patience: float,
-                dry: bool = False) -> state.State:
+    def propose(
+        old: state.State, change: str, policy: bytes, by: str, patience: float, dry: bool = False
+    ) -> state.State:
         if old.change is None:
             change = f"{old.version}-{change.partition('-')[2]}"
             old = msgspec.structs.replace(old, history=())
@@ -280,7 +294,9 @@
 
     def abort(old: state.State, change: str, reasons: tuple[str, ...]) -> state.State:
         if old.change is not None and old.change.stage is state.Stage.AGREED:
-            old = msgspec.structs.replace(old, change=msgspec.structs.replace(old.change, stage=state.Stage.CHECKING))
+            old = msgspec.structs.replace(
+                old, change=msgspec.structs.replace(old.change, stage=state.Stage.CHECKING)
+            )
         return real(old, change, reasons)
 
     def decide(self: voter.Voter, drive: voter.Drive) -> None:
@@ -339,11 +355,22 @@
     patch.setattr(Leases, "__init__", init)
 
 
-BUGS = (counted_from_receipt, turned_before_the_last_lease_ends, votes_at_once_after_a_start, retried_change_made_twice,
-        a_refusal_is_not_waited_for, drift_left_out, old_leases_given_past_the_turn,
-        what_the_router_still_counts_is_forgotten, agreed_changes_taken_back, half_is_a_majority,
-        grants_at_once_after_a_start, newcomers_get_leases_while_it_is_sealed, a_refused_policy_is_served,
-        a_lease_of_any_voter_is_enough)
+BUGS = (
+    counted_from_receipt,
+    turned_before_the_last_lease_ends,
+    votes_at_once_after_a_start,
+    retried_change_made_twice,
+    a_refusal_is_not_waited_for,
+    drift_left_out,
+    old_leases_given_past_the_turn,
+    what_the_router_still_counts_is_forgotten,
+    agreed_changes_taken_back,
+    half_is_a_majority,
+    grants_at_once_after_a_start,
+    newcomers_get_leases_while_it_is_sealed,
+    a_refused_policy_is_served,
+    a_lease_of_any_voter_is_enough,
+)
 
 
 @pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda one: one.__name__)
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -31,7 +31,11 @@
     state = settle(agree(proposed(), "1-a"), "1-a")
     assert (state.epoch, state.policy, state.change, state.version) == (2, b"two", None, 4)
     ended = outcome(state, "1-a")
-    assert ended is not None and (ended.result, ended.epoch, ended.digest) == (Result.IN_FORCE, 2, digest(b"two"))
+    assert ended is not None and (ended.result, ended.epoch, ended.digest) == (
+        Result.IN_FORCE,
+        2,
+        digest(b"two"),
+    )
 
 
 def test_a_change_is_aborted_with_its_reasons() -> None:
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -123,7 +123,10 @@
     fleet = up(9)
     double = FleetWorld.__new__(FleetWorld)
     double.__dict__.update(fleet.__dict__)
-    double.routers = {**fleet.routers, "r4": type(fleet.routers["r4"])("r4", 1.0, type(fleet.routers["r4"].disk)())}
+    double.routers = {
+        **fleet.routers,
+        "r4": type(fleet.routers["r4"])("r4", 1.0, type(fleet.routers["r4"].disk)()),
+    }
     double.start("r4")
     fleet.run(3.0)
     assert "is here already" in double.routers["r4"].ousted
@@ -151,28 +154,45 @@
         suspects = {one for one in suspects if not fleet.votes(one)}
         if what < 0.25:
             number += 1
-            fleet.ask(random.choice(fleet.voters), Show(), lambda answer, n=number: _set(fleet, random, answer, n))  # type: ignore[misc]
+            fleet.ask(
+                random.choice(fleet.voters),
+                Show(),
+                lambda answer, n=number: _set(fleet, random, answer, n),  # type: ignore[misc]
+            )
         elif what < 0.45:
             if router.host is not None:
                 fleet.kill(name)
-                if name in fleet.voters and len(suspects - {name}) < (voters - 1) // 2 and random.random() < 0.5:
+                if (
+                    name in fleet.voters
+                    and len(suspects - {name}) < (voters - 1) // 2
+                    and random.random() < 0.5
+                ):
                     suspects.add(name)
                     disk = router.disk
                     kind = random.randrange(3)
-                    disk.content = None if kind == 0 else b"torn" if kind == 1 else \
-                        random.choice([*disk.older, disk.content])
+                    disk.content = (
+                        None
+                        if kind == 0
+                        else b"torn"
+                        if kind == 1
+                        else random.choice([*disk.older, disk.content])
+                    )
                     fleet.case(f"disk {('wiped', 'torn', 'rolled back')[kind]}")
                 fleet.case("kills")
-                fleet.world.at(now + random.uniform(0.05, 6.0),
-                               lambda name=name: fleet.start(name) if fleet.routers[name].host is None else None)  # type: ignore[misc]
+                fleet.world.at(
+                    now + random.uniform(0.05, 6.0),
+                    lambda name=name: fleet.start(name) if fleet.routers[name].host is None else None,  # type: ignore[misc]
+                )
         elif what < 0.55 and name in fleet.voters:
             router.disk.fault = random.choice(["", "", "EIO", "full"])
         else:
             relay = random.choice(list(fleet.relays.values()))
             fault, way = random.choice(FAULTS), random.choice(("there", "back"))
             relay.fault(way, fault, {"delay": 0.3, "throttle": 2000.0}.get(fault, 1.0))
-            fleet.world.at(now + random.uniform(0.1, 8.0),
-                           lambda relay=relay, fault=fault, way=way: relay.fault(way, fault, 0))  # type: ignore[misc]
+            fleet.world.at(
+                now + random.uniform(0.1, 8.0),
+                lambda relay=relay, fault=fault, way=way: relay.fault(way, fault, 0),  # type: ignore[misc]
+            )
         fleet.run(random.uniform(0.0, 1.0))
     for relay in fleet.relays.values():
         relay.heal()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -11,9 +11,32 @@
 from tests.test_machine import Rig, info, role
 
 WORDS = st.one_of(
-    st.sampled_from([*COMMANDS, b"get", b"SETNAME", b"ID", b"GETNAME", b"SETINFO", b"COUNT", b"DOCS", b"GETKEYS",
-                     b"LIST", b"2", b"3", b"0", b"-1", b"1", b"a", b"{a}b", b"pick:1", b"trace:1", b"AUTH"]),
-    st.binary(max_size=12))
+    st.sampled_from(
+        [
+            *COMMANDS,
+            b"get",
+            b"SETNAME",
+            b"ID",
+            b"GETNAME",
+            b"SETINFO",
+            b"COUNT",
+            b"DOCS",
+            b"GETKEYS",
+            b"LIST",
+            b"2",
+            b"3",
+            b"0",
+            b"-1",
+            b"1",
+            b"a",
+            b"{a}b",
+            b"pick:1",
+            b"trace:1",
+            b"AUTH",
+        ]
+    ),
+    st.binary(max_size=12),
+)
 
 
 def pump(rig: Rig) -> None:
@@ -57,7 +80,7 @@
     rig = Rig()
     stream = b"".join(command(*args) for args in commands)
     for place in range(0, len(stream), size):
-        rig.tell(ev.ClientData(1, stream[place:place + size]))
+        rig.tell(ev.ClientData(1, stream[place : place + size]))
         pump(rig)
     rig.wait(3.0)
     pump(rig)
@@ -75,7 +98,7 @@
 def test_no_bytes_break_it(data: bytes, size: int) -> None:
     rig = Rig()
     for place in range(0, len(data), size):
-        rig.tell(ev.ClientData(1, data[place:place + size]))
+        rig.tell(ev.ClientData(1, data[place : place + size]))
         pump(rig)
     rig.tell(ev.ClientEof(1))
     rig.wait(3.0)
--- a/tests/test_habits.py
+++ b/tests/test_habits.py
@@ -26,16 +26,19 @@
 commits = load()
 
 
-@pytest.mark.parametrize(("message", "fault"), [
-    ("T" * 89 + "\n\nBody.\n", None),
-    ("T" * 90 + "\n\nBody.\n", "90 characters"),
-    ("Title\n", "no body"),
-    ("Title\n\n# a comment of git's\n", "no body"),
-    ("Title\n\n" + commits.SCISSORS + "\ndiff --git a b\n", "no body"),
-    ("Title\nBody at once\n", "not empty"),
-    ("\n\n# nothing\n", "empty"),
-    ("Title\n\nBody: three words here.\n", None),
-])
+@pytest.mark.parametrize(
+    ("message", "fault"),
+    [
+        ("T" * 89 + "\n\nBody.\n", None),
+        ("T" * 90 + "\n\nBody.\n", "90 characters"),
+        ("Title\n", "no body"),
+        ("Title\n\n# a comment of git's\n", "no body"),
+        ("Title\n\n" + commits.SCISSORS + "\ndiff --git a b\n", "no body"),
+        ("Title\nBody at once\n", "not empty"),
+        ("\n\n# nothing\n", "empty"),
+        ("Title\n\nBody: three words here.\n", None),
+    ],
+)
 def test_messages_are_judged(message: str, fault: str | None) -> None:
     found = commits.faults(message)
     assert bool(found) == (fault is not None)
@@ -44,8 +47,13 @@
 
 def test_the_hook_refuses_a_commit_and_the_history_is_looked_through(tmp_path: Path) -> None:
     def git(*arguments: str) -> subprocess.CompletedProcess[str]:
-        return subprocess.run(["git", "-c", "user.name=a", "-c", "user.email=a@b", *arguments], cwd=tmp_path,
-                              capture_output=True, text=True, check=False)
+        return subprocess.run(
+            ["git", "-c", "user.name=a", "-c", "user.email=a@b", *arguments],
+            cwd=tmp_path,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
 
     git("init", "-q")
     for name in ("tools", "githooks"):
@@ -61,7 +69,9 @@
     tool = tmp_path / "tools/commits.py"
     for since, code in ((first, 1), (git("rev-parse", "HEAD").stdout.strip(), 0)):
         tool.write_text(tool.read_text().replace(commits.SINCE, since).replace(first, since))
-        looked = subprocess.run([sys.executable, tool], cwd=tmp_path, capture_output=True, text=True, check=False)
+        looked = subprocess.run(
+            [sys.executable, tool], cwd=tmp_path, capture_output=True, text=True, check=False
+        )
         assert looked.returncode == code
         assert looked.stdout.startswith(f"commits: {code} messages looked at, {code} faults")
 
@@ -74,6 +84,8 @@
 def test_a_benchmark_starts_and_hides_no_module(path: Path) -> None:
     """A script's folder comes first on its path, so its neighbours' names go before the standard library's."""
     assert path.stem not in sys.stdlib_module_names
-    shown = subprocess.run([sys.executable, path, "--help"], capture_output=True, text=True, timeout=120, check=False)
+    shown = subprocess.run(
+        [sys.executable, path, "--help"], capture_output=True, text=True, timeout=120, check=False
+    )
     assert shown.returncode == 0, shown.stderr
     assert shown.stdout.startswith("usage: ")
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -30,12 +30,22 @@
 READS = {Need.SESSION: "own-picks", Need.BOUNDED: "trace-view", Need.FRESH: "final", Need.ANY: "alert-check"}
 
 
-def play(troubles: list[Trouble], make: Make = build.machine, routers: int = 2, seconds: float = 2.5,
-         rate: float = 200, sessions: int = 30, seed: int = 5, config: Changes | None = None,
-         **changes: object) -> Verdict:
+def play(
+    troubles: list[Trouble],
+    make: Make = build.machine,
+    routers: int = 2,
+    seconds: float = 2.5,
+    rate: float = 200,
+    sessions: int = 30,
+    seed: int = 5,
+    config: Changes | None = None,
+    **changes: object,
+) -> Verdict:
     day, settings = load_day("short")
     settings = msgspec.convert({**msgspec.to_builtins(settings), **(config or {})}, Config)
-    day = msgspec.structs.replace(day, troubles=troubles, seconds=seconds, rate=rate, sessions=sessions, **changes)
+    day = msgspec.structs.replace(
+        day, troubles=troubles, seconds=seconds, rate=rate, sessions=sessions, **changes
+    )
     entries: list[Entry] = []
     head = play_virtual(day, settings, routers, seed, entries.append, make=make)
     return judge(head, sorted(entries, key=lambda entry: entry.t))
@@ -54,8 +64,11 @@
 BEHIND = each("delay", 0.3, 0.9, "west-0 east-0")  # every replica is that many seconds behind, all the time
 FAR_BEHIND = each("delay", 0.3, 1.5, "west-0 east-0")
 JUST_BEHIND = each("delay", 0.3, 0.02, "west-0 east-0")
-HUNG_AND_KILLED = each("hang", 0.6, 1, "west-0 east-0") + each("kill", 0.75, 0, "west-0 east-0") + (
-    each("thaw", 1.9, 0, "west-0 east-0") + each("restart", 2.0, 0, "west-0 east-0"))
+HUNG_AND_KILLED = (
+    each("hang", 0.6, 1, "west-0 east-0")
+    + each("kill", 0.75, 0, "west-0 east-0")
+    + (each("thaw", 1.9, 0, "west-0 east-0") + each("restart", 2.0, 0, "west-0 east-0"))
+)
 SPLIT = [Trouble(at=0.6, do="split", member="west-0"), Trouble(at=0.6, do="split", member="east-0")]
 SLOW = each("slow", 0.3, 400, "west-0 east-0")
 BUSY: Changes = {"rate": 1600, "work": 0.02, "sessions": 200, "batches": 0.0}
@@ -65,9 +78,16 @@
 LONG: Changes = {"seconds": 4.0}
 NAMED: Changes = {"roam": 0.0, "named": True, "config": {"sessions": "connection"}}
 LEAVING: Changes = {"leavers": 0.9}
-BRIEF_MEMORY: Changes = {"rate": 600, "election": Election(notice=0.1, takes=0.1), "config": {"classes": [
-    {**msgspec.to_builtins(kind), "window": 0.1 if kind.name == "stamp" else 0.0}
-    for kind in load_day("short")[1].classes]}}
+BRIEF_MEMORY: Changes = {
+    "rate": 600,
+    "election": Election(notice=0.1, takes=0.1),
+    "config": {
+        "classes": [
+            {**msgspec.to_builtins(kind), "window": 0.1 if kind.name == "stamp" else 0.0}
+            for kind in load_day("short")[1].classes
+        ]
+    },
+}
 
 # rule, reason, what is planted, the day's troubles, and how else the day differs
 PLANTED: list[tuple[int, str, Make, list[Trouble], Changes]] = [
@@ -86,7 +106,13 @@
     (2, "refused, but it ran (safe)", making(faults.Innocent), CUT, {}),
     (2, "nothing ran of what a member took", making(faults.Innocent), SLOW, CALM),
     (2, "called safe to repeat", making(faults.Smooth), HANG, {"rate": 600}),
-    (2, "sent again when its members had forgotten it", lying(stamp=faults.KEYED), HUNG_AND_KILLED, BRIEF_MEMORY),
+    (
+        2,
+        "sent again when its members had forgotten it",
+        lying(stamp=faults.KEYED),
+        HUNG_AND_KILLED,
+        BRIEF_MEMORY,
+    ),
     (2, "two attempts out at once", making(faults.Doubler), each("slow", 0.3, 100, "west-1 east-1"), {}),
     (2, "acknowledged, but it never ran", making(faults.Liar), QUIET, {}),
     (3, "got a command", making(faults.Deaf), DRAIN, LONG),
@@ -107,10 +133,14 @@
     (5, "own-picks at", making(faults.Forgetful), LAG, HELPED),
     (5, "alert-check shows an answer that no member gave", making(faults.Caching), QUIET, {}),
     (5, "shows what its keys did not hold", making(Machine, faults.Shifted), QUIET, {"batches": 0.5}),
-    *((5, f"{name} shows what its keys did not hold", making(swapping(need)), QUIET, {})
-      for need, name in READS.items()),
-    *((5, f"{name} shows what its keys did not hold", making(swapping(need, tuple(READS))), QUIET, {})
-      for need, name in READS.items()),
+    *(
+        (5, f"{name} shows what its keys did not hold", making(swapping(need)), QUIET, {})
+        for need, name in READS.items()
+    ),
+    *(
+        (5, f"{name} shows what its keys did not hold", making(swapping(need, tuple(READS))), QUIET, {})
+        for need, name in READS.items()
+    ),
 ]
 
 
@@ -119,8 +149,9 @@
 
 
 @pytest.mark.parametrize(("rule", "reason", "make", "troubles", "changes"), PLANTED)
-def test_planted_faults_are_caught(rule: int, reason: str, make: Make, troubles: list[Trouble],
-                                   changes: Changes) -> None:
+def test_planted_faults_are_caught(
+    rule: int, reason: str, make: Make, troubles: list[Trouble], changes: Changes
+) -> None:
     assert reason in reasons(play(troubles, make, **changes), rule)  # type: ignore[arg-type]
 
 
@@ -134,8 +165,9 @@
 
 
 @pytest.mark.parametrize(("troubles", "changes"), days())
-def test_the_days_of_planted_faults_are_honest_without_them(troubles: list[Trouble],
-                                                            changes: Changes) -> None:
+def test_the_days_of_planted_faults_are_honest_without_them(
+    troubles: list[Trouble], changes: Changes
+) -> None:
     verdict = play(troubles, **changes)  # type: ignore[arg-type]
     assert not verdict.breaks
     assert sum(tally.served for tally in verdict.tallies.values()) > 100
@@ -197,8 +229,11 @@
 
 def test_what_a_store_loses_at_a_fail_over_is_no_fault_of_the_router() -> None:
     """Writes acknowledged by a primary whose log reached nobody: counted apart, and no rule broken."""
-    troubles = [Trouble(at=0.5, do="withhold", member="west-0", value=1),
-                Trouble(at=0.8, do="kill", member="west-0"), Trouble(at=1.8, do="restart", member="west-0")]
+    troubles = [
+        Trouble(at=0.5, do="withhold", member="west-0", value=1),
+        Trouble(at=0.8, do="kill", member="west-0"),
+        Trouble(at=1.8, do="restart", member="west-0"),
+    ]
     verdict = play(troubles)
     assert not verdict.breaks
     assert verdict.counts["acknowledged effects lost by the store at a fail-over"] > 5
@@ -206,9 +241,13 @@
 
 
 def test_too_many_excuses_fail_a_day() -> None:
-    kills = [Trouble(at=0.4 + 0.3 * n, do="kill_router" if n % 2 == 0 else "start_router", router=0) for n in range(6)]
-    verdict = play(kills + each("slow", 0.2, 300, "west-0 west-1 west-2 east-0 east-1 east-2"), routers=1,
-                   leavers=0.0)
+    kills = [
+        Trouble(at=0.4 + 0.3 * n, do="kill_router" if n % 2 == 0 else "start_router", router=0)
+        for n in range(6)
+    ]
+    verdict = play(
+        kills + each("slow", 0.2, 300, "west-0 west-1 west-2 east-0 east-1 east-2"), routers=1, leavers=0.0
+    )
     assert "excuses are too many: open at a router's kill" in reasons(verdict, 1)
 
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -21,11 +21,27 @@
     for name in ("__init__.py", "conftest.py", "known_red.py"):
         shutil.copy(HERE / name, folder / "tests" / name)
     (folder / "tests" / "test_some.py").write_text(
-        "def test_fails():\n    assert 1 == 2\n\n\ndef test_passes():\n    assert 1 == 1\n")
+        "def test_fails():\n    assert 1 == 2\n\n\ndef test_passes():\n    assert 1 == 1\n"
+    )
     (folder / "KNOWN-RED.txt").write_text(lines)
-    return subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "--rootdir", str(folder),
-                           *(arguments or ("tests",))], cwd=folder, capture_output=True, text=True, timeout=120,
-                          check=False)
+    return subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "pytest",
+            "-q",
+            "-p",
+            "no:cacheprovider",
+            "--rootdir",
+            str(folder),
+            *(arguments or ("tests",)),
+        ],
+        cwd=folder,
+        capture_output=True,
+        text=True,
+        timeout=120,
+        check=False,
+    )
 
 
 @pytest.mark.parametrize("workers", [(), ("-n", "2")])
@@ -47,20 +63,32 @@
 
 
 @pytest.mark.parametrize("workers", [(), ("-n", "2")])
-@pytest.mark.parametrize(("lines", "reason"), [
-    ("tests/test_some.py::test_fails | a fault", "line 1: `test id | cause | issue` is needed"),
-    (LINE.replace("test_fails", "test_gone"), "line 1: there is no test tests/test_some.py::test_gone")])
-def test_a_wrong_line_fails_the_run(tmp_path: Path, lines: str, reason: str, workers: tuple[str, ...]) -> None:
+@pytest.mark.parametrize(
+    ("lines", "reason"),
+    [
+        ("tests/test_some.py::test_fails | a fault", "line 1: `test id | cause | issue` is needed"),
+        (LINE.replace("test_fails", "test_gone"), "line 1: there is no test tests/test_some.py::test_gone"),
+    ],
+)
+def test_a_wrong_line_fails_the_run(
+    tmp_path: Path, lines: str, reason: str, workers: tuple[str, ...]
+) -> None:
     ended = run(tmp_path, lines, "tests", *workers)
     assert ended.returncode not in (0, 5) and reason in ended.stdout + ended.stderr
 
 
-@pytest.mark.parametrize(("text", "reason"), [
-    ("# heading\n\nnonsense", "line 3: `test id"), ("a | b | c | 5", "line 1: `test id"),
-    ("tests/test_some.py::test_a |  | 5", "line 1: `test id"), ("test_a | b | 5", "line 1: no test id: 'test_a'"),
-    ("tests/test_some.py::test_a | b | soon", "line 1: the issue's number is needed, not 'soon'"),
-    (LINE + "\n" + LINE, "line 2: tests/test_some.py::test_fails stands there twice"),
-    ("\n".join(LINE.replace("fails", str(place)) for place in range(4)), "line 4: more than 3 tests")])
+@pytest.mark.parametrize(
+    ("text", "reason"),
+    [
+        ("# heading\n\nnonsense", "line 3: `test id"),
+        ("a | b | c | 5", "line 1: `test id"),
+        ("tests/test_some.py::test_a |  | 5", "line 1: `test id"),
+        ("test_a | b | 5", "line 1: no test id: 'test_a'"),
+        ("tests/test_some.py::test_a | b | soon", "line 1: the issue's number is needed, not 'soon'"),
+        (LINE + "\n" + LINE, "line 2: tests/test_some.py::test_fails stands there twice"),
+        ("\n".join(LINE.replace("fails", str(place)) for place in range(4)), "line 4: more than 3 tests"),
+    ],
+)
 def test_a_malformed_list_is_refused_with_its_line(text: str, reason: str) -> None:
     with pytest.raises(BadList, match="^KNOWN-RED.txt, " + reason.replace("|", r"\|")):
         parse(text)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -66,7 +66,9 @@
 
 
 @pytest.mark.parametrize(("late", "discovery"), [(0.0, True), (0.15, True), (0.3, True), (0.0, False)])
-def test_all_is_answered_before_the_kill_however_late_the_signal_is_noticed(late: float, discovery: bool) -> None:
+def test_all_is_answered_before_the_kill_however_late_the_signal_is_noticed(
+    late: float, discovery: bool
+) -> None:
     site = Site(world=Leaving(1))
     world = cast(Leaving, site.world)
     if not discovery:
@@ -118,7 +120,9 @@
     waiting = [Caller(site) for _ in range(16)]
     for node in site.nodes.values():
         node.answers.extend([lambda node, statement: None] * 24)
-    for place, caller in enumerate(waiting):  # writes, of which some wait for a link, and reads that are moved about
+    for place, caller in enumerate(
+        waiting
+    ):  # writes, of which some wait for a link, and reads that are moved about
         caller.handle.send(frames.query((site.write() if place % 2 else site.read("view", "k")).encode()))
     site.run(0.1)
     came = world.now()
@@ -137,10 +141,24 @@
 
 
 REPORTS: dict[str, Any] = {
-    **SETTINGS, "services": [*SETTINGS["services"], {
-        "name": "report", "semantics": "retryable", "aim_s": 4.0, "deadline_s": 8.0, "points": 6, "late_worth": 0}],
-    "family_info": {**SETTINGS["family_info"], "class_read": [*SETTINGS["family_info"]["class_read"], "loose"],
-                    "staleness_bound_s": [*SETTINGS["family_info"]["staleness_bound_s"], 0]}}
+    **SETTINGS,
+    "services": [
+        *SETTINGS["services"],
+        {
+            "name": "report",
+            "semantics": "retryable",
+            "aim_s": 4.0,
+            "deadline_s": 8.0,
+            "points": 6,
+            "late_worth": 0,
+        },
+    ],
+    "family_info": {
+        **SETTINGS["family_info"],
+        "class_read": [*SETTINGS["family_info"]["class_read"], "loose"],
+        "staleness_bound_s": [*SETTINGS["family_info"]["staleness_bound_s"], 0],
+    },
+}
 
 
 @pytest.mark.parametrize("silent", [True, False])
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -23,8 +23,13 @@
 
 
 def info(primary: bool, offset: int, replid: str = A, replid2: str = "0" * 40, second: int = -1) -> bytes:
-    lines = [f"role:{'master' if primary else 'slave'}", f"master_replid:{replid}", f"master_replid2:{replid2}",
-             f"master_repl_offset:{offset}", f"second_repl_offset:{second}"]
+    lines = [
+        f"role:{'master' if primary else 'slave'}",
+        f"master_replid:{replid}",
+        f"master_replid2:{replid2}",
+        f"master_repl_offset:{offset}",
+        f"second_repl_offset:{second}",
+    ]
     if not primary:
         lines += ["master_host:p", "master_port:1", "master_link_status:up", f"slave_repl_offset:{offset}"]
     text = "\r\n".join(lines).encode()
@@ -46,7 +51,8 @@
         example = load(EXAMPLE)
         groups = [msgspec.structs.replace(example.groups[0], slots=[(0, 16383)])]
         self.config: Config = msgspec.structs.replace(
-            example, groups=groups, limits=msgspec.structs.replace(Limits(), **limits))
+            example, groups=groups, limits=msgspec.structs.replace(Limits(), **limits)
+        )
         self.machine: Machine = build.machine(self.config, 1)
         assert isinstance(self.machine.proofs, RespProofs)
         self.proofs = self.machine.proofs
@@ -75,8 +81,10 @@
                     assert link not in self.closed
                     self.sent[link] = self.sent.get(link, b"") + data
                 case ev.OpenLink(link, address):
-                    if any(node.prober is not None and node.prober.id == link
-                           for node in self.machine.nodes.values()):
+                    if any(
+                        node.prober is not None and node.prober.id == link
+                        for node in self.machine.nodes.values()
+                    ):
                         self.probing.add(link)
                         opened.append(link)
                     self.links[link] = address
@@ -96,8 +104,11 @@
 
     def link(self, address: str) -> int:
         """The newest open link to a member, but for probes."""
-        return max(link for link, where in self.links.items()
-                   if where == address and link not in self.closed and link not in self.probing)
+        return max(
+            link
+            for link, where in self.links.items()
+            if where == address and link not in self.closed and link not in self.probing
+        )
 
     def data_links(self, address: str) -> list[int]:
         return [link for link, where in self.links.items() if where == address and link not in self.probing]
@@ -197,8 +208,19 @@
     assert rig.answer(2) == b"+OK\r\n" and rig.answer(1) == b""
 
 
-@pytest.mark.parametrize("error", [b"-READONLY x\r\n", b"-LOADING x\r\n", b"-MASTERDOWN x\r\n", b"-CLUSTERDOWN x\r\n",
-                                   b"-NOREPLICAS x\r\n", b"-BUSY x\r\n", b"-OOM x\r\n", b"-TRYAGAIN x\r\n"])
+@pytest.mark.parametrize(
+    "error",
+    [
+        b"-READONLY x\r\n",
+        b"-LOADING x\r\n",
+        b"-MASTERDOWN x\r\n",
+        b"-CLUSTERDOWN x\r\n",
+        b"-NOREPLICAS x\r\n",
+        b"-BUSY x\r\n",
+        b"-OOM x\r\n",
+        b"-TRYAGAIN x\r\n",
+    ],
+)
 def test_a_write_turned_away_is_not_answered_with_the_members_words(error: bytes) -> None:
     rig = Rig()
     rig.ask("SET", "pick:1", "a")
@@ -210,7 +232,9 @@
     assert answer.startswith(b"-TRYAGAIN refused")  # never UNCERTAIN: nothing ran
 
 
-@pytest.mark.parametrize("error", [b"-ERR value is not an integer\r\n", b"-WRONGTYPE x\r\n", b"-NOSCRIPT x\r\n"])
+@pytest.mark.parametrize(
+    "error", [b"-ERR value is not an integer\r\n", b"-WRONGTYPE x\r\n", b"-NOSCRIPT x\r\n"]
+)
 def test_honest_errors_of_the_application_pass_through(error: bytes) -> None:
     rig = Rig()
     rig.ask("INCR", "pick:1")
@@ -260,7 +284,9 @@
     rig.answer()
     rig.ask("GET", "pick:1")
     replica = rig.up("r:1")
-    assert rig.sent[replica] == INFO + command("GET", "pick:1") + ROLE  # on both sides: the read leaves a mark
+    assert (
+        rig.sent[replica] == INFO + command("GET", "pick:1") + ROLE
+    )  # on both sides: the read leaves a mark
     rig.tell(ev.LinkData(replica, info(False, 40) + b"$5\r\nstale\r\n" + follows(40)))
     assert rig.answer() == b""
     rig.wait(0.1)
@@ -277,8 +303,9 @@
         rig.ask(*args)
     assert rig.answer() == b"+OK\r\n+QUEUED\r\n+QUEUED\r\n"
     link = rig.up("p:1")
-    assert rig.sent.pop(link) == (command("MULTI") + command("SET", "{u}a", "1") + command("INCR", "{u}a")
-                                  + command("EXEC") + INFO)
+    assert rig.sent.pop(link) == (
+        command("MULTI") + command("SET", "{u}a", "1") + command("INCR", "{u}a") + command("EXEC") + INFO
+    )
     rig.offsets.clear()
     rig.tell(ev.LinkData(link, b"+OK\r\n-READONLY x\r\n-READONLY x\r\n-EXECABORT x\r\n" + info(False, 10)))
     rig.wait(2.0)
@@ -395,7 +422,9 @@
     rig.tell(ev.LinkLost(link, "reset"))
     rig.tell(ev.ClientEof(1))
     rig.wait(3.0)
-    assert rig.answer().startswith(b"-TRYAGAIN refused: it may have run and is safe to repeat; retry_after_ms=")
+    assert rig.answer().startswith(
+        b"-TRYAGAIN refused: it may have run and is safe to repeat; retry_after_ms="
+    )
     held = Rig()
     held.offsets.clear()
     held.ask("SET", "note:1", "a")  # held for a report, never written
@@ -403,8 +432,12 @@
     assert held.answer().startswith(b"-TRYAGAIN refused: nothing ran")
 
 
-@pytest.mark.parametrize(("past", "word"), [(-0.01, b"-TRYAGAIN refused: it may"), (0.01, b"-UNCERTAIN failed")])
-def test_a_half_closed_client_is_told_to_repeat_only_while_repeats_are_discarded(past: float, word: bytes) -> None:
+@pytest.mark.parametrize(
+    ("past", "word"), [(-0.01, b"-TRYAGAIN refused: it may"), (0.01, b"-UNCERTAIN failed")]
+)
+def test_a_half_closed_client_is_told_to_repeat_only_while_repeats_are_discarded(
+    past: float, word: bytes
+) -> None:
     """The window passes between two looks at what is held, and the client ends its side in that moment."""
     rig = Rig()
     (stamp,) = [kind for kind in rig.config.classes if kind.effect is Effect.KEYED]
@@ -428,7 +461,9 @@
     rig.offsets.clear()
     rig.tell(ev.LinkLost(link, "reset"))
     rig.wait(3.0)
-    assert rig.answer().startswith(b"-TRYAGAIN refused: it may have run and is safe to repeat; retry_after_ms=")
+    assert rig.answer().startswith(
+        b"-TRYAGAIN refused: it may have run and is safe to repeat; retry_after_ms="
+    )
 
 
 def test_what_no_member_got_is_refused_with_the_word_that_nothing_ran() -> None:
@@ -442,7 +477,9 @@
     away.offsets["p:1"] = away.offsets["r:1"] = 5
     link = away.up("p:1")
     away.offsets.clear()
-    away.tell(ev.LinkData(link, b"-READONLY You can't write against a read only replica.\r\n" + info(False, 5)))
+    away.tell(
+        ev.LinkData(link, b"-READONLY You can't write against a read only replica.\r\n" + info(False, 5))
+    )
     away.wait(3.0)
     assert away.answer().startswith(b"-TRYAGAIN refused: nothing ran; retry_after_ms=")
 
@@ -466,8 +503,13 @@
         rig.ask(*args)
     link = rig.up("p:1")
     rig.answer()
-    rig.tell(ev.LinkData(link, b"+OK\r\n+QUEUED\r\n-EXECABORT Transaction contains write commands but instance is "
-                               b"now a read-only replica. EXEC aborted.\r\n" + info(False, 5)))
+    rig.tell(
+        ev.LinkData(
+            link,
+            b"+OK\r\n+QUEUED\r\n-EXECABORT Transaction contains write commands but instance is "
+            b"now a read-only replica. EXEC aborted.\r\n" + info(False, 5),
+        )
+    )
     assert rig.answer() == b""
     rig.wait(3.0)
     assert rig.answer().startswith(b"-TRYAGAIN refused: nothing ran")
@@ -526,7 +568,9 @@
     rig.ask("CLIENT", "SETNAME", "dashboard")
     rig.ask("BANKLIFT.SEEN", f"west={A}:10")
     rig.tell(ev.ClientOpened(2))
-    rig.tell(ev.ClientData(2, command("BANKLIFT.SEEN", f"west={A}:70") + command("CLIENT", "SETNAME", "dashboard")))
+    rig.tell(
+        ev.ClientData(2, command("BANKLIFT.SEEN", f"west={A}:70") + command("CLIENT", "SETNAME", "dashboard"))
+    )
     rig.answer()
     rig.ask("BANKLIFT.TOKEN")
     assert rig.answer() == b"$48\r\nwest=%b:70\r\n" % A.encode()
@@ -586,8 +630,18 @@
     assert len(rig.data_links("r:1")) == before
 
 
-@pytest.mark.parametrize("wrong", [("NOSUCH",), ("GET",), ("BLPOP", "a", "0"), ("PING",), ("SELECT", "0"),
-                                   ("EVAL", "x", "0"), ("MGET", "{a}", "{b}", "{c}", "{d}")])
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        ("NOSUCH",),
+        ("GET",),
+        ("BLPOP", "a", "0"),
+        ("PING",),
+        ("SELECT", "0"),
+        ("EVAL", "x", "0"),
+        ("MGET", "{a}", "{b}", "{c}", "{d}"),
+    ],
+)
 def test_a_unit_with_a_wrong_command_is_discarded(wrong: tuple[str, ...]) -> None:
     rig = Rig()
     for args in (("MULTI",), ("SET", "note:1", "a"), wrong, ("EXEC",)):
@@ -660,9 +714,25 @@
         track = rig.proofs.tracks[0]
         track.learn("p", Standing(True, 40, replid=A), rig.now - age, rig.now)
         track.learn("p", Standing(True, 90, replid=A), rig.now - 0.1, rig.now)
-        attempt = Attempt(Open(1, Ask(1, next(kind for kind in rig.machine.balancer.settings.classes
-                                              if kind.name == "trace-view"), 0, Single(2, b"", False)),
-                               rig.now, rig.now + 2), 0, rig.machine.nodes["r"], "r", rig.now, rig.now + 2, rig.now)
+        attempt = Attempt(
+            Open(
+                1,
+                Ask(
+                    1,
+                    next(kind for kind in rig.machine.balancer.settings.classes if kind.name == "trace-view"),
+                    0,
+                    Single(2, b"", False),
+                ),
+                rig.now,
+                rig.now + 2,
+            ),
+            0,
+            rig.machine.nodes["r"],
+            "r",
+            rig.now,
+            rig.now + 2,
+            rig.now,
+        )
         fact = track.learn("r", Standing(False, 40, "p:1", replid=A), rig.now, rig.now)
         assert rig.proofs.proves(attempt, fact) is served
 
@@ -687,7 +757,9 @@
     other = rig.up("p:1")
     assert other != link and b"\r\nb\r\n" in rig.sent[other]
     rig.tell(ev.ClientLost(1))  # its attempt is cut off, and its link with it
-    assert other in rig.closed and other not in rig.machine.links and other not in rig.machine.nodes["p"].links
+    assert (
+        other in rig.closed and other not in rig.machine.links and other not in rig.machine.nodes["p"].links
+    )
 
 
 def test_no_more_links_than_allowed_even_when_some_are_lost() -> None:
--- a/tests/test_many_members.py
+++ b/tests/test_many_members.py
@@ -31,10 +31,20 @@
             self.nodes[name] = node
             self.catalogue.list(name, node.address, place % GROUPS, writes=primary)
         whole = self.catalogue.whole()
-        environment = {"ROUTER_NAME": "n0", "ROUTER_LISTEN": "10.1.0.1:6432", "ROUTER_DISCOVERY": "10.9.0.1:8500"}
-        config = {"settings": {**SETTINGS, "balancers": 230}, "limits": {"sockets": SOCKETS}, "seed": "5",
-                  "known": json.loads(json.dumps(whole)) if known else None}
-        self.start: Start = parse({key: found for key, found in config.items() if found is not None}, environment)
+        environment = {
+            "ROUTER_NAME": "n0",
+            "ROUTER_LISTEN": "10.1.0.1:6432",
+            "ROUTER_DISCOVERY": "10.9.0.1:8500",
+        }
+        config = {
+            "settings": {**SETTINGS, "balancers": 230},
+            "limits": {"sockets": SOCKETS},
+            "seed": "5",
+            "known": json.loads(json.dumps(whole)) if known else None,
+        }
+        self.start: Start = parse(
+            {key: found for key, found in config.items() if found is not None}, environment
+        )
         assert self.start.settings == parse_settings({**SETTINGS, "balancers": 230})
         self.service = Service(cast(SocketEnv, self.world), self.start, {}, self.note)
         self.machine, self.host = self.service.machine, self.service.host
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -39,12 +39,14 @@
             down = sent(self.primary.received(self.now, self.conn, up), self.conn)
             up = b""
             for place in range(0, len(down), self.size):
-                up += sent(self.replica.received(self.now, UPSTREAM, down[place:place + self.size]), UPSTREAM)
+                up += sent(
+                    self.replica.received(self.now, UPSTREAM, down[place : place + self.size]), UPSTREAM
+                )
 
     def stream(self, actions: list[Act]) -> None:
         down = sent(actions, self.conn)
         for place in range(0, len(down), self.size):
-            self.replica.received(self.now, UPSTREAM, down[place:place + self.size])
+            self.replica.received(self.now, UPSTREAM, down[place : place + self.size])
 
 
 @pytest.mark.parametrize("size", [1, 7, 10_000])
@@ -152,7 +154,7 @@
     assert [len(act.log) for act in ran] == [2] and ran[0].offset == pair.primary.offset
     down = sent(actions, pair.conn)
     for place in range(0, len(down), size):
-        pair.replica.received(1.0, UPSTREAM, down[place:place + size])
+        pair.replica.received(1.0, UPSTREAM, down[place : place + size])
         offsets.add(pair.replica.offset)
     assert offsets == {0, pair.primary.offset} and pair.replica.data == {b"a": b"x", b"b": b"x"}
 
--- a/tests/test_offsets.py
+++ b/tests/test_offsets.py
@@ -18,11 +18,15 @@
     return Standing(False, offset, source, True, replid)
 
 
-@given(st.lists(st.tuples(st.floats(0, 10), st.floats(0, 1), st.floats(0, 1)), min_size=1, max_size=30),
-       st.lists(st.integers(1, 50), min_size=1, max_size=40), st.integers(0, 400))
+@given(
+    st.lists(st.tuples(st.floats(0, 10), st.floats(0, 1), st.floats(0, 1)), min_size=1, max_size=30),
+    st.lists(st.integers(1, 50), min_size=1, max_size=40),
+    st.integers(0, 400),
+)
 @settings(max_examples=300)
-def test_a_position_is_borne_out_by_the_log(samples: list[tuple[float, float, float]], writes: list[int],
-                                            applied: int) -> None:
+def test_a_position_is_borne_out_by_the_log(
+    samples: list[tuple[float, float, float]], writes: list[int], applied: int
+) -> None:
     """Samples are asked at t and read by the primary somewhat later, and their answers arrive in any order."""
     commits, offset = [], 0
     for place, size in enumerate(writes):
@@ -53,7 +57,9 @@
     track = Track()
     track.learn("p", primary(100), 1.0, 1.0)
     assert track.learn("p", primary(100), 5.0, 5.0).position == 5.0
-    assert track.learn("p", primary(100), 6.0, 6.0, waiting=5.1).position == 5.1  # a write went in, nothing came out
+    assert (
+        track.learn("p", primary(100), 6.0, 6.0, waiting=5.1).position == 5.1
+    )  # a write went in, nothing came out
     assert track.learn("p", primary(120), 7.0, 7.0, waiting=5.1).position == 7.0  # it moves: busy, not hung
 
 
@@ -111,7 +117,9 @@
     assert track.covers(track.learn("r", replica(140), 3.0, 3.0), seen)
     assert not track.covers(track.learn("r2", replica(139), 3.0, 3.0), seen)
     unknown = Seen(4.0, C, 7)
-    assert track.floor(unknown, 4.5) == 4.0 and not track.covers(track.learn("r", replica(140), 4.1, 4.1), unknown)
+    assert track.floor(unknown, 4.5) == 4.0 and not track.covers(
+        track.learn("r", replica(140), 4.1, 4.1), unknown
+    )
     track.learn("p", primary(140), 4.2, 4.2)
     assert track.covers(track.learn("r", replica(140), 4.3, 4.3), unknown)  # all commits before 4.2
 
@@ -149,7 +157,9 @@
     assert old.position == 2.5 and not track.covers(old, mark)
     track.learn("r", Standing(True, 130, replid=B, replid2=A, second_offset=101), 3.0, 3.01)
     assert not track.meet(B, 3.1)
-    assert track.covers(Fact(True, 3.0, offset=130), mark) and not track.covers(Fact(False, 1.0, offset=100), mark)
+    assert track.covers(Fact(True, 3.0, offset=130), mark) and not track.covers(
+        Fact(False, 1.0, offset=100), mark
+    )
     lost = Track()
     lost.learn("p", Standing(True, 100, replid=A), 1.0, 1.01)
     assert lost.meet(B, 2.0) and not lost.meet(B, 2.0 + OWNER_SILENT)  # nobody ever told: it is gone
@@ -174,7 +184,9 @@
     assert not track.covers(track.learn("p", Standing(True, 100, replid=A), 2.5, 2.51), mark)
     assert track.floor(mark, 3.0) == 2.0
     track.learn("r", Standing(True, 130, replid=B, replid2=A, second_offset=101), 3.0, 3.01)
-    assert track.covers(Fact(True, 3.0, offset=130), mark) and not track.covers(Fact(False, 1.0, offset=110), mark)
+    assert track.covers(Fact(True, 3.0, offset=130), mark) and not track.covers(
+        Fact(False, 1.0, offset=110), mark
+    )
     assert track.join(mark, Seen(3.0, B, 130), 3.0) == Seen(3.0, B, 130)  # which goes on from the other
     assert track.join(Seen(1.0, A, 5), Seen(1.0, A, 9), 3.0) == Seen(1.0, A, 9)
 
@@ -190,7 +202,9 @@
     track = Track()
     track.learn("p", Standing(True, 100, replid=A), 1.0, 1.01)
     track.learn("r", Standing(False, 100, "p:1", replid=A), 1.1, 1.11)
-    assert track.learn("r", Standing(False, 100, "p:1", replid=B, replid2=A), 1.2, 1.21).reborn is False  # it goes on
+    assert (
+        track.learn("r", Standing(False, 100, "p:1", replid=B, replid2=A), 1.2, 1.21).reborn is False
+    )  # it goes on
     track.learn("s", Standing(False, 100, "p:1", replid=A), 1.1, 1.11)
     assert track.learn("s", Standing(False, 100, "p:1", replid=C, replid2="0" * 40), 1.2, 1.21).reborn is True
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -37,7 +37,7 @@
     (seen,) = site.nodes["p"].seen
     before, behind = text.encode().split(b"d=1500")
     assert seen.startswith(before + b"d=1") and seen.endswith(behind)
-    left = int(seen[len(before) + 2:].split(b",")[0])
+    left = int(seen[len(before) + 2 :].split(b",")[0])
     assert 1400 < left <= 1495
 
 
@@ -99,11 +99,11 @@
     ("22023", lambda site: site.read(t="nobody")),
     ("22023", lambda site: site.read("save")),
     ("22023", lambda site: site.write(kind="view")),
-    ("22023", lambda site: site.read(patience=10 ** 9)),
+    ("22023", lambda site: site.read(patience=10**9)),
     ("22023", lambda site: site.read().replace("d=2000", "d=-5")),
     ("22023", lambda site: site.read().replace("d=2000", "d=soon")),
     ("22023", lambda site: site.read().replace("d=2000", "d=1e3")),
-    ("22023", lambda site: site.read(after=10 ** 14)),
+    ("22023", lambda site: site.read(after=10**14)),
     ("22023", lambda site: site.read().replace("id=", "ix=")),
     ("42601", lambda site: site.read(id="a,id=b")),
     ("42601", lambda site: site.read(id="")),
@@ -118,7 +118,9 @@
 
 
 @pytest.mark.parametrize(("expected", "text"), BAD_STATEMENTS)
-def test_a_bad_statement_gets_an_error_and_reaches_no_node(expected: str, text: Callable[[Site], str]) -> None:
+def test_a_bad_statement_gets_an_error_and_reaches_no_node(
+    expected: str, text: Callable[[Site], str]
+) -> None:
     site = Site()
     caller, other = Caller(site), Caller(site)
     assert code(caller.ask(text(site))) == expected
@@ -148,17 +150,25 @@
     assert len(site.nodes["p"].seen) == 2
 
 
-@pytest.mark.parametrize("data", [
-    b"\0\0\0\0", b"\0\0\0\x07\0\0\0", b"\xff\xff\xff\xff", b"GET / HTTP/1.1\r\n\r\n",
-    frames.startup("backend", "store") + b"Q\0\0\0\x03", frames.startup("backend", "store") + b"Q\xff\xff\xff\xff",
-    frames.startup("backend", "store") + b"Q\x03\x93\x87\0" + b"x" * 100,  # 60 MB are announced
-    frames.startup("backend", "store") + b"\x80\0\0\0\x05x",
-    frames.startup("backend", "store") + b"QQQQQQQQQQQQQQQQQQ",
-    frames.startup("backend", "store") + frames.message(b"P", b"\0SELECT 1\0\0\0"),
-    frames.startup("backend", "store") + frames.message(b"Q", b"SELECT 1"),
-    frames.startup("backend", "store") + frames.message(b"Q", b"SELECT\x001\0"),
-    b"\0\0\0\x08\0\x02\0\0",
-], ids=range(13))
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\0\0\0\0",
+        b"\0\0\0\x07\0\0\0",
+        b"\xff\xff\xff\xff",
+        b"GET / HTTP/1.1\r\n\r\n",
+        frames.startup("backend", "store") + b"Q\0\0\0\x03",
+        frames.startup("backend", "store") + b"Q\xff\xff\xff\xff",
+        frames.startup("backend", "store") + b"Q\x03\x93\x87\0" + b"x" * 100,  # 60 MB are announced
+        frames.startup("backend", "store") + b"\x80\0\0\0\x05x",
+        frames.startup("backend", "store") + b"QQQQQQQQQQQQQQQQQQ",
+        frames.startup("backend", "store") + frames.message(b"P", b"\0SELECT 1\0\0\0"),
+        frames.startup("backend", "store") + frames.message(b"Q", b"SELECT 1"),
+        frames.startup("backend", "store") + frames.message(b"Q", b"SELECT\x001\0"),
+        b"\0\0\0\x08\0\x02\0\0",
+    ],
+    ids=range(13),
+)
 def test_broken_framing_is_told_and_closed_at_once(data: bytes) -> None:
     site = Site()
     caller = Caller(site, start=False)
@@ -282,14 +292,23 @@
     ("three gigabytes", row(b"1")[:40] + b"D\xc0\0\0\0" + b"y" * 90_000),
     ("a negative length", b"T\xff\xff\xff\xff" + b"z" * 50),
     ("a length too small", b"T\0\0\0\x03zz"),
-    ("a column too many", frames.message(b"T", b"\0\x02" + b"a\0" + b"\0" * 18 + b"b\0" + b"\0" * 18)
-     + frames.message(b"D", b"\0\x02\0\0\0\x01x\0\0\0\x01y") + frames.message(b"C", b"SELECT 1\0") + frames.READY),
+    (
+        "a column too many",
+        frames.message(b"T", b"\0\x02" + b"a\0" + b"\0" * 18 + b"b\0" + b"\0" * 18)
+        + frames.message(b"D", b"\0\x02\0\0\0\x01x\0\0\0\x01y")
+        + frames.message(b"C", b"SELECT 1\0")
+        + frames.READY,
+    ),
     ("a row too many", row(b"1")[:-14] + row(b"2") + frames.READY),
     ("no row", frames.message(b"C", b"SELECT 0\0") + frames.READY),
-    ("a value that is shorter than its row", row(b"12345678").replace(b"\0\0\0\x0812345678", b"\0\0\0\x0412345678")
-     + frames.READY),
-    ("a value of a negative length",
-     row(b"").replace(b"D\0\0\0\x0a\0\x01\0\0\0\0", b"D\0\0\0\x0a\0\x01\xff\xff\xff\xff") + frames.READY),
+    (
+        "a value that is shorter than its row",
+        row(b"12345678").replace(b"\0\0\0\x0812345678", b"\0\0\0\x0412345678") + frames.READY,
+    ),
+    (
+        "a value of a negative length",
+        row(b"").replace(b"D\0\0\0\x0a\0\x01\0\0\0\0", b"D\0\0\0\x0a\0\x01\xff\xff\xff\xff") + frames.READY,
+    ),
     ("an error without an end", frames.message(b"E", b"C53300") + frames.READY),
     ("an error behind a row", row(b"1")[:-14] + frames.error("53300", "full") + frames.READY),
     ("an authentication", frames.AUTHENTICATED + frames.READY),
@@ -337,7 +356,9 @@
         return usual
 
     primary.answers.append(answer)
-    caller.say(frames.query(site.write("k", "01").encode()) + frames.query(site.write("k", "02").encode()), 0.0012)
+    caller.say(
+        frames.query(site.write("k", "01").encode()) + frames.query(site.write("k", "02").encode()), 0.0012
+    )
     site.run(0.2)
     told = caller.told()
     assert [kind for kind, _ in told] == ["T", "D", "C", "Z"] * 2
@@ -347,8 +368,11 @@
 
 def test_an_unreadable_load_report_spoils_nothing() -> None:
     site = Site()
-    site.nodes["p"].answers.append(lambda node, statement: node.answer(statement)[:-6]
-                                   + frames.parameter("usage", "inflight=x") + frames.READY)
+    site.nodes["p"].answers.append(
+        lambda node, statement: (
+            node.answer(statement)[:-6] + frames.parameter("usage", "inflight=x") + frames.READY
+        )
+    )
     assert value(Caller(site).ask(site.write("k", "01"))) == b"\x01"
 
 
@@ -362,7 +386,13 @@
     assert all(member.position <= site.world.now() for member in site.machine.balancer.members.values())
 
 
-OUTCOMES = [("25006", "53300"), ("72000", "53300"), ("53300", "53300"), ("XX000", "40003"), ("08P01", "40003")]
+OUTCOMES = [
+    ("25006", "53300"),
+    ("72000", "53300"),
+    ("53300", "53300"),
+    ("XX000", "40003"),
+    ("08P01", "40003"),
+]
 
 
 @pytest.mark.parametrize(("error", "expected"), OUTCOMES)
@@ -636,7 +666,7 @@
         text = bytearray((site.write() if turn % 2 else site.read()).encode())
         for _ in range(chance.randrange(4)):
             place = chance.randrange(len(text))
-            text[place:place + chance.randrange(3)] = chance.randbytes(chance.randrange(3))
+            text[place : place + chance.randrange(3)] = chance.randbytes(chance.randrange(3))
         try:
             statement = parse(bytes(text))
         except BadStatement:
@@ -655,7 +685,9 @@
         if turn % 40 == 0:
             assert value(usual.ask(site.write()))
     site.run(3.0)
-    assert not site.front.clients and not any(b"SELECT" in seen for node in site.nodes.values() for seen in node.seen)
+    assert not site.front.clients and not any(
+        b"SELECT" in seen for node in site.nodes.values() for seen in node.seen
+    )
 
 
 def test_thousands_of_tiny_commands_in_one_piece_are_answered_one_by_one() -> None:
@@ -685,7 +717,10 @@
     node = site.machine.nodes["r1"]
     site.machine.probe(node)
     assert node.prober is not None
-    for event in (ev.LinkUp(node.prober.id), ev.LinkData(node.prober.id, frames.AUTHENTICATED + frames.READY)):
+    for event in (
+        ev.LinkUp(node.prober.id),
+        ev.LinkData(node.prober.id, frames.AUTHENTICATED + frames.READY),
+    ):
         site.machine.handle(site.world.now(), event)
     site.machine.probe(node)
     usage = site.nodes["r1"].usage() + frames.READY
--- a/tests/test_play.py
+++ b/tests/test_play.py
@@ -13,9 +13,12 @@
 from tests.test_clients import patient
 
 TROUBLES = [
-    Trouble(at=0.5, do="lag", member="west-1", value=10_000), Trouble(at=0.8, do="hang", member="east-0", value=1.0),
-    Trouble(at=1.5, do="kill_router", router=0), Trouble(at=1.6, do="start_router", router=0),
-    Trouble(at=2.0, do="thaw", member="east-0"), Trouble(at=2.0, do="kill", member="west-0"),
+    Trouble(at=0.5, do="lag", member="west-1", value=10_000),
+    Trouble(at=0.8, do="hang", member="east-0", value=1.0),
+    Trouble(at=1.5, do="kill_router", router=0),
+    Trouble(at=1.6, do="start_router", router=0),
+    Trouble(at=2.0, do="thaw", member="east-0"),
+    Trouble(at=2.0, do="kill", member="west-0"),
 ]
 
 
@@ -27,6 +30,8 @@
     verdict = judge(head, entries)
     assert not [found for found in verdict.breaks if found.rule in (2, 5)]
     assert verdict.counts["effects acknowledged and kept"] > 20
-    assert sum(tally.aged for tally in verdict.tallies.values()) > 50  # reads that an old answer would have shown at
+    assert (
+        sum(tally.aged for tally in verdict.tallies.values()) > 50
+    )  # reads that an old answer would have shown at
     assert sum(entry.k == "killed" for entry in entries) == 1
     assert {entry.member for entry in entries if entry.k == "role"} > {"west-0", "east-0"}
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -21,8 +21,10 @@
 @given(st.lists(st.tuples(st.integers(0, 20), st.booleans()), max_size=200))
 def test_timers_run_in_order_but_those_taken_back(asked: list[tuple[int, bool]]) -> None:
     timers, ran = Timers(), list[int]()
-    made = [timers.at(float(when), lambda number=number: ran.append(number))  # type: ignore[misc]
-            for number, (when, _) in enumerate(asked)]
+    made = [
+        timers.at(float(when), lambda number=number: ran.append(number))  # type: ignore[misc]
+        for number, (when, _) in enumerate(asked)
+    ]
     for timer, (_, taken_back) in zip(made, asked, strict=True):
         if taken_back:
             timers.cancel(timer)
--- a/tests/test_random_days.py
+++ b/tests/test_random_days.py
@@ -9,7 +9,21 @@
 from banklift.judge.rules import judge
 from banklift.judge.trace import Entry
 
-FOUND = (29, 46, 69, 84, 106, 121, 163, 191, 198, 231, 247, 369, 372)  # each of a defect of the router or of the rig
+FOUND = (
+    29,
+    46,
+    69,
+    84,
+    106,
+    121,
+    163,
+    191,
+    198,
+    231,
+    247,
+    369,
+    372,
+)  # each of a defect of the router or of the rig
 
 
 @pytest.mark.parametrize("seed", [*FOUND, 1000, 1001, 1002])
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -22,12 +22,17 @@
 NO_PROBES: dict[str, Any] = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "probing": False}}
 
 
-def with_service(place: int, allowed: dict[str, Any] | None = None, balancers: int = 1,
-                 **more: object) -> dict[str, Any]:
+def with_service(
+    place: int, allowed: dict[str, Any] | None = None, balancers: int = 1, **more: object
+) -> dict[str, Any]:
     services = [dict(service) for service in SETTINGS["services"]]
     services[place].update(more)
-    return {**SETTINGS, "services": services, "allowed": {**SETTINGS["allowed"], **(allowed or {})},
-            "balancers": balancers}
+    return {
+        **SETTINGS,
+        "services": services,
+        "allowed": {**SETTINGS["allowed"], **(allowed or {})},
+        "balancers": balancers,
+    }
 
 
 def cut_off(site: Site, name: str) -> None:
@@ -82,7 +87,9 @@
 
 
 @pytest.mark.parametrize(("window", "runs"), [(0.3, 1), (1.5, 2)])
-def test_a_keyed_repeat_leaves_only_within_its_window_however_late_its_connection(window: float, runs: int) -> None:
+def test_a_keyed_repeat_leaves_only_within_its_window_however_late_its_connection(
+    window: float, runs: int
+) -> None:
     """The first attempt breaks at once; the repeat waits 0.2 s for a connection, twice."""
     site = Site(settings=with_service(3, semantics="dedup", window_s=window, balancers=20))
     caller = Caller(site)
@@ -211,7 +218,9 @@
     assert value(caller.ask(site.write("k", "01")))
     for node in site.nodes.values():
         node.answers.append(lambda node, statement: None)
-    caller.say(frames.query((site.write("k", "02") if kind == "save" else site.read("any", "k")).encode()), 0.05)
+    caller.say(
+        frames.query((site.write("k", "02") if kind == "save" else site.read("any", "k")).encode()), 0.05
+    )
     (attempt,) = site.machine.flying.values()
     for node in site.nodes.values():
         node.answers.clear()
@@ -317,7 +326,9 @@
                 with pytest.raises(WireError, match="differ in length"):
                     parse_settings({**SETTINGS, table: without})
                 continue
-            assert parse_settings({**SETTINGS, table: null}) == parse_settings({**SETTINGS, table: without}), name
+            assert parse_settings({**SETTINGS, table: null}) == parse_settings(
+                {**SETTINGS, table: without}
+            ), name
     for name in ("tenants", "balancers", "membership_mode", "over_share_worth"):
         without = {key: figure for key, figure in SETTINGS.items() if key != name}
         assert parse_settings({**SETTINGS, name: None}) == parse_settings(without)
@@ -334,8 +345,15 @@
 @pytest.mark.parametrize("name", ["conn_idle_s", "connect_timeout_s"])
 def test_times_of_connections_that_are_null_zero_or_absent_have_their_default(name: str) -> None:
     def start(allowed: dict[str, Any]) -> Start:
-        return parse({"settings": {**SETTINGS, "allowed": allowed}, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2",
-                      "limits": None}, {"ROUTER_NAME": "n0"})
+        return parse(
+            {
+                "settings": {**SETTINGS, "allowed": allowed},
+                "listen": "127.0.0.1:1",
+                "discovery": "127.0.0.1:2",
+                "limits": None,
+            },
+            {"ROUTER_NAME": "n0"},
+        )
 
     without = {key: figure for key, figure in SETTINGS["allowed"].items() if key != name}
     usual = start(without)
@@ -358,7 +376,10 @@
         assert value(one.ask(first.write("k", "01"))) == b"\x01"
     assert second.machine.balancer.usual["pay"] == 0.25 and not second.machine.open
     assert value(two.ask(second.write("k", "02", kind="pay"))) == b"\x02"
-    assert code(two.ask(second.write("k", "02"))) == "22023" and code(one.ask(first.write(kind="pay"))) == "22023"
+    assert (
+        code(two.ask(second.write("k", "02"))) == "22023"
+        and code(one.ask(first.write(kind="pay"))) == "22023"
+    )
     assert first.machine.balancer.settings.classes[3].name == "save"
     first.balanced()
     second.balanced()
@@ -415,7 +436,10 @@
 
 
 def test_a_watch_that_fell_silent_is_opened_anew_within_six_seconds_of_its_call() -> None:
-    settings = {**SETTINGS, "rules": {**SETTINGS["rules"], "ask_within_s": 120.0}}  # of which a retry takes a part
+    settings = {
+        **SETTINGS,
+        "rules": {**SETTINGS["rules"], "ask_within_s": 120.0},
+    }  # of which a retry takes a part
     site = Site(settings=settings)
     site.catalogue.waiting.clear()
     site.catalogue.list("r1", site.nodes["r1"].address, state="DRAINING")
@@ -428,5 +452,6 @@
     now = site.world.now()
     for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
         site.service.signalled(number, now)
-    assert [event for event, _ in site.notes if event in ("leaving", "configuration refused, the old one stays")] == [
-        "leaving", "configuration refused, the old one stays"]
+    assert [
+        event for event, _ in site.notes if event in ("leaving", "configuration refused, the old one stays")
+    ] == ["leaving", "configuration refused, the old one stays"]
--- a/tests/test_resp_frames.py
+++ b/tests/test_resp_frames.py
@@ -10,12 +10,30 @@
 from banklift.resp.slots import slot
 
 FRAMES = [
-    b"+OK\r\n", b"-ERR no\r\n", b":12\r\n", b"$5\r\nhe\r\no\r\n", b"$0\r\n\r\n", b"$-1\r\n", b"*0\r\n",
-    b"*-1\r\n", b"_\r\n", b",3.14\r\n", b",inf\r\n", b"#t\r\n", b"(349289032840923850932485094385\r\n",
-    b"!5\r\nERR x\r\n", b"=7\r\ntxt:abc\r\n", b"%2\r\n+a\r\n:1\r\n+b\r\n*2\r\n:2\r\n:3\r\n",
-    b"~2\r\n+a\r\n+b\r\n", b">2\r\n+message\r\n+x\r\n", b"|1\r\n+ttl\r\n:3600\r\n*2\r\n:1\r\n:2\r\n",
-    b"*2\r\n*1\r\n$1\r\na\r\n|1\r\n+k\r\n+v\r\n:7\r\n", b"$?\r\n;4\r\nHell\r\n;1\r\no\r\n;0\r\n",
-    b"*?\r\n:1\r\n:2\r\n.\r\n", b"*3\r\n$?\r\n;0\r\n*?\r\n.\r\n+x\r\n", b"%0\r\n",
+    b"+OK\r\n",
+    b"-ERR no\r\n",
+    b":12\r\n",
+    b"$5\r\nhe\r\no\r\n",
+    b"$0\r\n\r\n",
+    b"$-1\r\n",
+    b"*0\r\n",
+    b"*-1\r\n",
+    b"_\r\n",
+    b",3.14\r\n",
+    b",inf\r\n",
+    b"#t\r\n",
+    b"(349289032840923850932485094385\r\n",
+    b"!5\r\nERR x\r\n",
+    b"=7\r\ntxt:abc\r\n",
+    b"%2\r\n+a\r\n:1\r\n+b\r\n*2\r\n:2\r\n:3\r\n",
+    b"~2\r\n+a\r\n+b\r\n",
+    b">2\r\n+message\r\n+x\r\n",
+    b"|1\r\n+ttl\r\n:3600\r\n*2\r\n:1\r\n:2\r\n",
+    b"*2\r\n*1\r\n$1\r\na\r\n|1\r\n+k\r\n+v\r\n:7\r\n",
+    b"$?\r\n;4\r\nHell\r\n;1\r\no\r\n;0\r\n",
+    b"*?\r\n:1\r\n:2\r\n.\r\n",
+    b"*3\r\n$?\r\n;0\r\n*?\r\n.\r\n+x\r\n",
+    b"%0\r\n",
 ]
 
 
@@ -29,7 +47,9 @@
     assert found == frames
 
 
-@pytest.mark.parametrize("bad", [b"?\r\n", b"$x\r\n", b"*-2\r\n", b"$3\r\nabcde\r\n", b"hello\r\n", b"$2000\r\n"])
+@pytest.mark.parametrize(
+    "bad", [b"?\r\n", b"$x\r\n", b"*-2\r\n", b"$3\r\nabcde\r\n", b"hello\r\n", b"$2000\r\n"]
+)
 def test_broken_frames_are_refused(bad: bytes) -> None:
     with pytest.raises(ProtocolError):
         Scanner(1000).feed(bad)
@@ -46,8 +66,10 @@
         Scanner(1 << 20).feed(b"*1\r\n" * 600)
 
 
-@given(st.lists(st.lists(st.binary(max_size=30), min_size=1, max_size=4), max_size=5),
-       st.lists(st.integers(1, 30), max_size=40))
+@given(
+    st.lists(st.lists(st.binary(max_size=30), min_size=1, max_size=4), max_size=5),
+    st.lists(st.integers(1, 30), max_size=40),
+)
 @settings(max_examples=200)
 def test_commands_are_read_whatever_the_cuts(commands: list[list[bytes]], cuts: list[int]) -> None:
     stream = b"".join(command(*args) for args in commands)
@@ -61,13 +83,19 @@
     assert reader.pos == len(reader.buffer)
 
 
-@pytest.mark.parametrize(("sent", "text"), [
-    (b"*1\r\n:1\r\n", "expected '$', got ':'"), (b"*x\r\n", "invalid multibulk length"),
-    (b"*1\r\n$-1\r\n", "invalid bulk length"), (b"*1\r\n$1001\r\n", "invalid bulk length"),
-    (b"*2\r\n$600\r\n" + b"x" * 600 + b"\r\n$600\r\n", "invalid bulk length"),
-    (b"x" * 70_000, "too big inline request"), (b"*99999999\r\n", "invalid multibulk length"),
-    (b'GET "a\r\n', "unbalanced quotes in request"),
-])
+@pytest.mark.parametrize(
+    ("sent", "text"),
+    [
+        (b"*1\r\n:1\r\n", "expected '$', got ':'"),
+        (b"*x\r\n", "invalid multibulk length"),
+        (b"*1\r\n$-1\r\n", "invalid bulk length"),
+        (b"*1\r\n$1001\r\n", "invalid bulk length"),
+        (b"*2\r\n$600\r\n" + b"x" * 600 + b"\r\n$600\r\n", "invalid bulk length"),
+        (b"x" * 70_000, "too big inline request"),
+        (b"*99999999\r\n", "invalid multibulk length"),
+        (b'GET "a\r\n', "unbalanced quotes in request"),
+    ],
+)
 def test_broken_commands_are_refused_as_redis_does(sent: bytes, text: str) -> None:
     reader = CommandReader(1000)
     reader.feed(sent)
@@ -78,7 +106,7 @@
 
 def test_inline_commands() -> None:
     reader = CommandReader(1000)
-    reader.feed(b"\r\nPING\r\nSET a \"b \\x41\\n\"\n*1\r\n$4\r\nPING\r\n")
+    reader.feed(b'\r\nPING\r\nSET a "b \\x41\\n"\n*1\r\n$4\r\nPING\r\n')
     assert [reader.next() for _ in range(4)] == [[b"PING"], [b"SET", b"a", b"b A\n"], [b"PING"], None]
     assert split_inline(b"a 'b c' \"\"") == [b"a", b"b c", b""]
 
--- a/tests/test_rig_fleet.py
+++ b/tests/test_rig_fleet.py
@@ -17,8 +17,9 @@
 TIMES = 10.0  # of the usual deadlines: no machine is too slow for them
 
 
-def play(folder: Path, names: list[str], voters: int, act: Callable[[Rig], Awaitable[None]],
-         lease: float = LEASE) -> Verdict:
+def play(
+    folder: Path, names: list[str], voters: int, act: Callable[[Rig], Awaitable[None]], lease: float = LEASE
+) -> Verdict:
     """Start the voters and then the others, let clients ask all of them, act, and judge what was seen."""
 
     async def main() -> Verdict:
@@ -57,7 +58,9 @@
         await rig.serves("r4")
         refused = await rig.set(0, limits={"clients": 5000})
         assert (refused["result"], refused["code"]) == ("aborted", 1)
-        assert any(reason.startswith("r4: $.limits.clients: 5000 clients") for reason in refused["reasons"]), refused
+        assert any(
+            reason.startswith("r4: $.limits.clients: 5000 clients") for reason in refused["reasons"]
+        ), refused
         assert all(reason.startswith("r4: ") for reason in refused["reasons"])
         await rig.serves(*names, parity=1)
 
@@ -82,8 +85,11 @@
     verdict = play(tmp_path, names, 3, act)
     assert verdict.breaks == []
     assert verdict.cases["changes in force"] == 3 and verdict.cases["changes not in force"] == 1
-    for case in ("never mixed: sent once the first was served under the new policy", "in force: sent once it was told",
-                 "nowhere: sent during or after a change that did not take hold"):
+    for case in (
+        "never mixed: sent once the first was served under the new policy",
+        "in force: sent once it was told",
+        "nowhere: sent during or after a change that did not take hold",
+    ):
         assert verdict.cases[case] > 20, verdict.cases
 
 
@@ -111,10 +117,14 @@
         rig.addresses.update(addresses)
         voters = {**{name: f"127.0.0.1:{port}" for name, port in rig.ports.items()}}
         for name, fleet, words in (
-                ("x1", {"voters": {"r0": voters["r0"], "r1": voters["r1"]}},
-                 "fleet.voters: r0, r1; here they are r0, r1, r2"),
-                ("x2", {"name": "other", "voters": voters}, "fleet 'other', here it is 'rig'"),
-                ("x3", {"lease": 9.0, "voters": voters}, "fleet.lease: 9 s, here it is 3 s")):
+            (
+                "x1",
+                {"voters": {"r0": voters["r0"], "r1": voters["r1"]}},
+                "fleet.voters: r0, r1; here they are r0, r1, r2",
+            ),
+            ("x2", {"name": "other", "voters": voters}, "fleet 'other', here it is 'rig'"),
+            ("x3", {"lease": 9.0, "voters": voters}, "fleet.lease: 9 s, here it is 3 s"),
+        ):
             rig.names.append(name)
             for voter in rig.voters:
                 rig.relays[name, voter] = rig.relays["r3", voter]
@@ -125,7 +135,9 @@
         rig.state("r1").rename(rig.state("r2"))
         before = {path.name: path.read_bytes() for path in rig.state("r2").iterdir()}
         assert "the state of voter 'r1' of fleet 'rig', and this is 'r2'" in await refused("r2")
-        assert {path.name: path.read_bytes() for path in rig.state("r2").iterdir()} == before  # nothing overwritten
+        assert {
+            path.name: path.read_bytes() for path in rig.state("r2").iterdir()
+        } == before  # nothing overwritten
         rig.state("r2").rename(rig.state("r1"))
         (rig.folder / "r2.kept").rename(rig.state("r2"))
         await rig.start("r1")
@@ -176,7 +188,9 @@
     verdict = play(tmp_path, names, 3, act)
     assert verdict.breaks == []
     assert verdict.cases["changes in force"] == 5
-    assert verdict.cases["never mixed: sent once the first was served under the new policy"] > 100, verdict.cases
+    assert verdict.cases["never mixed: sent once the first was served under the new policy"] > 100, (
+        verdict.cases
+    )
 
 
 def test_an_answer_that_is_lost_is_had_by_asking_again_and_two_at_once_are_told_apart(tmp_path: Path) -> None:
@@ -194,16 +208,27 @@
             both.start_soon(late)
             checked = rig.log("r1").count("policy checked")
             await rig.until(lambda: rig.log("r1").count("policy checked") > checked)
-            other = await rig.banklift("policy", "set", str(next(rig.folder.glob("policy-*.json"))), "--config",
-                                       str(rig.file("r2")), "--json", "--id", f"{version}-other")
+            other = await rig.banklift(
+                "policy",
+                "set",
+                str(next(rig.folder.glob("policy-*.json"))),
+                "--config",
+                str(rig.file("r2")),
+                "--json",
+                "--id",
+                f"{version}-other",
+            )
             # it is under way yet, or over on a slow machine: the other one was made for what was there before
-            assert other[0] == 4 and ("under way" in other[2] or f"made for version {version}" in other[2]), other
+            assert other[0] == 4 and ("under way" in other[2] or f"made for version {version}" in other[2]), (
+                other
+            )
         first = answers[0]
         assert first["result"] == "in force"
         rig.go_on("r3")
         path = next(rig.folder.glob("policy-*.json"))
-        again = await rig.banklift("policy", "set", str(path), "--config", str(rig.file("r2")), "--json", "--id",
-                                   first["id"])
+        again = await rig.banklift(
+            "policy", "set", str(path), "--config", str(rig.file("r2")), "--json", "--id", first["id"]
+        )
         assert again[0] == 0 and '"in force"' in again[1], again
         shown = await rig.banklift("policy", "show", "--config", str(rig.file("r2")))
         assert '"epoch": 2' in shown[1], shown  # made once
@@ -212,8 +237,11 @@
         told = await rig.fleet()
         assert {holder["name"] for holder in told["holders"]} == set(names) and told["state"]["epoch"] == 2
         bad = rig.folder / "bad.json"
-        for text, words in (("{", "bad.json"), ('{"classes": []}', "missing required field"),
-                            ('{"listen": "x:1"}', "a policy can't change it")):
+        for text, words in (
+            ("{", "bad.json"),
+            ('{"classes": []}', "missing required field"),
+            ('{"listen": "x:1"}', "a policy can't change it"),
+        ):
             bad.write_text(text)
             refused = await rig.banklift("policy", "set", str(bad), "--config", str(rig.file("r2")))
             assert refused[0] == 2 and words in refused[2], refused
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -24,7 +24,10 @@
 from tests.platform_site import SETTINGS
 
 COMMENT = "/* id={id},c={kind},t=acme,d=20000,cluster=0 */"
-PATIENT = {**SETTINGS, "services": [{**service, "aim_s": 10.0, "deadline_s": 20.0} for service in SETTINGS["services"]]}
+PATIENT = {
+    **SETTINGS,
+    "services": [{**service, "aim_s": 10.0, "deadline_s": 20.0} for service in SETTINGS["services"]],
+}
 
 
 class Platform:
@@ -42,9 +45,14 @@
             free.bind(("127.0.0.1", 0))
             self.listen = f"127.0.0.1:{free.getsockname()[1]}"
         self.config: dict[str, Any] = {
-            "name": "n0", "listen": self.listen, "discovery": self.catalogue.address, "seed": "8c1f",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": self.catalogue.whole(),
-            "settings": PATIENT}
+            "name": "n0",
+            "listen": self.listen,
+            "discovery": self.catalogue.address,
+            "seed": "8c1f",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "known": self.catalogue.whole(),
+            "settings": PATIENT,
+        }
         self.process: subprocess.Popen[str] | None = None
 
     async def _serve(self) -> None:
@@ -68,12 +76,21 @@
         return path
 
     def environment(self) -> dict[str, str]:
-        return {**os.environ, "ROUTER_NAME": "n0", "ROUTER_LISTEN": self.listen,
-                "ROUTER_DISCOVERY": self.catalogue.address, "ROUTER_CONFIG": str(self.write())}
+        return {
+            **os.environ,
+            "ROUTER_NAME": "n0",
+            "ROUTER_LISTEN": self.listen,
+            "ROUTER_DISCOVERY": self.catalogue.address,
+            "ROUTER_CONFIG": str(self.write()),
+        }
 
     def start(self) -> None:
-        self.process = subprocess.Popen([sys.executable, "-m", "banklift.net.service"], env=self.environment(),
-                                        stderr=subprocess.PIPE, text=True)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "banklift.net.service"],
+            env=self.environment(),
+            stderr=subprocess.PIPE,
+            text=True,
+        )
         self.said("listening")
 
     def said(self, word: str) -> str:
@@ -86,8 +103,16 @@
 
     def connect(self) -> psycopg.Connection[tuple[bytes]]:
         host, _, port = self.listen.partition(":")
-        return psycopg.connect(host=host, port=port, user="backend", dbname="store", autocommit=True,
-                               connect_timeout=20, cursor_factory=psycopg.ClientCursor, sslmode="prefer")
+        return psycopg.connect(
+            host=host,
+            port=port,
+            user="backend",
+            dbname="store",
+            autocommit=True,
+            connect_timeout=20,
+            cursor_factory=psycopg.ClientCursor,
+            sslmode="prefer",
+        )
 
     def comment(self, kind: str) -> str:
         self.ids += 1
@@ -109,8 +134,10 @@
 
 
 def save(platform: Platform, connection: psycopg.Connection[tuple[bytes]], key: str, text: str) -> bytes:
-    row = connection.execute(f"INSERT INTO kv (name, content) VALUES ('{key}', '\\x{text}') RETURNING content "
-                             f"{platform.comment('save')}").fetchone()
+    row = connection.execute(
+        f"INSERT INTO kv (name, content) VALUES ('{key}', '\\x{text}') RETURNING content "
+        f"{platform.comment('save')}"
+    ).fetchone()
     assert row is not None
     return row[0]
 
@@ -119,7 +146,9 @@
     platform.start()
     with platform.connect() as connection:
         assert save(platform, connection, "k", "9f03") == b"\x9f\x03"
-        row = connection.execute(f"SELECT content FROM kv WHERE name = 'k' {platform.comment('any')}").fetchone()
+        row = connection.execute(
+            f"SELECT content FROM kv WHERE name = 'k' {platform.comment('any')}"
+        ).fetchone()
         assert row is not None and row[0] == b"\x9f\x03"
         with pytest.raises(psycopg.errors.SyntaxError):
             connection.execute("SELECT 1")
@@ -183,26 +212,43 @@
             del config[path[-1]]
         else:
             config[path[-1]] = to
+
     return apply
 
 
-@pytest.mark.parametrize(("spoil", "reason"), [
-    (change("discovery", to="nowhere"), "discovery: host:port is needed, not 'nowhere'"),
-    (change("listen", to="127.0.0.1:99999"), "listen: host:port is needed"),
-    (change("settings", to=None), "settings: an object is needed"),
-    (change("settings", "services", to=None), "settings: boot_info: services, class_read and staleness_bound_s differ"),
-    (change("limits", "sockets", to="many"), "limits.sockets: a number from 64 is needed, not 'many'"),
-    (change("known", "targets", to=[{"uid": 5}]), "the list of members"),
-    (change("seed", to="xyz"), "seed"),
-    (change("settings", "allowed", "conn_idle_s", to=-1), "settings.allowed.conn_idle_s: seconds above 0 are needed"),
-    (change("listen", to="192.0.2.1:6432"), "listen: 192.0.2.1:6432"),
-])
-def test_a_bad_configuration_ends_it_with_one_line(platform: Platform, spoil: Callable[[dict[str, Any]], None],
-                                                   reason: str) -> None:
+@pytest.mark.parametrize(
+    ("spoil", "reason"),
+    [
+        (change("discovery", to="nowhere"), "discovery: host:port is needed, not 'nowhere'"),
+        (change("listen", to="127.0.0.1:99999"), "listen: host:port is needed"),
+        (change("settings", to=None), "settings: an object is needed"),
+        (
+            change("settings", "services", to=None),
+            "settings: boot_info: services, class_read and staleness_bound_s differ",
+        ),
+        (change("limits", "sockets", to="many"), "limits.sockets: a number from 64 is needed, not 'many'"),
+        (change("known", "targets", to=[{"uid": 5}]), "the list of members"),
+        (change("seed", to="xyz"), "seed"),
+        (
+            change("settings", "allowed", "conn_idle_s", to=-1),
+            "settings.allowed.conn_idle_s: seconds above 0 are needed",
+        ),
+        (change("listen", to="192.0.2.1:6432"), "listen: 192.0.2.1:6432"),
+    ],
+)
+def test_a_bad_configuration_ends_it_with_one_line(
+    platform: Platform, spoil: Callable[[dict[str, Any]], None], reason: str
+) -> None:
     platform.config = json.loads(json.dumps(platform.config))
     spoil(platform.config)
-    ended = subprocess.run([sys.executable, "-m", "banklift.net.service"], env=platform.environment(),
-                           capture_output=True, text=True, timeout=60, check=False)
+    ended = subprocess.run(
+        [sys.executable, "-m", "banklift.net.service"],
+        env=platform.environment(),
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     assert ended.returncode == 2
     assert reason in ended.stderr and "Traceback" not in ended.stderr
     assert ended.stderr.count("\n") == 1
@@ -212,13 +258,20 @@
 def test_a_missing_variable_is_named(platform: Platform, variable: str) -> None:
     environment = platform.environment()
     del environment[variable]
-    ended = subprocess.run([sys.executable, "-m", "banklift.net.service"], env=environment, capture_output=True,
-                           text=True, timeout=60, check=False)
+    ended = subprocess.run(
+        [sys.executable, "-m", "banklift.net.service"],
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     assert (ended.returncode, ended.stderr) == (2, f"banklift: the variable {variable} is not set\n")
 
 
-@pytest.mark.parametrize(("content", "reason"), [
-    (None, "No such file"), ("{", "not JSON"), ("[]", "an object is needed")])
+@pytest.mark.parametrize(
+    ("content", "reason"), [(None, "No such file"), ("{", "not JSON"), ("[]", "an object is needed")]
+)
 def test_an_unreadable_file_is_named(platform: Platform, content: str | None, reason: str) -> None:
     environment = platform.environment()
     path = Path(environment["ROUTER_CONFIG"])
@@ -226,7 +279,17 @@
         path.unlink()
     else:
         path.write_text(content)
-    ended = subprocess.run([sys.executable, "-m", "banklift.net.service"], env=environment, capture_output=True,
-                           text=True, timeout=60, check=False)
+    ended = subprocess.run(
+        [sys.executable, "-m", "banklift.net.service"],
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     assert ended.returncode == 2
-    assert ended.stderr.startswith(f"banklift: {path}: ") and reason in ended.stderr and ended.stderr.count("\n") == 1
+    assert (
+        ended.stderr.startswith(f"banklift: {path}: ")
+        and reason in ended.stderr
+        and ended.stderr.count("\n") == 1
+    )
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -45,7 +45,9 @@
         assert content(tmp_path) == b"two", cut
         old = pack(1, b"one")
         victim.write_bytes(whole[:cut] + old[cut:])  # an old end behind a new beginning
-        assert content(tmp_path) in (b"two", b"three") and (content(tmp_path) == b"two" or cut >= len(old)), cut
+        assert content(tmp_path) in (b"two", b"three") and (content(tmp_path) == b"two" or cut >= len(old)), (
+            cut
+        )
     victim.write_bytes(whole)
     assert content(tmp_path) == b"three"
 
@@ -60,10 +62,13 @@
             assert unpack(bytes(spoilt)) is None
 
 
-@pytest.mark.parametrize(("code", "kind"), [
-    (errno.ENOSPC, "full"), (errno.EROFS, "read-only"), (errno.EIO, "failed"), (errno.EACCES, "read-only")])
-def test_a_write_that_fails_says_why_and_spoils_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, code: int,
-                                                        kind: str) -> None:
+@pytest.mark.parametrize(
+    ("code", "kind"),
+    [(errno.ENOSPC, "full"), (errno.EROFS, "read-only"), (errno.EIO, "failed"), (errno.EACCES, "read-only")],
+)
+def test_a_write_that_fails_says_why_and_spoils_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, code: int, kind: str
+) -> None:
     slots = Slots(tmp_path)
     slots.save(b"one")
     slots.save(b"two")
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -144,7 +144,9 @@
 def test_without_a_descriptor_a_connection_fails_and_nothing_else(monkeypatch: pytest.MonkeyPatch) -> None:
     with anyio.from_thread.start_blocking_portal() as portal:
         assert "no descriptors left" in portal.call(connect_without_descriptors, monkeypatch, False)
-        assert portal.call(connect_without_descriptors, monkeypatch, True) == ""  # who closed it hears nothing
+        assert (
+            portal.call(connect_without_descriptors, monkeypatch, True) == ""
+        )  # who closed it hears nothing
 
 
 def test_connections_that_end_hold_few_descriptors() -> None:
