--- a/banklift/fleet/book.py
+++ b/banklift/fleet/lease_table.py
@@ -1,4 +1,4 @@
-"""A voter's book of the leases that it has granted. Pure; times are the voter's own clock, which never goes back.
+"""A voter's table of leases that it has granted. Pure; times are the voter's own clock, which never goes back.
 
 The rule that all else rests on: **a voter never has leases on two epochs out at one time.** A router may serve an epoch
 while a majority of voters has it under a lease for that epoch. Any two majorities share a voter, so no two routers
@@ -32,7 +32,7 @@
 
 FORGET = 3600.0  # seconds after which a router that was not heard of is no longer listed
 SHORT_PART = 0.1  # of a lease: how long one is while a change takes hold; what a change takes at the least
-MOST = 4096  # routers in the book
+MOST = 4096  # routers in the table
 
 
 @dataclass(slots=True, eq=False)
@@ -54,7 +54,7 @@
         return max(self.out.values(), default=-math.inf)
 
 
-class Book:
+class LeaseTable:
     """`lease`: seconds that a grant holds. `drift`: how far two clocks may differ in rate, as a part."""
 
     def __init__(self, lease: float, drift: float) -> None:
@@ -66,7 +66,7 @@
         self.granting = 0  # the epoch
         self.turn = math.inf  # when it goes on to the next one, once that is settled here
         self.closing = False
-        self.complete_from = -math.inf  # from when on all leases out are in the book
+        self.complete_from = -math.inf  # from when on all leases out are in the table
         self.sealed = ""  # id of the change
 
     # ---- what was chosen
@@ -138,7 +138,7 @@
         if entry is None:
             self.sweep(now)
             if len(self.entries) >= MOST:
-                return self._none(ask, "this voter's book is full")
+                return self._none(ask, "this voter's lease table is full")
             entry = self.entries[key] = Entry(name, incarnation, now)
         if ask.number <= entry.asked:
             return None
--- a/banklift/fleet/voter.py
+++ b/banklift/fleet/voter.py
@@ -1,4 +1,4 @@
-"""A voter: its part of the register, its book of leases, and the changes that it drives. Pure.
+"""A voter: its part of the register, its table of leases, and the changes that it drives. Pure.
 
 What has to be on disk before a word leaves is `Save`; the words wait until `saved` says that it is there. While a write
 is under way more may come; they wait for the next one together. A write that fails takes its words with it: who asked
@@ -13,7 +13,7 @@
 Driving a change. The voter that an operator asked drives it; if it falls silent, any other one does, after a while that
 is drawn. Two that drive at once do no harm: every step is a compare-and-set. While it drives, it surveys all voters:
 
-- checking: a majority is sealed (book.py): `agree`; somebody refused, or `patience` is over: `abort`;
+- checking: a majority is sealed (lease_table.py): `agree`; somebody refused, or `patience` is over: `abort`;
 - agreed: a majority has turned: `settle`.
 """
 
@@ -28,7 +28,7 @@
 import msgspec
 
 from banklift.fleet import register
-from banklift.fleet.book import Book
+from banklift.fleet.lease_table import LeaseTable
 from banklift.fleet.messages import (
     Accept,
     Accepted,
@@ -148,7 +148,7 @@
         self.record = base
         self.rejoining: Rejoining | None = Rejoining(base, voters, record is not None, absent)
         self.in_step = False  # it has read the register since it started
-        self.book = Book(lease, drift)
+        self.lease_table = LeaseTable(lease, drift)
         self.linked: dict[str, bool] = {other: False for other in voters if other != name}
         self.operators: set[int] = set()
         self.durable: Record | None = None  # what was written last
@@ -184,8 +184,8 @@
         self.linked[voter] = up
         if up and self.rejoining is not None:
             self.actions.append(ToVoter(voter, Rejoin(self.rejoining.record.incarnation)))
-        if up and self.book.state is not None:
-            self.actions.append(ToVoter(voter, Learn(self.book.state)))
+        if up and self.lease_table.state is not None:
+            self.actions.append(ToVoter(voter, Learn(self.lease_table.state)))
         return self._out()
 
     def operator(self, now: float, operator: int, up: bool) -> list[Action]:
@@ -243,7 +243,7 @@
                 f"this voter does not vote: {self.rejoining.waiting()}",
             )
         else:
-            grant = self.book.ask(now, name, incarnation, ask)
+            grant = self.lease_table.ask(now, name, incarnation, ask)
         return grant, self._out()
 
     def set(self, now: float, operator: int, wanted: Set) -> list[Action]:
@@ -270,11 +270,11 @@
     def show(self, now: float) -> Shown:
         standing = VOTING if self.rejoining is None else self.rejoining.standing
         return Shown(
-            self.book.state,
+            self.lease_table.state,
             self.name,
             standing,
             {**self.linked, self.name: True},
-            self.book.holders(now),
+            self.lease_table.holders(now),
             tuple(self.trouble()),
         )
 
@@ -298,11 +298,11 @@
             self._save()
         if now >= self.round_ends:
             self._again()
-        granting = self.book.granting
-        self.book.tick(now)
-        if self.book.granting != granting:
+        granting = self.lease_table.granting
+        self.lease_table.tick(now)
+        if self.lease_table.granting != granting:
             self.actions.append(NudgeAll())
-        change = self.book.change
+        change = self.lease_table.change
         if (
             self.rejoining is None
             and change is not None
@@ -315,12 +315,12 @@
         return self._out()
 
     def due(self, now: float) -> float:
-        times = [self.round_ends, self.disk_retry, self.book.due(now)]
+        times = [self.round_ends, self.disk_retry, self.lease_table.due(now)]
         if self.rejoining is not None:
             times.append(self.rejoin_at)
         if self.drive is not None:
             times.append(self.polled + POLL)
-        elif self.book.change is not None:
+        elif self.lease_table.change is not None:
             times.append(self.driven + self.takeover)
         return min(times)
 
@@ -438,7 +438,7 @@
     def _in_step(self, state: State) -> None:
         """It has read the register since it started: from here on it grants leases."""
         self.in_step = True
-        self.book.anew(self.now, state)
+        self.lease_table.anew(self.now, state)
         self.driven = self.now
         self.actions.append(NudgeAll())
 
@@ -510,8 +510,10 @@
         return task
 
     def _learn(self, state: State) -> None:
-        before = self.book.state
-        if not self.in_step or not self.book.learn(self.now, state):  # what it reads itself will be as new
+        before = self.lease_table.state
+        if not self.in_step or not self.lease_table.learn(
+            self.now, state
+        ):  # what it reads itself will be as new
             return
         self.driven = self.now
         if before is None or state.change != before.change or state.epoch != before.epoch:
@@ -531,7 +533,7 @@
 
     def _follow(self, operator: int, change: str) -> None:
         """It was proposed, or is known: tell how it ended, or take it further."""
-        state = self.book.state
+        state = self.lease_table.state
         assert state is not None
         ended = outcome(state, change)
         if ended is not None:
@@ -547,7 +549,7 @@
 
     def _poll(self, drive: Drive) -> None:
         self.polled = self.now
-        state = self.book.state
+        state = self.lease_table.state
         if state is None or state.change is None or state.change.id != drive.change:
             self.drive = None
             return
@@ -560,14 +562,14 @@
         self._decide(drive)
 
     def _survey(self, change: Change, number: int) -> Surveyed:
-        holders, sealed, turned = self.book.survey(self.now)
-        current = self.book.change
+        holders, sealed, turned = self.lease_table.survey(self.now)
+        current = self.lease_table.change
         if current is None or current.id != change.id:  # decided since
             sealed = turned = False
         return Surveyed(change.id, number, holders, sealed, turned)
 
     def _decide(self, drive: Drive) -> None:
-        change = self.book.change
+        change = self.lease_table.change
         if change is None or change.id != drive.change or drive.deciding:
             return
         quorum, answers = majority(len(self.voters)), drive.answers.values()
--- a/tests/test_fleet_planted.py
+++ b/tests/test_fleet_planted.py
@@ -9,11 +9,10 @@
 import msgspec
 import pytest
 
-from banklift.fleet import book as books
 from banklift.fleet import lease as leases
-from banklift.fleet import register, state, voter
-from banklift.fleet.book import Book
+from banklift.fleet import lease_table, register, state, voter
 from banklift.fleet.lease import Leases
+from banklift.fleet.lease_table import LeaseTable
 from banklift.fleet.messages import Ask, Grant, Set, Show, Shown
 from banklift.fleet.register import Record, Rejoining
 from banklift.rig.world import REFUSED, FleetWorld
@@ -214,14 +213,14 @@
 
 
 def turned_before_the_last_lease_ends(patch: Patch) -> None:
-    real = Book.tick
+    real = LeaseTable.tick
 
-    def tick(self: Book, now: float) -> None:
+    def tick(self: LeaseTable, now: float) -> None:
         if self.closing and self.turn == math.inf:
             self.turn = now
         real(self, now)
 
-    patch.setattr(Book, "tick", tick)
+    patch.setattr(LeaseTable, "tick", tick)
 
 
 def votes_at_once_after_a_start(patch: Patch) -> None:
@@ -246,47 +245,47 @@
 
 
 def a_refusal_is_not_waited_for(patch: Patch) -> None:
-    real = Book.survey
+    real = LeaseTable.survey
 
-    def survey(self: Book, now: float) -> Any:
+    def survey(self: LeaseTable, now: float) -> Any:
         holders, _, turned = real(self, now)
         return holders, True, turned
 
-    patch.setattr(Book, "survey", survey)
+    patch.setattr(LeaseTable, "survey", survey)
 
 
 def drift_left_out(patch: Patch) -> None:
-    real_book, real_leases = Book.__init__, Leases.__init__
+    real_book, real_leases = LeaseTable.__init__, Leases.__init__
 
-    def book(self: Book, lease: float, drift: float) -> None:
+    def table(self: LeaseTable, lease: float, drift: float) -> None:
         real_book(self, lease, 0.0)
 
     def leases_(self: Leases, voters: tuple[str, ...], lease: float, drift: float, *more: Any) -> None:
         real_leases(self, voters, lease, 0.0, *more)
 
-    patch.setattr(Book, "__init__", book)
+    patch.setattr(LeaseTable, "__init__", table)
     patch.setattr(Leases, "__init__", leases_)
 
 
 def old_leases_given_past_the_turn(patch: Patch) -> None:
-    real = Book._grant
+    real = LeaseTable._grant
 
-    def grant(self: Book, now: float, entry: books.Entry, ask: Ask) -> Grant:
+    def grant(self: LeaseTable, now: float, entry: lease_table.Entry, ask: Ask) -> Grant:
         given = real(self, now, entry, ask)
         return msgspec.structs.replace(given, ttl=self.lease) if given.ttl else given
 
-    patch.setattr(Book, "_grant", grant)
+    patch.setattr(LeaseTable, "_grant", grant)
 
 
 def what_the_router_still_counts_is_forgotten(patch: Patch) -> None:
-    real = Book.ask
+    real = LeaseTable.ask
 
-    def ask(self: Book, now: float, name: str, incarnation: int, asked: Ask) -> Grant | None:
+    def ask(self: LeaseTable, now: float, name: str, incarnation: int, asked: Ask) -> Grant | None:
         if (entry := self.entries.get((name, incarnation))) is not None:
             entry.out.clear()
         return real(self, now, name, incarnation, asked)
 
-    patch.setattr(Book, "ask", ask)
+    patch.setattr(LeaseTable, "ask", ask)
 
 
 def agreed_changes_taken_back(patch: Patch) -> None:
@@ -300,7 +299,7 @@
         return real(old, change, reasons)
 
     def decide(self: voter.Voter, drive: voter.Drive) -> None:
-        change = self.book.change
+        change = self.lease_table.change
         if change is not None and not drive.deciding and self.now >= drive.since + change.patience:
             self._step(drive, lambda old: abort(old, change.id, ("late",)))
         else:
@@ -316,17 +315,17 @@
 
 
 def grants_at_once_after_a_start(patch: Patch) -> None:
-    def anew(self: Book, now: float, known: state.State | None) -> None:
+    def anew(self: LeaseTable, now: float, known: state.State | None) -> None:
         if known is not None:
             self.learn(now, known)
 
-    patch.setattr(Book, "anew", anew)
+    patch.setattr(LeaseTable, "anew", anew)
 
 
 def newcomers_get_leases_while_it_is_sealed(patch: Patch) -> None:
-    real = Book.ask
+    real = LeaseTable.ask
 
-    def ask(self: Book, now: float, name: str, incarnation: int, asked: Ask) -> Grant | None:
+    def ask(self: LeaseTable, now: float, name: str, incarnation: int, asked: Ask) -> Grant | None:
         sealed, self.sealed = self.sealed, ""
         change = self.change
         if change is not None and (entry := self.entries.get((name, incarnation))) is not None:
@@ -335,7 +334,7 @@
         self.sealed = sealed
         return grant
 
-    patch.setattr(Book, "ask", ask)
+    patch.setattr(LeaseTable, "ask", ask)
 
 
 def a_refused_policy_is_served(patch: Patch) -> None:
