Rename: LeaseRequest, LeaseGrant, LeaseClient, LogLine and other messages of the fleet

Need: standard names (were Ask, Grant, Nudge, NudgeAll, Unmade, Unfit, Adopt, Until, Tell, Leases; three classes for a log line are one, in actions.py).

--- a/banklift/cli/fleet.py
+++ b/banklift/cli/fleet.py
@@ -19,12 +19,12 @@
 
 from banklift.config import policy
 from banklift.config.load import ConfigError, load
-from banklift.fleet.messages import Ended, Progress, Set, Show, Shown, Unmade
+from banklift.fleet.messages import Ended, NotProposed, Progress, Set, Show, Shown
 from banklift.fleet.state import Result, digest
 from banklift.net.operator import Unreachable, ask
 from banklift.proxy.plan import Fleet
 
-ABORTED, BAD, UNKNOWN, UNMADE = 1, 2, 3, 4
+ABORTED, BAD, UNKNOWN, NOT_PROPOSED = 1, 2, 3, 4
 SHOW = 5.0  # seconds for a question that changes nothing
 MARGIN = 5.0  # seconds that a change may take beyond what routers have to check it
 app = typer.Typer(no_args_is_help=True, help="The policy of a fleet: what it is, and how it changes.")
@@ -117,11 +117,11 @@
             for reason in outcome.reasons:
                 typer.echo(f"  {reason}", err=True)
             return 0 if outcome.result in (Result.IN_FORCE, Result.FINE) else ABORTED
-        case Unmade(_, reason):
+        case NotProposed(_, reason):
             if as_json:
                 tell({"id": given, "result": "not made", "reasons": [reason]})
             typer.echo(f"not made: {reason}", err=True)
-            return UNMADE
+            return NOT_PROPOSED
     raise AssertionError(answer)
 
 
--- a/banklift/fleet/lease.py
+++ b/banklift/fleet/lease.py
@@ -6,9 +6,9 @@
 
 | what it holds | event | next | what is told |
 | --- | --- | --- | --- |
-| nothing | a majority grants e, whose policy it accepts | serving e until their leases end | `Adopt(e)`, `Until` |
-| serving e | renewed | serving e, longer | `Until` |
-| serving e | e ends, and e + 1 has begun at a majority | serving e + 1 | `Adopt(e + 1)`, `Until` |
+| nothing | a majority grants e, and it accepts its policy | serving e | `EpochAdopted(e)`, `LeaseExtended` |
+| serving e | renewed | serving e, longer | `LeaseExtended` |
+| serving e | e ends, and e + 1 has begun at a majority | serving e + 1 | `EpochAdopted(e + 1)`, `LeaseExtended` |
 | serving e | e ends, nothing has begun | nothing: fenced | a note; the end was told before |
 | any | a policy that it refuses is granted | as before; never serving that | a note, and its verdict to the voters |
 
@@ -23,7 +23,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from banklift.fleet.messages import Ask, Grant
+from banklift.fleet.actions import LogLine
+from banklift.fleet.messages import LeaseGrant, LeaseRequest
 from banklift.fleet.register import majority
 from banklift.fleet.state import digest
 
@@ -34,15 +35,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Tell:
+class SendRequest:
     """Send it to a voter."""
 
     voter: str
-    message: Ask
+    message: LeaseRequest
 
 
 @dataclass(frozen=True, slots=True)
-class Adopt:
+class EpochAdopted:
     """From now on requests are taken under this policy."""
 
     epoch: int
@@ -50,7 +51,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Until:
+class LeaseExtended:
     """Requests may be taken up to that time, and no later unless told so. `back`: seconds after which it may be
     worth to come back, should it end."""
 
@@ -65,15 +66,7 @@
     voter: str
 
 
-@dataclass(frozen=True, slots=True)
-class Word:
-    """A line for the log."""
-
-    event: str
-    fields: dict[str, object]
-
-
-Action = Tell | Adopt | Until | Stalled | Word
+Action = SendRequest | EpochAdopted | LeaseExtended | Stalled | LogLine
 
 
 @dataclass(slots=True, eq=False)
@@ -100,7 +93,7 @@
         )
 
 
-class Leases:
+class LeaseClient:
     """`check` says what is against a policy, nothing if it can be served."""
 
     def __init__(
@@ -143,7 +136,7 @@
         self._ask(now, voter)
         return self._out(now)
 
-    def granted(self, now: float, voter: str, grant: Grant) -> list[Action]:
+    def granted(self, now: float, voter: str, grant: LeaseGrant) -> list[Action]:
         held = self.voters[voter]
         sent = held.asked.pop(grant.number, None)
         if sent is None:  # late, doubled, or from a link that is no more
@@ -158,7 +151,7 @@
             reasons = self._verdict(grant.subject)
             if not before:
                 self.actions.append(
-                    Word("policy checked", {"change": grant.change, "reasons": list(reasons)})
+                    LogLine("policy checked", {"change": grant.change, "reasons": list(reasons)})
                 )
             self._ask(now, voter)
         wait = RENEW_PART * self.lease
@@ -214,9 +207,11 @@
         held.due = now + RETRY_PART * self.lease * self.random.uniform(0.8, 1.2)
         verdict = self.verdicts.get(held.subject) if held.change else None
         self.actions.append(
-            Tell(
+            SendRequest(
                 voter,
-                Ask(self.numbers, held.number, self.serving, held.change, verdict, tuple(self.policies)),
+                LeaseRequest(
+                    self.numbers, held.number, self.serving, held.change, verdict, tuple(self.policies)
+                ),
             )
         )
 
@@ -240,7 +235,7 @@
         return self.verdicts[known]
 
     def _holds(self, epoch: int, now: float) -> float:
-        """Until when a majority has it under a lease for this epoch; in the past if none has."""
+        """LeaseExtended when a majority has it under a lease for this epoch; in the past if none has."""
         ends = sorted(
             (
                 held.until if held.epoch == epoch and now < held.until else held.next_until
@@ -266,20 +261,20 @@
             if reasons:
                 if self.fenced is False or self.serving != 0:
                     self.actions.append(
-                        Word("policy in force is refused", {"epoch": epoch, "reasons": list(reasons)})
+                        LogLine("policy in force is refused", {"epoch": epoch, "reasons": list(reasons)})
                     )
                 self.serving, self.fenced, self.until = 0, True, -math.inf
                 break
             if epoch != self.serving:
                 self.serving = epoch
-                self.actions.append(Adopt(epoch, text))
+                self.actions.append(EpochAdopted(epoch, text))
             if end != self.until or self.fenced:
                 self.until, self.fenced = end, False
-                self.actions.append(Until(end, RETRY_PART * self.lease))
+                self.actions.append(LeaseExtended(end, RETRY_PART * self.lease))
         if not good and self.serving and now >= self.until and not self.fenced:
             self.fenced = True
             self.actions.append(
-                Word(
+                LogLine(
                     "fenced: no lease of a majority of voters",
                     {
                         "epoch": self.serving,
--- a/banklift/fleet/lease_table.py
+++ b/banklift/fleet/lease_table.py
@@ -27,7 +27,7 @@
 import math
 from dataclasses import dataclass, field
 
-from banklift.fleet.messages import Ask, Grant, Holder
+from banklift.fleet.messages import Holder, LeaseGrant, LeaseRequest
 from banklift.fleet.state import Change, Stage, State, digest
 
 FORGET = 3600.0  # seconds after which a router that was not heard of is no longer listed
@@ -130,7 +130,7 @@
 
     # ---- routers
 
-    def ask(self, now: float, name: str, incarnation: int, ask: Ask) -> Grant | None:
+    def ask(self, now: float, name: str, incarnation: int, ask: LeaseRequest) -> LeaseGrant | None:
         """The answer; None to one that is late or came twice."""
         self.tick(now)
         key = name, incarnation
@@ -168,7 +168,7 @@
             )
         return self._grant(now, entry, ask)
 
-    def _grant(self, now: float, entry: Entry, ask: Ask) -> Grant:
+    def _grant(self, now: float, entry: Entry, ask: LeaseRequest) -> LeaseGrant:
         ttl, begin, next_ttl, next_epoch = self.lease, 0.0, 0.0, 0
         if self.closing:
             ttl = self.short
@@ -182,13 +182,13 @@
             entry.out[ask.number] = now + next_ttl * (1 + self.drift)
         return self._answer(ask, ttl, next_epoch, begin, next_ttl, "")
 
-    def _none(self, ask: Ask, reason: str, keep: bool = False) -> Grant:
+    def _none(self, ask: LeaseRequest, reason: str, keep: bool = False) -> LeaseGrant:
         """No new lease. What it holds goes on."""
         return self._answer(ask, 0.0, 0, 0.0, 0.0, reason)
 
     def _answer(
-        self, ask: Ask, ttl: float, next_epoch: int, begin: float, next_ttl: float, reason: str
-    ) -> Grant:
+        self, ask: LeaseRequest, ttl: float, next_epoch: int, begin: float, next_ttl: float, reason: str
+    ) -> LeaseGrant:
         state, change = self.state, self.change
         policy, coming = self.digests if state is not None else ("", "")
         subject = coming if change is not None and ask.change != change.id else ""
@@ -200,7 +200,7 @@
         serves_new = change is not None and self.granting >= change.epoch
         current = coming if serves_new else policy
         wanted = {current, subject, coming if next_epoch else ""} - {"", *ask.have}
-        return Grant(
+        return LeaseGrant(
             ask.number,
             self.granting,
             ttl,
--- a/banklift/fleet/messages.py
+++ b/banklift/fleet/messages.py
@@ -126,7 +126,7 @@
 # ---- leases, between a router and a voter
 
 
-class Ask(Message, frozen=True):
+class LeaseRequest(Message, frozen=True):
     """`number` counts up within an incarnation. `held`: the grant that the router counts; it counts no older one of
     this voter any more. `have`: policies whose text it has, by digest."""
 
@@ -138,7 +138,7 @@
     have: tuple[str, ...]
 
 
-class Grant(Message, frozen=True):
+class LeaseGrant(Message, frozen=True):
     """The answer to an ask. `ttl`: the lease on `epoch` holds so long, from when it was asked for; 0: no new lease, one
     that is held goes on. `begin`: seconds from its coming until the lease on `next_epoch` begins, which holds for
     `next_ttl` from when it was asked for. `policies`: texts that the router lacks."""
@@ -156,7 +156,7 @@
     reason: str = ""  # for no lease
 
 
-class Nudge(Message, frozen=True):
+class RenewNow(Message, frozen=True):
     """Something has changed: ask again now."""
 
 
@@ -198,7 +198,7 @@
     outcome: Outcome
 
 
-class Unmade(Message, frozen=True):
+class NotProposed(Message, frozen=True):
     """It was not proposed. `busy`: another change is under way."""
 
     change: str
@@ -206,7 +206,7 @@
     busy: bool
 
 
-Any_ = (
+AnyMessage = (
     Hello
     | Bye
     | Prepare
@@ -219,18 +219,18 @@
     | Rejoined
     | Survey
     | Surveyed
-    | Ask
-    | Grant
-    | Nudge
+    | LeaseRequest
+    | LeaseGrant
+    | RenewNow
     | Set
     | Show
     | Shown
     | Progress
     | Ended
-    | Unmade
+    | NotProposed
 )
 _encoder = msgspec.msgpack.Encoder()
-_decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Any_)
+_decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(AnyMessage)
 
 
 class Garbage(Exception):
--- a/banklift/fleet/node.py
+++ b/banklift/fleet/node.py
@@ -6,10 +6,11 @@
 that is this router itself is spoken to in place, by the same messages.
 
 Two of one name. A voter that hears `Hello` from a name that has a link already asks the older link for a word
-(`Nudge`): if it gives one within `PROVE`, the newcomer is turned away for good and its program ends; if not, the older
-link was dead and goes. A restart is quicker than the end of its old link often enough.
+(`RenewNow`): if it gives one within `PROVE`, the newcomer is turned away for good and its program ends; if not,
+the older link was dead and goes. A restart is quicker than the end of its old link often enough.
 
-Who may take requests is told by `Adopt` and `Until` (lease.py); nothing else of this reaches the router's machine.
+Who may take requests is told by `EpochAdopted` and `LeaseExtended` (lease.py); nothing else of this reaches
+the machine of the router.
 """
 
 from __future__ import annotations
@@ -22,17 +23,18 @@
 
 from banklift.fleet import lease as leases
 from banklift.fleet import voter as voting
-from banklift.fleet.lease import Adopt, Leases, Until
+from banklift.fleet.actions import LogLine
+from banklift.fleet.lease import EpochAdopted, LeaseClient, LeaseExtended
 from banklift.fleet.messages import (
     VERSION,
-    Ask,
     Bye,
     Frames,
     Garbage,
-    Grant,
     Hello,
+    LeaseGrant,
+    LeaseRequest,
     Message,
-    Nudge,
+    RenewNow,
     Set,
     Show,
     Shown,
@@ -84,15 +86,7 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class Line:
-    """For the log."""
-
-    event: str
-    fields: dict[str, object]
-
-
-Action = Dial | Write | Shut | Ousted | Line | Save | Adopt | Until
+Action = Dial | Write | Shut | Ousted | LogLine | Save | EpochAdopted | LeaseExtended
 
 
 @dataclass(slots=True, eq=False)
@@ -127,7 +121,7 @@
     ) -> None:
         self.plan, self.incarnation = plan, incarnation
         self.random = Random(seed)
-        self.leases = Leases(plan.voters, plan.lease, plan.drift, self.random, check)
+        self.leases = LeaseClient(plan.voters, plan.lease, plan.drift, self.random, check)
         self.voter: Voter | None = None
         if plan.name in plan.voters:
             self.voter = Voter(
@@ -264,7 +258,7 @@
     def _note(self, event: str, who: str, reason: str) -> None:
         if (who, reason) not in self.noted and len(self.noted) < 10_000:
             self.noted.add((who, reason))
-            self.actions.append(Line(event, {"who": who or "somebody", "reason": reason}))
+            self.actions.append(LogLine(event, {"who": who or "somebody", "reason": reason}))
 
     def _gone(self, one: Link, reason: str) -> None:
         self.links.pop(one.id, None)
@@ -321,7 +315,7 @@
                     self._end(one, f"name: {hello.name!r} is being claimed by two others", clash=True)
                     return
                 older.parked, older.behind, older.prove_by = hello, one.id, self.now + PROVE
-                self._write(older, Nudge())
+                self._write(older, RenewNow())
                 return
             if older is not None:
                 self._end(older, "it has made a new link")
@@ -359,16 +353,16 @@
                 self._write(one, self._shown())
             case _ if one.operator:
                 raise Garbage(f"{type(message).__name__} from an operator")
-            case Ask() if self.voter is not None:
+            case LeaseRequest() if self.voter is not None:
                 grant, actions = self.voter.ask(self.now, one.name, one.incarnation, message)
                 self._voter(actions)
                 if grant is not None:
                     self._write(one, grant)
-            case Grant() if one.name in self.plan.voters:
+            case LeaseGrant() if one.name in self.plan.voters:
                 self._leases(self.leases.granted(self.now, one.name, message))
-            case Nudge() if one.name in self.plan.voters:
+            case RenewNow() if one.name in self.plan.voters:
                 self._leases(self.leases.nudged(self.now, one.name))
-            case Nudge():
+            case RenewNow():
                 return
             case _ if self.voter is not None and one.name in self.plan.voters:
                 self._voter(self.voter.message(self.now, one.name, message))
@@ -384,7 +378,7 @@
     def _leases(self, actions: list[leases.Action]) -> None:
         for action in actions:
             match action:
-                case leases.Tell(voter, message):
+                case leases.SendRequest(voter, message):
                     if voter == self.plan.name:
                         self.inbox.append(lambda message=message: self._ask_self(message))  # type: ignore[misc]
                     elif (one := self.by_name.get(voter)) is not None:
@@ -392,12 +386,10 @@
                 case leases.Stalled(voter):
                     if (one := self.by_name.get(voter)) is not None:
                         self._end(one, "no answer: the link has stalled")
-                case leases.Word(event, fields):
-                    self.actions.append(Line(event, fields))
-                case Adopt() | Until():
+                case LogLine() | EpochAdopted() | LeaseExtended():
                     self.actions.append(action)
 
-    def _ask_self(self, ask: Ask) -> None:
+    def _ask_self(self, ask: LeaseRequest) -> None:
         assert self.voter is not None
         grant, actions = self.voter.ask(self.now, self.plan.name, self.incarnation, ask)
         self._voter(actions)
@@ -413,13 +405,11 @@
                 case voting.ToOperator(operator, message):
                     if (one := self.links.get(operator)) is not None:
                         self._write(one, message)
-                case voting.NudgeAll():
+                case voting.AnnounceRenewal():
                     for one in self.by_name.values():
-                        self._write(one, Nudge())
+                        self._write(one, RenewNow())
                     self.inbox.append(lambda: self._leases(self.leases.nudged(self.now, self.plan.name)))
-                case voting.Note(event, fields):
-                    self.actions.append(Line(event, fields))
-                case Save():
+                case LogLine() | Save():
                     self.actions.append(action)
 
     def _out(self) -> list[Action]:
--- a/banklift/fleet/state.py
+++ b/banklift/fleet/state.py
@@ -67,7 +67,7 @@
     history: tuple[Outcome, ...] = ()  # the newest last
 
 
-class Unfit(Exception):
+class ProposalRejected(Exception):
     """A change that can't be proposed; the text says why. `busy`: another one is under way."""
 
     def __init__(self, text: str, busy: bool = False) -> None:
@@ -81,10 +81,10 @@
 
 
 def made_for(change: str) -> int:
-    """The version that a change's id was made for. Errors: `Unfit` if it is no such id."""
+    """The version that a change's id was made for. Errors: `ProposalRejected` if it is no such id."""
     version, dash, rest = change.partition("-")
     if not (dash and version.isdigit() and 0 < len(rest) <= 64 and rest.isalnum()):
-        raise Unfit(f"{change!r} is not the id of a change: VERSION-LETTERS is needed")
+        raise ProposalRejected(f"{change!r} is not the id of a change: VERSION-LETTERS is needed")
     return int(version)
 
 
@@ -97,16 +97,16 @@
 
 
 def propose(state: State, change: str, policy: bytes, by: str, patience: float, dry: bool = False) -> State:
-    """Errors: `Unfit`. A change that is known already, under way or ended, leaves the state as it is."""
+    """Errors: `ProposalRejected`. A change that is known already, under way or ended, leaves the state as it is."""
     version = made_for(change)
     if len(policy) > POLICY_LIMIT:
-        raise Unfit(f"a policy has {POLICY_LIMIT} bytes at the most, this one {len(policy)}")
+        raise ProposalRejected(f"a policy has {POLICY_LIMIT} bytes at the most, this one {len(policy)}")
     if outcome(state, change) is not None or (state.change is not None and state.change.id == change):
         return state
     if state.change is not None:
-        raise Unfit(f"change {state.change.id} is under way ({state.change.stage})", busy=True)
+        raise ProposalRejected(f"change {state.change.id} is under way ({state.change.stage})", busy=True)
     if version != state.version:
-        raise Unfit(
+        raise ProposalRejected(
             f"made for version {version}, and it is {state.version} now: it was not made or its outcome is no "
             "longer kept, and it will not be made any more"
         )
--- a/banklift/fleet/voter.py
+++ b/banklift/fleet/voter.py
@@ -28,17 +28,19 @@
 import msgspec
 
 from banklift.fleet import register
+from banklift.fleet.actions import LogLine
 from banklift.fleet.lease_table import LeaseTable
 from banklift.fleet.messages import (
     Accept,
     Accepted,
-    Ask,
     Ballot,
     Ended,
-    Grant,
     Learn,
+    LeaseGrant,
+    LeaseRequest,
     Message,
     Nack,
+    NotProposed,
     Prepare,
     Progress,
     Promise,
@@ -49,10 +51,20 @@
     Survey,
     Surveyed,
     Trouble,
-    Unmade,
 )
 from banklift.fleet.register import BLANK, VOTING, Proposal, Record, Rejoining, majority
-from banklift.fleet.state import Change, Stage, State, Unfit, abort, agree, found, outcome, propose, settle
+from banklift.fleet.state import (
+    Change,
+    ProposalRejected,
+    Stage,
+    State,
+    abort,
+    agree,
+    found,
+    outcome,
+    propose,
+    settle,
+)
 
 ROUND = 0.5  # seconds that a proposal waits for answers before it is tried again; grows with each try ...
 ROUND_MOST = 4.0  # ... up to this
@@ -82,17 +94,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class NudgeAll:
+class AnnounceRenewal:
     """Every router that is linked is to ask again."""
 
 
-@dataclass(frozen=True, slots=True)
-class Note:
-    event: str
-    fields: dict[str, object]
-
-
-Action = ToVoter | ToOperator | Save | NudgeAll | Note
+Action = ToVoter | ToOperator | Save | AnnounceRenewal | LogLine
 
 
 @dataclass(slots=True, eq=False)
@@ -101,7 +107,7 @@
 
     change: Callable[[State | None], State]
     done: Callable[[State], None]
-    unfit: Callable[[Unfit], None]
+    rejected: Callable[[ProposalRejected], None]
     tries: int = 0
 
 
@@ -212,12 +218,12 @@
         told, self.in_flight = self.in_flight, []
         if error:
             if error != self.disk:
-                self.actions.append(Note("disk in trouble, this voter is silent", {"reason": error}))
+                self.actions.append(LogLine("disk in trouble, this voter is silent", {"reason": error}))
             self.disk, self.disk_retry = error, now + DISK_RETRY
             self.waiting.clear()
         else:
             if self.disk:
-                self.actions.append(Note("disk written again", {}))
+                self.actions.append(LogLine("disk written again", {}))
             self.disk, self.disk_retry = "", math.inf
             for call in told:
                 call()
@@ -225,11 +231,13 @@
                 self._save()
         return self._out()
 
-    def ask(self, now: float, name: str, incarnation: int, ask: Ask) -> tuple[Grant | None, list[Action]]:
+    def ask(
+        self, now: float, name: str, incarnation: int, ask: LeaseRequest
+    ) -> tuple[LeaseGrant | None, list[Action]]:
         """A router asks for a lease."""
         self.now = now
         if self.rejoining is not None:
-            grant: Grant | None = Grant(
+            grant: LeaseGrant | None = LeaseGrant(
                 ask.number,
                 0,
                 0.0,
@@ -250,20 +258,20 @@
         """An operator wants a change, or asks what became of it."""
         self.now = now
         if self.rejoining is not None:
-            self._unmade(
+            self._not_proposed(
                 operator, wanted.change, f"voter {self.name} does not vote: {self.rejoining.waiting()}", True
             )
             return self._out()
 
         def change(state: State | None) -> State:
             if state is None:
-                raise Unfit("this fleet has no policy yet", busy=True)
+                raise ProposalRejected("this fleet has no policy yet", busy=True)
             return propose(state, wanted.change, wanted.policy, self.name, wanted.patience, wanted.dry)
 
         self._task(
             change,
             lambda state: self._follow(operator, wanted.change),
-            lambda unfit: self._unmade(operator, wanted.change, str(unfit), unfit.busy),
+            lambda rejected: self._not_proposed(operator, wanted.change, str(rejected), rejected.busy),
         )
         return self._out()
 
@@ -301,7 +309,7 @@
         granting = self.lease_table.granting
         self.lease_table.tick(now)
         if self.lease_table.granting != granting:
-            self.actions.append(NudgeAll())
+            self.actions.append(AnnounceRenewal())
         change = self.lease_table.change
         if (
             self.rejoining is None
@@ -428,9 +436,9 @@
                 return
             self.rejoining = None
             self.highest = max(self.highest, record.promised)
-            self.actions.append(Note("votes", {"incarnation": record.incarnation}))
+            self.actions.append(LogLine("votes", {"incarnation": record.incarnation}))
             self._task(
-                lambda state: state or found(self.fleet, self.policy), self._in_step, lambda unfit: None
+                lambda state: state or found(self.fleet, self.policy), self._in_step, lambda rejected: None
             )
 
         self._once_written(begin)
@@ -440,7 +448,7 @@
         self.in_step = True
         self.lease_table.anew(self.now, state)
         self.driven = self.now
-        self.actions.append(NudgeAll())
+        self.actions.append(AnnounceRenewal())
 
     # ---- proposing
 
@@ -448,9 +456,9 @@
         self,
         change: Callable[[State | None], State],
         done: Callable[[State], None],
-        unfit: Callable[[Unfit], None],
+        rejected: Callable[[ProposalRejected], None],
     ) -> None:
-        self.tasks.append(Task(change, done, unfit))
+        self.tasks.append(Task(change, done, rejected))
         if self.proposal is None and self.round_ends == math.inf:
             self._begin()
 
@@ -480,9 +488,9 @@
             case Promise():
                 try:
                     asked = proposal.promised(voter, message)
-                except Unfit as unfit:
+                except ProposalRejected as rejected:
                     task = self._over()
-                    task.unfit(unfit)
+                    task.rejected(rejected)
                     return
                 if asked is not None:
                     self._all(asked)
@@ -517,7 +525,7 @@
             return
         self.driven = self.now
         if before is None or state.change != before.change or state.epoch != before.epoch:
-            self.actions.append(NudgeAll())
+            self.actions.append(AnnounceRenewal())
         drive = self.drive
         if drive is not None and (state.change is None or state.change.id != drive.change):
             self.drive = None
@@ -528,8 +536,8 @@
 
     # ---- driving
 
-    def _unmade(self, operator: int, change: str, reason: str, busy: bool) -> None:
-        self.actions.append(ToOperator(operator, Unmade(change, reason, busy)))
+    def _not_proposed(self, operator: int, change: str, reason: str, busy: bool) -> None:
+        self.actions.append(ToOperator(operator, NotProposed(change, reason, busy)))
 
     def _follow(self, operator: int, change: str) -> None:
         """It was proposed, or is known: tell how it ended, or take it further."""
@@ -545,7 +553,7 @@
                 self.drive.operators.add(operator)
             self._poll(self.drive)
         else:
-            self._unmade(operator, change, "another change came first", True)
+            self._not_proposed(operator, change, "another change came first", True)
 
     def _poll(self, drive: Drive) -> None:
         self.polled = self.now
@@ -625,16 +633,16 @@
 
         def change(state: State | None) -> State:
             if state is None:
-                raise Unfit("this fleet has no policy")
+                raise ProposalRejected("this fleet has no policy")
             return step(state)
 
         def done(state: State) -> None:
             drive.deciding = False
 
-        def unfit(fault: Unfit) -> None:
+        def rejected(fault: ProposalRejected) -> None:
             drive.deciding = False
 
-        self._task(change, done, unfit)
+        self._task(change, done, rejected)
 
     def _out(self) -> list[Action]:
         done, self.actions = self.actions, []
--- a/banklift/net/daemon.py
+++ b/banklift/net/daemon.py
@@ -212,7 +212,7 @@
 
 
 async def _watch(host: RouterHost, config: Config, path: Path, log: structlog.stdlib.BoundLogger) -> None:
-    """Tell the machine of each new content of the roster file, whole or not at all."""
+    """SendRequest the machine of each new content of the roster file, whole or not at all."""
     last: tuple[int, int, int] | None = None
     while True:
         try:
--- a/banklift/net/fleet.py
+++ b/banklift/net/fleet.py
@@ -5,9 +5,10 @@
 
 from collections.abc import Callable
 
-from banklift.fleet.lease import Adopt, Until
+from banklift.fleet.actions import LogLine
+from banklift.fleet.lease import EpochAdopted, LeaseExtended
 from banklift.fleet.node import Action as NodeAction
-from banklift.fleet.node import Dial, Line, Node, Ousted, Shut, Write
+from banklift.fleet.node import Dial, Node, Ousted, Shut, Write
 from banklift.fleet.voter import Save
 from banklift.net.env import Alarm, Env, Handle, Peer
 from banklift.net.router import Log
@@ -66,14 +67,14 @@
                         handle.finish()
                 case Save(number, record):
                     self.save(record, lambda error, number=number: self._saved(number, error))  # type: ignore[misc]
-                case Adopt(epoch, policy):
+                case EpochAdopted(epoch, policy):
                     self.log("policy in force", {"epoch": epoch})
                     self.adopt(epoch, policy)
-                case Until(time, back):
+                case LeaseExtended(time, back):
                     self.until(time, back)
                 case Ousted(reason):
                     self.ousted(reason)
-                case Line(event, fields):
+                case LogLine(event, fields):
                     self.log(event, fields)
         self.alarm.look()
 
--- a/banklift/net/operator.py
+++ b/banklift/net/operator.py
@@ -16,11 +16,11 @@
     Garbage,
     Hello,
     Message,
+    NotProposed,
     Progress,
     Set,
     Show,
     Shown,
-    Unmade,
     encode,
 )
 
@@ -77,7 +77,7 @@
     message: Show | Set,
     seconds: float,
     progress: Callable[[Progress], None] = lambda progress: None,
-) -> Shown | Ended | Unmade:
+) -> Shown | Ended | NotProposed:
     """The answer of the first voter that has one. Errors: `Unreachable` when the time is over: what became of a change
     is then not known, and it may be asked for again by its id."""
     end, last = time.monotonic() + seconds, dict.fromkeys(voters, "not tried")
@@ -95,10 +95,14 @@
                         answer = await talk.hear(max(0.0, min(left, SILENT)))
                         if isinstance(answer, Progress):
                             progress(answer)
-                        elif isinstance(answer, Unmade) and answer.busy and "does not vote" in answer.reason:
+                        elif (
+                            isinstance(answer, NotProposed)
+                            and answer.busy
+                            and "does not vote" in answer.reason
+                        ):
                             last[name] = answer.reason
                             break
-                        elif isinstance(answer, Shown | Ended | Unmade):
+                        elif isinstance(answer, Shown | Ended | NotProposed):
                             return answer
             except FAULTS as error:
                 last[name] = str(error) or (
--- a/banklift/rig/world.py
+++ b/banklift/rig/world.py
@@ -28,11 +28,11 @@
     Garbage,
     Hello,
     Message,
+    NotProposed,
     Progress,
     Set,
     Show,
     Shown,
-    Unmade,
     encode,
 )
 from banklift.fleet.node import Node, Plan
@@ -288,7 +288,7 @@
                         f"nowhere: {outcome.id} was told to be aborted, and its policy was served"
                     )
             return str(outcome.result)
-        return "unmade" if isinstance(answer, Unmade) else "unknown"
+        return "unmade" if isinstance(answer, NotProposed) else "unknown"
 
     def run(self, seconds: float) -> None:
         self.world.run(self.world.now() + seconds)
--- a/tests/test_fleet_planted.py
+++ b/tests/test_fleet_planted.py
@@ -11,9 +11,9 @@
 
 from banklift.fleet import lease as leases
 from banklift.fleet import lease_table, register, state, voter
-from banklift.fleet.lease import Leases
+from banklift.fleet.lease import LeaseClient
 from banklift.fleet.lease_table import LeaseTable
-from banklift.fleet.messages import Ask, Grant, Set, Show, Shown
+from banklift.fleet.messages import LeaseGrant, LeaseRequest, Set, Show, Shown
 from banklift.fleet.register import Record, Rejoining
 from banklift.rig.world import REFUSED, FleetWorld
 
@@ -201,15 +201,15 @@
 
 
 def counted_from_receipt(patch: Patch) -> None:
-    real = Leases.granted
+    real = LeaseClient.granted
 
-    def granted(self: Leases, now: float, name: str, grant: Grant) -> list[leases.Action]:
+    def granted(self: LeaseClient, now: float, name: str, grant: LeaseGrant) -> list[leases.Action]:
         held = self.voters[name]
         if grant.number in held.asked:
             held.asked[grant.number] = now
         return real(self, now, name, grant)
 
-    patch.setattr(Leases, "granted", granted)
+    patch.setattr(LeaseClient, "granted", granted)
 
 
 def turned_before_the_last_lease_ends(patch: Patch) -> None:
@@ -255,22 +255,22 @@
 
 
 def drift_left_out(patch: Patch) -> None:
-    real_book, real_leases = LeaseTable.__init__, Leases.__init__
+    real_book, real_leases = LeaseTable.__init__, LeaseClient.__init__
 
     def table(self: LeaseTable, lease: float, drift: float) -> None:
         real_book(self, lease, 0.0)
 
-    def leases_(self: Leases, voters: tuple[str, ...], lease: float, drift: float, *more: Any) -> None:
+    def leases_(self: LeaseClient, voters: tuple[str, ...], lease: float, drift: float, *more: Any) -> None:
         real_leases(self, voters, lease, 0.0, *more)
 
     patch.setattr(LeaseTable, "__init__", table)
-    patch.setattr(Leases, "__init__", leases_)
+    patch.setattr(LeaseClient, "__init__", leases_)
 
 
 def old_leases_given_past_the_turn(patch: Patch) -> None:
     real = LeaseTable._grant
 
-    def grant(self: LeaseTable, now: float, entry: lease_table.Entry, ask: Ask) -> Grant:
+    def grant(self: LeaseTable, now: float, entry: lease_table.Entry, ask: LeaseRequest) -> LeaseGrant:
         given = real(self, now, entry, ask)
         return msgspec.structs.replace(given, ttl=self.lease) if given.ttl else given
 
@@ -280,7 +280,9 @@
 def what_the_router_still_counts_is_forgotten(patch: Patch) -> None:
     real = LeaseTable.ask
 
-    def ask(self: LeaseTable, now: float, name: str, incarnation: int, asked: Ask) -> Grant | None:
+    def ask(
+        self: LeaseTable, now: float, name: str, incarnation: int, asked: LeaseRequest
+    ) -> LeaseGrant | None:
         if (entry := self.entries.get((name, incarnation))) is not None:
             entry.out.clear()
         return real(self, now, name, incarnation, asked)
@@ -325,7 +327,9 @@
 def newcomers_get_leases_while_it_is_sealed(patch: Patch) -> None:
     real = LeaseTable.ask
 
-    def ask(self: LeaseTable, now: float, name: str, incarnation: int, asked: Ask) -> Grant | None:
+    def ask(
+        self: LeaseTable, now: float, name: str, incarnation: int, asked: LeaseRequest
+    ) -> LeaseGrant | None:
         sealed, self.sealed = self.sealed, ""
         change = self.change
         if change is not None and (entry := self.entries.get((name, incarnation))) is not None:
@@ -338,20 +342,20 @@
 
 
 def a_refused_policy_is_served(patch: Patch) -> None:
-    def verdict(self: Leases, known: str) -> tuple[str, ...]:
+    def verdict(self: LeaseClient, known: str) -> tuple[str, ...]:
         return ()
 
-    patch.setattr(Leases, "_verdict", verdict)
+    patch.setattr(LeaseClient, "_verdict", verdict)
 
 
 def a_lease_of_any_voter_is_enough(patch: Patch) -> None:
-    real = Leases.__init__
+    real = LeaseClient.__init__
 
-    def init(self: Leases, *given: Any) -> None:
+    def init(self: LeaseClient, *given: Any) -> None:
         real(self, *given)
         self.quorum = 1
 
-    patch.setattr(Leases, "__init__", init)
+    patch.setattr(LeaseClient, "__init__", init)
 
 
 BUGS = (
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -7,10 +7,10 @@
 from banklift.fleet.state import (
     HISTORY,
     POLICY_LIMIT,
+    ProposalRejected,
     Result,
     Stage,
     State,
-    Unfit,
     abort,
     agree,
     digest,
@@ -62,12 +62,12 @@
 def test_one_at_a_time_and_each_once() -> None:
     state = proposed()
     assert proposed(state) is state  # asked for again
-    with pytest.raises(Unfit, match="change 1-a is under way") as caught:
+    with pytest.raises(ProposalRejected, match="change 1-a is under way") as caught:
         proposed(state, "2-b")
     assert caught.value.busy
     done = settle(agree(state, "1-a"), "1-a")
     assert proposed(done) is done
-    with pytest.raises(Unfit, match="made for version 1, and it is 4 now"):
+    with pytest.raises(ProposalRejected, match="made for version 1, and it is 4 now"):
         proposed(done, "1-c")
 
 
@@ -77,7 +77,7 @@
         change = f"{state.version}-n{number}"
         state = abort(proposed(state, change, b"three"), change, ("no",))
     assert outcome(state, "1-a") is None and len(state.history) == HISTORY
-    with pytest.raises(Unfit, match="will not be made any more"):
+    with pytest.raises(ProposalRejected, match="will not be made any more"):
         proposed(state)
 
 
@@ -91,12 +91,12 @@
 
 @pytest.mark.parametrize("change", ["", "a", "x-1", "1-", "1-a b", "1-" + "a" * 65, "-a"])
 def test_no_id_of_a_change(change: str) -> None:
-    with pytest.raises(Unfit, match="not the id of a change"):
+    with pytest.raises(ProposalRejected, match="not the id of a change"):
         proposed(change=change)
 
 
 def test_a_policy_is_bounded() -> None:
-    with pytest.raises(Unfit, match="bytes at the most"):
+    with pytest.raises(ProposalRejected, match="bytes at the most"):
         proposed(policy=b"x" * (POLICY_LIMIT + 1))
     assert proposed(policy=b"x" * POLICY_LIMIT).change is not None
     assert agree(proposed(), "1-a").change is not None
