--- a/banklift/fleet/lease_table.py
+++ b/banklift/fleet/lease_table.py
@@ -7,16 +7,18 @@
 router, and
 from when it was given here, and ends here `drift` later.
 
-| stage | event | next | asks are answered with |
+Short leases are those of `closing_lease`.
+
+| stage | event | next | requests are granted |
 | --- | --- | --- | --- |
 | granting e | a change to e + 1 was agreed | closing | e for `ttl` |
-| closing | every lease out ends within `short` | turning, until `turn` = the last of these ends | e for `short` |
-| turning | `turn` has come | granting e + 1 | e up to `turn`, and e + 1 from `turn` on |
+| closing | all leases outstanding are short | switching, at `switch_at` = their last end | a short e |
+| switching | `switch_at` has come | granting e + 1 | e up to `switch_at`, e + 1 from then on |
 | granting e + 1 | e + 1 was settled | the same | e + 1 for `ttl` |
 
 A voter that has started anew has forgotten which leases are out. Where no change is agreed that does no harm: all that
-can be out is for the epoch in force, or expired. Where one is agreed it may have turned already, so it grants nothing
-until all that it ever gave must have ended, and then e + 1 (`anew`).
+can be out is for the epoch in force, or expired. Where one is agreed it may have switched already, so it grants nothing
+until all that it ever gave must have ended, and then e + 1 (`restarted`).
 
 Sealing. A change is agreed only when nobody holds a lease who has not accepted it. A voter that has said so (`sealed`)
 gives no lease to others until the change is decided; so whoever holds one then, by a majority, was among those asked.
@@ -30,8 +32,8 @@
 from banklift.fleet.messages import Holder, LeaseGrant, LeaseRequest
 from banklift.fleet.state import Change, Stage, State, digest
 
-FORGET = 3600.0  # seconds after which a router that was not heard of is no longer listed
-SHORT_PART = 0.1  # of a lease: how long one is while a change takes hold; what a change takes at the least
+FORGET_AFTER = 3600.0  # seconds after which a router that was not heard of is no longer listed
+CLOSING_PART = 0.1  # of a lease: how long one is while a change takes hold; what a change takes at the least
 MOST = 4096  # routers in the table
 
 
@@ -44,14 +46,14 @@
     heard: float
     epoch: int = 0  # it serves
     asked: int = 0  # number of its newest ask
-    out: dict[int, float] = field(
+    outstanding: dict[int, float] = field(
         default_factory=dict
     )  # grants that it may count: when each has ended for certain
     change: str = ""  # that its verdict is on
     verdict: tuple[str, ...] | None = None
 
-    def ends(self) -> float:
-        return max(self.out.values(), default=-math.inf)
+    def last_end(self) -> float:
+        return max(self.outstanding.values(), default=-math.inf)
 
 
 class LeaseTable:
@@ -59,30 +61,30 @@
 
     def __init__(self, lease: float, drift: float) -> None:
         self.lease, self.drift = lease, drift
-        self.short = SHORT_PART * lease
+        self.closing_lease = CLOSING_PART * lease
         self.entries: dict[tuple[str, int], Entry] = {}
         self.state: State | None = None
         self.digests = ("", "")  # of the policy in force, and of the one to come
         self.granting = 0  # the epoch
-        self.turn = math.inf  # when it goes on to the next one, once that is settled here
+        self.switch_at = math.inf  # when it goes on to the next one, once that is settled here
         self.closing = False
-        self.complete_from = -math.inf  # from when on all leases out are in the table
+        self.complete_at = -math.inf  # from when on all leases out are in the table
         self.sealed = ""  # id of the change
 
     # ---- what was chosen
 
-    def anew(self, now: float, state: State | None) -> None:
+    def restarted(self, now: float, state: State | None) -> None:
         """This voter has started; `state` is the newest that it knows, or none."""
-        self.complete_from = now + self.lease * (1 + self.drift) + self.short * (1 + self.drift)
+        self.complete_at = now + self.lease * (1 + self.drift) + self.closing_lease * (1 + self.drift)
         if state is None:
             return
-        self.learn(now, state)
+        self.apply_state(now, state)
         if state.change is not None:
             self.sealed = state.change.id  # it may have said so
             if state.change.stage is Stage.AGREED:
-                self.granting, self.closing, self.turn = state.epoch, True, self.complete_from
+                self.granting, self.closing, self.switch_at = state.epoch, True, self.complete_at
 
-    def learn(self, now: float, state: State) -> bool:
+    def apply_state(self, now: float, state: State) -> bool:
         """A state was chosen. Whether it is news."""
         if self.state is not None and state.version <= self.state.version:
             return False
@@ -93,9 +95,9 @@
             self.sealed = ""
         if change is not None and change.stage is Stage.AGREED:
             if self.granting < state.epoch or (self.granting == state.epoch and not self.closing):
-                self.granting, self.closing, self.turn = state.epoch, True, math.inf
+                self.granting, self.closing, self.switch_at = state.epoch, True, math.inf
         elif self.granting < state.epoch:  # settled: a majority grants it, so no older lease is good any more
-            self.granting, self.closing, self.turn = state.epoch, False, math.inf
+            self.granting, self.closing, self.switch_at = state.epoch, False, math.inf
         return True
 
     @property
@@ -105,28 +107,28 @@
     # ---- time
 
     def sweep(self, now: float) -> None:
-        """Forget who holds nothing and was not heard of for long."""
+        """Remove who holds nothing and was not heard of for long."""
         for key, entry in list(self.entries.items()):
-            if entry.ends() <= now and now - entry.heard > FORGET:
+            if entry.last_end() <= now and now - entry.heard > FORGET_AFTER:
                 del self.entries[key]
 
     def tick(self, now: float) -> None:
-        """Turn when it is time; looks at all routers only while a change takes hold."""
-        if self.closing and self.turn <= now:
-            self.granting, self.closing, self.turn = self.granting + 1, False, math.inf
-        elif self.closing and self.turn == math.inf:
-            last = max((entry.ends() for entry in self.entries.values()), default=-math.inf)
-            if last <= now + self.short * (1 + self.drift):
-                self.turn = max(last, now + self.short * (1 + self.drift))
+        """Switch when it is time; looks at all routers only while a change takes hold."""
+        if self.closing and self.switch_at <= now:
+            self.granting, self.closing, self.switch_at = self.granting + 1, False, math.inf
+        elif self.closing and self.switch_at == math.inf:
+            last = max((entry.last_end() for entry in self.entries.values()), default=-math.inf)
+            if last <= now + self.closing_lease * (1 + self.drift):
+                self.switch_at = max(last, now + self.closing_lease * (1 + self.drift))
 
     def due(self, now: float) -> float:
         """When `tick` has something to do next; infinite if that hangs on others."""
         if not self.closing:
             return math.inf
-        if self.turn < math.inf:
-            return self.turn
-        last = max((entry.ends() for entry in self.entries.values()), default=now)
-        return max(now, last - self.short * (1 + self.drift))
+        if self.switch_at < math.inf:
+            return self.switch_at
+        last = max((entry.last_end() for entry in self.entries.values()), default=now)
+        return max(now, last - self.closing_lease * (1 + self.drift))
 
     # ---- routers
 
@@ -143,7 +145,7 @@
         if ask.number <= entry.asked:
             return None
         entry.asked, entry.heard, entry.epoch = ask.number, now, ask.epoch
-        entry.out = {number: end for number, end in entry.out.items() if number >= ask.held}
+        entry.outstanding = {number: end for number, end in entry.outstanding.items() if number >= ask.held}
         change = self.change
         if change is not None and ask.change == change.id and entry.change != change.id:
             entry.change, entry.verdict = change.id, ask.verdict
@@ -162,7 +164,7 @@
             and entry.change != change.id
         ):
             return self._none(ask, "", keep=True)
-        if self.closing and self.complete_from > now and self.turn == self.complete_from:
+        if self.closing and self.complete_at > now and self.switch_at == self.complete_at:
             return self._none(
                 ask, "this voter has started while a change took hold, and waits for old leases to end"
             )
@@ -171,15 +173,15 @@
     def _grant(self, now: float, entry: Entry, ask: LeaseRequest) -> LeaseGrant:
         ttl, begin, next_ttl, next_epoch = self.lease, 0.0, 0.0, 0
         if self.closing:
-            ttl = self.short
-            if self.turn < math.inf:
-                left = max(0.0, self.turn - now)
+            ttl = self.closing_lease
+            if self.switch_at < math.inf:
+                left = max(0.0, self.switch_at - now)
                 ttl = min(ttl, left / (1 + self.drift))
                 next_epoch, begin, next_ttl = self.granting + 1, left, left + self.lease
         if ttl > 0:
-            entry.out[ask.number] = now + ttl * (1 + self.drift)
+            entry.outstanding[ask.number] = now + ttl * (1 + self.drift)
         if next_epoch:  # ends later; what is out of the next epoch is closed by the change after it
-            entry.out[ask.number] = now + next_ttl * (1 + self.drift)
+            entry.outstanding[ask.number] = now + next_ttl * (1 + self.drift)
         return self._answer(ask, ttl, next_epoch, begin, next_ttl, "")
 
     def _none(self, ask: LeaseRequest, reason: str, keep: bool = False) -> LeaseGrant:
@@ -217,7 +219,7 @@
     # ---- the change
 
     def survey(self, now: float) -> tuple[tuple[Holder, ...], bool, bool]:
-        """Who holds a lease or was heard of lately; whether the change is sealed; whether this voter has turned."""
+        """Who holds a lease or was heard of lately; whether the change is sealed; whether this voter has switched."""
         self.tick(now)
         change = self.change
         holders = self.holders(now)
@@ -225,18 +227,18 @@
             change is not None
             and change.stage is Stage.CHECKING
             and not self.sealed
-            and now >= self.complete_from
+            and now >= self.complete_at
             and all(one.verdict == () for one in holders if one.left > 0)
         ):
             self.sealed = change.id
         sealed = (
             change is not None
             and self.sealed == change.id
-            and now >= self.complete_from
+            and now >= self.complete_at
             and all(one.verdict == () for one in holders if one.left > 0)
         )
-        turned = change is not None and change.stage is Stage.AGREED and self.granting >= change.epoch
-        return holders, sealed, turned
+        switched = change is not None and change.stage is Stage.AGREED and self.granting >= change.epoch
+        return holders, sealed, switched
 
     def holders(self, now: float) -> tuple[Holder, ...]:
         change = self.change
@@ -247,7 +249,7 @@
                 one.epoch,
                 one.verdict if change is not None and one.change == change.id else None,
                 now - one.heard,
-                max(0.0, one.ends() - now),
+                max(0.0, one.last_end() - now),
             )
             for one in sorted(self.entries.values(), key=lambda one: (one.name, one.incarnation))
         )
--- a/banklift/fleet/messages.py
+++ b/banklift/fleet/messages.py
@@ -120,7 +120,7 @@
     number: int
     holders: tuple[Holder, ...]
     sealed: bool  # all of them accept, and nobody else gets a lease until the change is decided
-    turned: bool  # this voter grants the new epoch alone
+    switched: bool  # this voter grants the new epoch alone
 
 
 # ---- leases, between a router and a voter
--- a/banklift/fleet/state.py
+++ b/banklift/fleet/state.py
@@ -135,8 +135,8 @@
     one = state.change
     if one is None or one.id != change or one.stage is not Stage.AGREED:
         return state
-    turned = msgspec.structs.replace(state, epoch=one.epoch, policy=one.policy)
-    return _ended(turned, Outcome(one.id, one.epoch, Result.IN_FORCE, (), digest(one.policy)))
+    switched = msgspec.structs.replace(state, epoch=one.epoch, policy=one.policy)
+    return _ended(switched, Outcome(one.id, one.epoch, Result.IN_FORCE, (), digest(one.policy)))
 
 
 def _ended(state: State, ended: Outcome) -> State:
--- a/banklift/fleet/voter.py
+++ b/banklift/fleet/voter.py
@@ -14,7 +14,7 @@
 is drawn. Two that drive at once do no harm: every step is a compare-and-set. While it drives, it surveys all voters:
 
 - checking: a majority is sealed (lease_table.py): `agree`; somebody refused, or `patience` is over: `abort`;
-- agreed: a majority has turned: `settle`.
+- agreed: a majority has switched: `settle`.
 """
 
 from __future__ import annotations
@@ -446,7 +446,7 @@
     def _in_step(self, state: State) -> None:
         """It has read the register since it started: from here on it grants leases."""
         self.in_step = True
-        self.lease_table.anew(self.now, state)
+        self.lease_table.restarted(self.now, state)
         self.driven = self.now
         self.actions.append(AnnounceRenewal())
 
@@ -519,7 +519,7 @@
 
     def _learn(self, state: State) -> None:
         before = self.lease_table.state
-        if not self.in_step or not self.lease_table.learn(
+        if not self.in_step or not self.lease_table.apply_state(
             self.now, state
         ):  # what it reads itself will be as new
             return
@@ -570,11 +570,11 @@
         self._decide(drive)
 
     def _survey(self, change: Change, number: int) -> Surveyed:
-        holders, sealed, turned = self.lease_table.survey(self.now)
+        holders, sealed, switched = self.lease_table.survey(self.now)
         current = self.lease_table.change
         if current is None or current.id != change.id:  # decided since
-            sealed = turned = False
-        return Surveyed(change.id, number, holders, sealed, turned)
+            sealed = switched = False
+        return Surveyed(change.id, number, holders, sealed, switched)
 
     def _decide(self, drive: Drive) -> None:
         change = self.lease_table.change
@@ -583,7 +583,7 @@
         quorum, answers = majority(len(self.voters)), drive.answers.values()
         waiting = self._waiting(drive, change)
         if change.stage is Stage.AGREED:
-            if sum(one.turned for one in answers) >= quorum:
+            if sum(one.switched for one in answers) >= quorum:
                 self._step(drive, lambda state: settle(state, change.id))
         elif sum(one.sealed for one in answers) >= quorum:
             self._step(
--- a/tests/test_fleet_planted.py
+++ b/tests/test_fleet_planted.py
@@ -216,8 +216,8 @@
     real = LeaseTable.tick
 
     def tick(self: LeaseTable, now: float) -> None:
-        if self.closing and self.turn == math.inf:
-            self.turn = now
+        if self.closing and self.switch_at == math.inf:
+            self.switch_at = now
         real(self, now)
 
     patch.setattr(LeaseTable, "tick", tick)
@@ -248,8 +248,8 @@
     real = LeaseTable.survey
 
     def survey(self: LeaseTable, now: float) -> Any:
-        holders, _, turned = real(self, now)
-        return holders, True, turned
+        holders, _, switched = real(self, now)
+        return holders, True, switched
 
     patch.setattr(LeaseTable, "survey", survey)
 
@@ -284,7 +284,7 @@
         self: LeaseTable, now: float, name: str, incarnation: int, asked: LeaseRequest
     ) -> LeaseGrant | None:
         if (entry := self.entries.get((name, incarnation))) is not None:
-            entry.out.clear()
+            entry.outstanding.clear()
         return real(self, now, name, incarnation, asked)
 
     patch.setattr(LeaseTable, "ask", ask)
@@ -317,11 +317,11 @@
 
 
 def grants_at_once_after_a_start(patch: Patch) -> None:
-    def anew(self: LeaseTable, now: float, known: state.State | None) -> None:
+    def restarted(self: LeaseTable, now: float, known: state.State | None) -> None:
         if known is not None:
-            self.learn(now, known)
+            self.apply_state(now, known)
 
-    patch.setattr(LeaseTable, "anew", anew)
+    patch.setattr(LeaseTable, "restarted", restarted)
 
 
 def newcomers_get_leases_while_it_is_sealed(patch: Patch) -> None:
