--- a/banklift/fleet/node.py
+++ b/banklift/fleet/node.py
@@ -40,6 +40,7 @@
     Shown,
     encode,
 )
+from banklift.fleet.plan import Plan
 from banklift.fleet.register import Record
 from banklift.fleet.voter import Save, Voter
 
@@ -49,17 +50,6 @@
 LINKS = 4096  # that a voter takes
 
 
-@dataclass(frozen=True, slots=True)
-class Plan:
-    """What all routers of a fleet have to agree on, and who this one is. `lease`, seconds; `drift`, a part."""
-
-    fleet: str
-    name: str
-    voters: tuple[str, ...]
-    lease: float
-    drift: float
-
-
 @dataclass(frozen=True, slots=True)
 class Dial:
     link: int
--- a/banklift/net/daemon.py
+++ b/banklift/net/daemon.py
@@ -21,7 +21,8 @@
 
 from banklift.config import build, policy
 from banklift.config.load import ConfigError, load_roster, split_address, warnings
-from banklift.fleet.node import Node, Plan
+from banklift.fleet.node import Node
+from banklift.fleet.plan import Plan
 from banklift.fleet.register import FORMAT, Record
 from banklift.net.fleet import FleetHost
 from banklift.net.router import RouterHost
--- a/banklift/rig/world.py
+++ b/banklift/rig/world.py
@@ -35,7 +35,8 @@
     Shown,
     encode,
 )
-from banklift.fleet.node import Node, Plan
+from banklift.fleet.node import Node
+from banklift.fleet.plan import Plan
 from banklift.fleet.register import Record
 from banklift.fleet.state import Result, digest
 from banklift.net.env import Handle, Listener, Peer
