--- a/banklift/proxy/plan.py
+++ b/banklift/proxy/plan.py
@@ -11,15 +11,25 @@
 from msgspec import Meta
 
 from banklift.interface import Effect, Need
-
-Seconds = Annotated[float, Meta(ge=0)]
-Positive = Annotated[float, Meta(gt=0)]
-Count = Annotated[int, Meta(ge=1)]
-Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=64)]
-
-
-class Strict(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    pass
+from banklift.proxy.fleet_plan import Fleet
+from banklift.proxy.schema import Count, Name, Positive, Seconds, Strict
+
+__all__ = [
+    "Class",
+    "Config",
+    "Count",
+    "Fleet",
+    "Group",
+    "Limits",
+    "Member",
+    "Name",
+    "Positive",
+    "Route",
+    "Rules",
+    "Seconds",
+    "Strict",
+    "User",
+]
 
 
 class Member(Strict, kw_only=True, frozen=True):
@@ -32,8 +42,8 @@
 
 class Group(Strict, kw_only=True, frozen=True):
     name: Name
-    slots: list[tuple[int, int]] = []  # ranges of hash slots, both ends in
-    prefixes: list[str] = []  # key prefixes; they go before slots
+    slots: list[tuple[int, int]] = msgspec.field(default_factory=list)  # ranges of hash slots, both ends in
+    prefixes: list[str] = msgspec.field(default_factory=list)  # key prefixes; they go before slots
     members: list[Member]
 
 
@@ -54,7 +64,7 @@
     """Commands of one kind go to a class; every field that is given must match, and the first match wins."""
 
     to: str
-    commands: list[str] = []
+    commands: list[str] = msgspec.field(default_factory=list)
     keys: str | None = None  # shell pattern that every key must match
     user: str | None = None
 
@@ -90,28 +100,17 @@
     fall_time: Seconds = 0.0
 
 
-class Fleet(Strict, kw_only=True, frozen=True):
-    """Routers that know one another. All but `folder` and `listen` are the same in every router's file."""
-
-    name: Name
-    voters: Annotated[dict[Name, str], Meta(min_length=1)]  # routers that agree, and where they listen for the others
-    lease: Annotated[float, Meta(ge=0.5, le=3600)] = 10.0  # how long a router serves on without the voters
-    drift: Annotated[float, Meta(ge=0, le=0.2)] = 0.01  # how far clocks may differ in rate, as a part
-    folder: str | None = None  # of a voter's state; beside this file
-    listen: str | None = None  # where a voter listens for the others, if not at its address in `voters`
-
-
 class Config(Strict, kw_only=True, frozen=True):
     groups: Annotated[list[Group], Meta(min_length=1)]
     classes: Annotated[list[Class], Meta(min_length=1)]
-    routes: list[Route] = []
+    routes: list[Route] = msgspec.field(default_factory=list)
     default_read: str
     default_write: str
     listen: str = "127.0.0.1:6380"
     name: Name = "router"
     source: str | None = None  # local address of connections to members
     sessions: str = "roaming"  # roaming: a session may write at another router; connection: it may not
-    users: list[User] = []
+    users: list[User] = msgspec.field(default_factory=list)
     limits: Limits = msgspec.field(default_factory=Limits)
     rules: Rules = msgspec.field(default_factory=Rules)
     member_user: str | None = None
