--- a/banklift/cli/fleet.py
+++ b/banklift/cli/fleet.py
@@ -17,14 +17,15 @@
 from rich.console import Console
 from rich.table import Table
 
+from banklift.cli.files import BAD_FILE, read
 from banklift.config import policy
-from banklift.config.load import ConfigError, load
+from banklift.config.load import NO_FLEET, has_aggregator_only, load, load_aggregator
 from banklift.fleet.messages import Ended, NotProposed, Progress, Set, Show, Shown
 from banklift.fleet.state import Result, digest
 from banklift.net.operator import Unreachable, ask
 from banklift.proxy.plan import Fleet
 
-ABORTED, BAD, UNKNOWN, NOT_PROPOSED = 1, 2, 3, 4
+ABORTED, UNKNOWN, NOT_PROPOSED = 1, 3, 4  # exit codes beside `BAD_FILE`
 SHOW = 5.0  # seconds for a question that changes nothing
 MARGIN = 5.0  # seconds that a change may take beyond what routers have to check it
 app = typer.Typer(no_args_is_help=True, help="The policy of a fleet: what it is, and how it changes.")
@@ -38,25 +39,16 @@
 
 
 def fleet_of(path: Path) -> Fleet:
-    try:
-        config = load(path)
-    except ConfigError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(BAD) from None
+    """The `fleet` table of a router's file, or of an aggregator's."""
+    if read(path, has_aggregator_only):
+        return read(path, load_aggregator).fleet
+    config = read(path, load)
     if config.fleet is None:
-        typer.echo(f"{path}: $.fleet: this file has no fleet", err=True)
-        raise typer.Exit(BAD)
+        typer.echo(f"{path}: {NO_FLEET}", err=True)
+        raise typer.Exit(BAD_FILE)
     return config.fleet
 
 
-def text_of(path: Path) -> bytes:
-    try:
-        return policy.load(path)
-    except ConfigError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(BAD) from None
-
-
 def shown(fleet: Fleet) -> Shown:
     try:
         answer = anyio.run(ask, fleet.voters, fleet.name, Show(), SHOW)
@@ -134,13 +126,13 @@
     as_json: AsJson = False,
 ) -> None:
     """Put a policy in force on every router, or on none."""
-    raise typer.Exit(change(fleet_of(config), text_of(file), wait, id_, False, as_json))
+    raise typer.Exit(change(fleet_of(config), read(file, policy.load), wait, id_, False, as_json))
 
 
 @app.command()
 def check(file: Path, config: ConfigFile, wait: Wait | None = None, as_json: AsJson = False) -> None:
     """Have every router check a policy; nothing is changed."""
-    raise typer.Exit(change(fleet_of(config), text_of(file), wait, None, True, as_json))
+    raise typer.Exit(change(fleet_of(config), read(file, policy.load), wait, None, True, as_json))
 
 
 @app.command()
--- a/banklift/cli/main.py
+++ b/banklift/cli/main.py
@@ -15,7 +15,18 @@
 from rich.console import Console
 
 from banklift.cli import fleet
-from banklift.config.load import EXAMPLE, ConfigError, load, split_address, warnings
+from banklift.cli.files import BAD_FILE, FAILED, read
+from banklift.config.address import split_address
+from banklift.config.fleet import fleet_warnings
+from banklift.config.load import (
+    EXAMPLE,
+    ConfigError,
+    has_aggregator_only,
+    load,
+    load_aggregator,
+    load_router,
+    warnings,
+)
 from banklift.emulator.stand import RouterProcesses, Stand
 from banklift.judge.day import load_day
 from banklift.judge.day import play as play_day
@@ -54,14 +65,6 @@
     )
 
 
-def read(path: Path) -> Config:
-    try:
-        return load(path)
-    except ConfigError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(2) from None
-
-
 def run(main: object, *args: object) -> None:
     anyio.run(main, *args, backend_options={"use_uvloop": True})  # type: ignore[arg-type]
 
@@ -71,25 +74,36 @@
     """Run one router until SIGTERM or SIGINT."""
     set_up_logs()
     try:
-        run(daemon.serve, read(config), config.resolve().parent)
+        run(daemon.serve, read(config, load_router), config.resolve().parent)
     except daemon.Ousted as error:
         typer.echo(f"banklift router: {error}", err=True)
-        raise typer.Exit(2) from None
+        raise typer.Exit(BAD_FILE) from None
     except (OSError, ConfigError) as error:
         typer.echo(f"banklift router: {error}", err=True)
-        raise typer.Exit(1) from None
+        raise typer.Exit(FAILED) from None
 
 
 @app.command()
 def check(file: Path) -> None:
     """Validate a configuration and explain what is wrong with it."""
-    config = read(file)
+    if read(file, has_aggregator_only):
+        _check_aggregator(file)
+        return
+    config = read(file, load)
     members = sum(len(group.members) for group in config.groups)
     for text in warnings(config):
         typer.echo(f"{file}: {text}", err=True)
     typer.echo(f"{file}: fine: {len(config.groups)} groups, {members} members, {len(config.classes)} classes")
 
 
+def _check_aggregator(path: Path) -> None:
+    file = read(path, load_aggregator)
+    for text in fleet_warnings(file.name, file.fleet):
+        typer.echo(f"{path}: {text}", err=True)
+    zone = file.fleet.aggregators[file.name].zone
+    typer.echo(f"{path}: fine: aggregator {file.name!r} of zone {zone!r}")
+
+
 @app.command()
 def stand(
     config: ConfigFile = EXAMPLE,
@@ -99,10 +113,10 @@
     """Start stand-in members and routers and stay up; one line of JSON tells where all listen."""
     set_up_logs()
     try:
-        run(_stand, read(config), routers, port)
+        run(_stand, read(config, load), routers, port)
     except (OSError, RuntimeError) as error:
         typer.echo(f"banklift stand: {error}", err=True)
-        raise typer.Exit(1) from None
+        raise typer.Exit(FAILED) from None
 
 
 @app.command()
@@ -118,7 +132,7 @@
         script, config = load_day(day)
     except ConfigError as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(2) from None
+        raise typer.Exit(BAD_FILE) from None
     out.mkdir(parents=True, exist_ok=True)
     trace = out / f"{Path(day).stem}-{seed}.trace"
     console = Console(stderr=True)
@@ -133,7 +147,7 @@
         run(play_day, script, config, routers, seed, trace, progress)
     except* (OSError, RuntimeError) as group:
         typer.echo(f"banklift play: {group.exceptions[0]}", err=True)
-        raise typer.Exit(1) from None
+        raise typer.Exit(FAILED) from None
     raise typer.Exit(_judge(trace))
 
 
--- a/banklift/config/load.py
+++ b/banklift/config/load.py
@@ -3,22 +3,36 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 import rjsonnet
 
+from banklift.config.address import split_address
+from banklift.config.fleet import check_aggregator_name, check_fleet, check_router_name, fleet_warnings
 from banklift.interface import Effect, Need
+from banklift.proxy.fleet_plan import Fleet
 from banklift.proxy.plan import Config, Group
+from banklift.proxy.schema import Name, Strict
 from banklift.resp.slots import SLOTS
 
 EXAMPLE = Path(__file__).with_name("example.jsonnet")
 STATES = ("ready", "draining", "gone")
+NO_FLEET = "$.fleet: this file has no fleet"
+Decoded = TypeVar("Decoded")
 
 
 class ConfigError(Exception):
     """A file that can't be used: `file: place: reason`, one line for each reason."""
 
 
+class AggregatorFile(Strict, kw_only=True, frozen=True):
+    """What an aggregator needs of a file."""
+
+    name: Name
+    fleet: Fleet
+
+
 def evaluate(path: Path) -> bytes:
     """The JSON that a template evaluates to; imports come from its own folder. Errors: `ConfigError`."""
     folder = path.resolve().parent
@@ -39,39 +53,70 @@
 
 
 def load(path: Path) -> Config:
-    """Errors: `ConfigError` with every reason found."""
-    try:
-        config = msgspec.json.decode(evaluate(path), type=Config)
-    except msgspec.ValidationError as error:
-        reason, _, place = str(error).partition(" - at ")
-        raise ConfigError(f"{path}: {place.strip('`') or '$'}: {reason}") from None
-    if problems := check(config):
-        raise ConfigError("\n".join(f"{path}: {problem}" for problem in problems))
+    """A router's file. Errors: `ConfigError` with every reason found."""
+    config = _decode(path, evaluate(path), Config)
+    _refuse(path, check(config))
     return config
 
 
+def load_router(path: Path) -> Config:
+    """A file to run a router with. Errors: `ConfigError` with every reason found."""
+    config = load(path)
+    if config.fleet is not None:
+        _refuse(path, check_router_name(config.name, config.fleet))
+    return config
+
+
+def load_aggregator(path: Path) -> AggregatorFile:
+    """A file to run an aggregator with: one with `name` and `fleet` alone, or any router's file of the fleet with the
+    aggregator's `name`. Errors: `ConfigError` with every reason found."""
+    text = evaluate(path)
+    if _is_aggregator_file(text):
+        file = _decode(path, text, AggregatorFile)
+        problems = check_fleet(file.name, file.fleet)
+    else:
+        config = _decode(path, text, Config)
+        problems = check(config)
+        if config.fleet is None:
+            raise ConfigError("\n".join(f"{path}: {one}" for one in [*problems, NO_FLEET]))
+        file = AggregatorFile(name=config.name, fleet=config.fleet)
+    _refuse(path, [*problems, *check_aggregator_name(file.name, file.fleet)])
+    return file
+
+
+def has_aggregator_only(path: Path) -> bool:
+    """Whether a file has nothing but what an aggregator needs. Errors: `ConfigError` if it can't be evaluated."""
+    return _is_aggregator_file(evaluate(path))
+
+
+def _is_aggregator_file(text: bytes) -> bool:
+    content = msgspec.json.decode(text)
+    return isinstance(content, dict) and {"fleet"} <= content.keys() <= {"name", "fleet"}
+
+
 def load_roster(path: Path, config: Config) -> list[Group]:
     """The groups of a roster file, a list as in `groups`. Errors: `ConfigError`."""
-    try:
-        groups = msgspec.json.decode(evaluate(path), type=list[Group])
-    except msgspec.ValidationError as error:
-        reason, _, place = str(error).partition(" - at ")
-        raise ConfigError(f"{path}: {place.strip('`') or '$'}: {reason}") from None
+    groups = _decode(path, evaluate(path), list[Group])
     known = [group.name for group in config.groups]
     problems = check_groups(groups)
     problems += [f"$: group {name!r} is missing" for name in known if name not in {g.name for g in groups}]
     problems += [f"$: unknown group {group.name!r}" for group in groups if group.name not in known]
-    if problems:
-        raise ConfigError("\n".join(f"{path}: {problem}" for problem in problems))
+    _refuse(path, problems)
     return groups
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Errors: `ValueError` unless it is host:port."""
-    host, colon, port = address.rpartition(":")
-    if not colon or not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"{address!r} is not host:port")
-    return host, int(port)
+def _decode(path: Path, text: bytes, kind: type[Decoded]) -> Decoded:
+    try:
+        return msgspec.json.decode(text, type=kind)
+    except msgspec.ValidationError as error:
+        reason, _, place = str(error).partition(" - at ")
+        raise ConfigError(f"{path}: {place.strip('`') or '$'}: {reason}") from None
+
+
+def _refuse(path: Path, problems: list[str]) -> None:
+    """Errors: `ConfigError` if there are problems."""
+    if problems:
+        raise ConfigError("\n".join(f"{path}: {problem}" for problem in problems))
 
 
 def check(config: Config) -> list[str]:
@@ -104,43 +149,17 @@
         split_address(config.listen)
     except ValueError as error:
         problems.append(f"$.listen: {error}")
-    problems += check_fleet(config)
+    if config.fleet is not None:
+        problems += check_fleet(config.name, config.fleet)
     users = [user.name for user in config.users]
     if len(set(users)) < len(users):
         problems.append("$.users: a name occurs twice")
     return problems
 
 
-def check_fleet(config: Config) -> list[str]:
-    fleet, problems = config.fleet, []
-    if fleet is None:
-        return []
-    seen: dict[str, str] = {}
-    for name, address in fleet.voters.items():
-        where = f"$.fleet.voters.{name}"
-        try:
-            split_address(address)
-        except ValueError as error:
-            problems.append(f"{where}: {error}")
-        if address in seen:
-            problems.append(f"{where}: {address} is {seen[address]!r} too")
-        seen[address] = name
-    if fleet.listen is not None:
-        try:
-            split_address(fleet.listen)
-        except ValueError as error:
-            problems.append(f"$.fleet.listen: {error}")
-    if config.name in fleet.voters and fleet.folder is None:
-        problems.append(f"$.fleet.folder: {config.name!r} is a voter, and has no folder for its state")
-    return problems
-
-
 def warnings(config: Config) -> list[str]:
     """What works and is not what one would want, with its place."""
-    if config.fleet is not None and len(config.fleet.voters) % 2 == 0:
-        count = len(config.fleet.voters)
-        return [f"$.fleet.voters: {count} voters bear the loss of no more than {count - 1} do"]
-    return []
+    return fleet_warnings(config.name, config.fleet) if config.fleet is not None else []
 
 
 def check_groups(groups: list[Group]) -> list[str]:
--- a/banklift/net/daemon.py
+++ b/banklift/net/daemon.py
@@ -20,7 +20,8 @@
 from anyio.abc import TaskGroup
 
 from banklift.config import build, policy
-from banklift.config.load import ConfigError, load_roster, split_address, warnings
+from banklift.config.address import split_address
+from banklift.config.load import ConfigError, load_roster, warnings
 from banklift.fleet.node import Node
 from banklift.fleet.plan import Plan
 from banklift.fleet.register import FORMAT, Record
