--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -100,6 +100,7 @@
 
 class Balancer:
     """Decides for one router: `handle` takes what happened and returns what to do, in order."""
+
     def __init__(self, settings: io.Settings, seed: int) -> None:
         self.settings, self.random = settings, Random(seed)
         self.kinds = {kind.name: kind for kind in settings.classes}
@@ -115,10 +116,11 @@
         self.now, self.paced, self.tokens, self.watch_failures = 0.0, -math.inf, 0, 0
         self.pace_load, self.pace_time = FIRST_PACE, FIRST_LATENCY * self.shortest
         self.actions: list[io.Action] = []
-        self.handlers: dict[type, Callable[..., None]] = {
-            io.Request: self.on_request, io.Outcome: self.on_outcome, io.Listing: self.on_listing,
-            io.Probed: self.on_probed, io.Ending: self.on_ending, io.Abandoned: self.on_left,
-            io.StreamStarted: self.on_left, io.Timer: lambda e: self.timers.pop(e.token, lambda: None)()}
+        self.handlers: dict[type, Callable[..., None]] = {io.Request: self.on_request}
+        self.handlers |= {io.Listing: self.on_listing, io.Probed: self.on_probed, io.Outcome: self.on_outcome}
+        self.handlers |= dict.fromkeys((io.Abandoned, io.StreamStarted), self.on_left)
+        self.handlers[io.Ending] = self.on_ending
+        self.handlers[io.Timer] = lambda event: self.timers.pop(event.token, lambda: None)()
 
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         self.now, self.actions = now, []
@@ -350,7 +352,7 @@
             since = max(group.lost, self.now - SELDOM * LOOK * self.shortest) if self.crowd else group.lost
             spent = self.crowd and len(pending.tried) >= self.settings.max_attempts - 1
             for member in () if spent else pending.order:
-                if member.role_at <= since and member not in pending.tried[-2 if self.crowd else 0:]:
+                if member.role_at <= since and member not in pending.tried[-2 if self.crowd else 0 :]:
                     if self.crowd and self.settings.may_probe and self.warm(member) < 1:
                         self.probe(member, SELDOM * LOOK * self.shortest)  # its word costs it less than a try
                     elif self.usable(pending, member):
@@ -472,8 +474,7 @@
         if any(group.held.values()) and (group.primary is None or not self.healthy(group.primary)):
             self.probe_all(group, 4 * STEP * self.shortest)
         while group.ends and group.ends[0][0] <= self.now + STEP * self.shortest:
-            pending = self.requests.get(heappop(group.ends)[1])
-            if pending is not None:
+            if (pending := self.requests.get(heappop(group.ends)[1])) is not None:
                 pending.ending = False  # one that is out there is held no more when it comes back
                 if pending.ask.id in group.held[pending.kind.name]:
                     self.hold(pending)  # which gives it up if this is its end
@@ -523,13 +524,12 @@
     def room(self, pending: Pending, member: Member) -> bool:
         """A crowded member gets what it will answer in time; the rest waits here, best first. Where we have
         attempts out there our answer rate tells, else the pace of all members at the load that it reports."""
-        expected = self.expected(member)
-        if len(member.flying) < 2 or expected < CROWDED * pending.kind.aim:
-            best = max(kind.worth / self.usual[kind.name] for kind in self.settings.classes)
-            rank = pending.kind.worth / self.usual[pending.kind.name] / best if best else 1.0
-            return expected <= (TARGET + (PACE_TARGET - TARGET) * rank) * pending.kind.aim
-        work = self.usual[pending.kind.name] + member.work
-        return work <= TARGET * pending.kind.aim * self.answered(member)
+        kind, expected = pending.kind, self.expected(member)
+        if len(member.flying) < 2 or expected < CROWDED * kind.aim:
+            best = max(other.worth / self.usual[other.name] for other in self.settings.classes)
+            rank = kind.worth / self.usual[kind.name] / best if best else 1.0
+            return expected <= (TARGET + (PACE_TARGET - TARGET) * rank) * kind.aim
+        return self.usual[kind.name] + member.work <= TARGET * kind.aim * self.answered(member)
 
     def sick(self, member: Member) -> bool:
         """No connection, answers overdue over all that is out there, or a primary whose position stands
