The lease table is indexed: no scan of all holders a message; leases are given back

Cause, measured before: a lease request while leases run out cost 67 us at 40 routers and 4.6 ms at 6,200, as LeaseTable.tick and due looked at all entries; Node.due and wake looked at all links; a survey listed all holders ten times a second and carried the whole state.

Change: ends of leases and answers to a change are indexed (end_index.py, holder_table.py); surveys carry counts and a few names; a voter tells its driver at once when its part is done and its holders when the next epoch begins; links.py and member.py are parted from node.py, holder.py from lease.py; LeaseRelease gives leases back; messages are version 2. The table has 16,384 holders and refuses one on top with the reason. A stalled link is known by its oldest request without an answer, no longer by the time since the last one; retries double. A rejoining voter asks again whoever did not vote yet.

The planted bug that takes agreed changes back is looked for on a finer grid of patience, as changes are faster.

--- a/banklift/fleet/lease.py
+++ b/banklift/fleet/lease.py
@@ -1,295 +1,259 @@
 """A router's leases: which policy it may serve under, and until when. Pure; times are this router's own clock.
 
-It asks every voter, again and again, and may serve epoch e while a majority of voters has it under a lease for e. A
-lease counts from when it was asked for, and ends `drift` of its length earlier than was said, as this clock may run
-slow; one on the next epoch begins `drift` later than was said after the word came, as this clock may run fast.
+It may serve epoch e while enough grantors have it under a lease for e: a majority of the voters, or one
+aggregator, whose own lease of a majority contains what it grants (aggregator.py). How requests are made and
+grants are counted is told in holder.py.
 
 | what it holds | event | next | what is told |
 | --- | --- | --- | --- |
-| nothing | a majority grants e, and it accepts its policy | serving e | `EpochAdopted(e)`, `LeaseExtended` |
+| nothing | enough grant e, and it accepts its policy | serving e | `EpochAdopted(e)`, `LeaseExtended` |
 | serving e | renewed | serving e, longer | `LeaseExtended` |
-| serving e | e ends, and e + 1 has begun at a majority | serving e + 1 | `EpochAdopted(e + 1)`, `LeaseExtended` |
-| serving e | e ends, nothing has begun | nothing: fenced | a note; the end was told before |
-| any | a policy that it refuses is granted | as before; never serving that | a note, and its verdict to the voters |
+| serving e | e ends, and e + 1 has begun at enough | serving e + 1 | `EpochAdopted(e + 1)`, `LeaseExtended` |
+| serving e | e ends, nothing has begun | nothing: fenced | a log line; the end was told before |
+| any | a policy that it refuses is granted | as before; never serving that | a log line, and its verdict |
+| any | `leave` | nothing, for good | the end, then a `LeaseRelease` to each |
 
-A grant that comes late or twice is known by its number. A router that stood still across an end finds it passed when it
-looks at its clock, which it does before it takes any request.
+Aggregators. The preferred one is asked alone; the standby's link is up, and it is asked when the preferred one
+is gone, does not answer, or has no lease itself. A preferred one that grants again is gone back to, and what
+the standby granted is given back.
+
+A router that stood still across an end finds it passed when it looks at its clock, which it does before it
+takes any request.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
-from dataclasses import dataclass, field
 from random import Random
 
 from banklift.fleet.actions import LogLine
-from banklift.fleet.messages import LeaseGrant, LeaseRequest
+from banklift.fleet.holder import (
+    NO_GRANT,
+    RETRY_PART,
+    Action,
+    CountedGrant,
+    EpochAdopted,
+    Grantor,
+    LeaseExtended,
+    LeaseHolder,
+    SendToGrantor,
+)
+from banklift.fleet.messages import LeaseGrant, LeaseRelease, LeaseRequest
+from banklift.fleet.policies import Check, PolicyCache
 from banklift.fleet.register import majority
-from banklift.fleet.state import digest
-
-RENEW_PART = 1 / 3  # of what a grant gave: when the next one is asked for
-RETRY_PART = 1 / 20  # of a lease: how long an answer is waited for before asking again
-STALLED_PART = 1 / 4  # ... and until the link counts as stalled
-KEPT = 4  # policies whose text is kept
-
-
-@dataclass(frozen=True, slots=True)
-class SendRequest:
-    """Send it to a voter."""
-
-    voter: str
-    message: LeaseRequest
-
-
-@dataclass(frozen=True, slots=True)
-class EpochAdopted:
-    """From now on requests are taken under this policy."""
-
-    epoch: int
-    policy: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseExtended:
-    """Requests may be taken up to that time, and no later unless told so. `back`: seconds after which it may be
-    worth to come back, should it end."""
-
-    time: float
-    back: float
 
 
-@dataclass(frozen=True, slots=True)
-class Stalled:
-    """The link to this voter delivers nothing: begin a new one."""
-
-    voter: str
-
-
-Action = SendRequest | EpochAdopted | LeaseExtended | Stalled | LogLine
-
-
-@dataclass(slots=True, eq=False)
-class Held:
-    """What one voter has granted, and what it was asked."""
-
-    linked: bool = False
-    number: int = 0  # of the grant that counts
-    epoch: int = 0
-    until: float = -math.inf
-    next_epoch: int = 0
-    begin: float = math.inf
-    next_until: float = -math.inf
-    asked: dict[int, float] = field(default_factory=dict)  # asks without an answer: when each was sent
-    due: float = math.inf  # when it is asked again
-    heard: float = -math.inf  # its last word, or when its link came up
-    reason: str = ""  # it gave for no lease
-    change: str = ""  # that it wants checked, as voters may know of different ones for a while ...
-    subject: str = ""  # ... and its policy's digest
-
-    def valid(self, epoch: int, now: float) -> bool:
-        return (self.epoch == epoch and now < self.until) or (
-            self.next_epoch == epoch and self.begin <= now < self.next_until
-        )
-
-
-class LeaseClient:
-    """`check` says what is against a policy, nothing if it can be served."""
+class LeaseClient(LeaseHolder):
+    """`grantors`: all voters, or aggregators in order of preference (`one_is_enough`)."""
 
     def __init__(
         self,
-        voters: tuple[str, ...],
+        grantors: tuple[str, ...],
         lease: float,
         drift: float,
         random: Random,
-        check: Callable[[bytes], tuple[str, ...]],
+        check: Check,
+        one_is_enough: bool = False,
     ) -> None:
-        self.voters = {name: Held() for name in voters}
-        self.quorum = majority(len(voters))
-        self.lease, self.drift, self.random, self.check = lease, drift, random, check
-        self.numbers = 0
-        self.policies: dict[str, bytes] = {}  # by digest, the newest last
-        self.verdicts: dict[str, tuple[str, ...]] = {}  # by digest
+        super().__init__(grantors, lease, drift, random)
+        self.one_is_enough = one_is_enough
+        self.quorum = 1 if one_is_enough else majority(len(grantors))
+        self.preference = {name: place for place, name in enumerate(grantors)}
+        self.active = grantors[0]  # the aggregator that it leases from
+        self.policies = PolicyCache(check)
         self.epochs: dict[int, str] = {}  # digest of the policy of each epoch granted lately
         self.serving = 0
         self.until = -math.inf
-        self.fenced = False  # an end was noted
-        self.actions: list[Action] = []
+        self.fenced = False  # an end was logged
+        self.left = False
 
     # ---- events
 
-    def up(self, now: float, voter: str) -> list[Action]:
-        held = self.voters[voter]
-        held.linked, held.heard = True, now
-        held.asked.clear()
-        self._ask(now, voter)
-        return self._out(now)
-
-    def down(self, now: float, voter: str) -> list[Action]:
-        held = self.voters[voter]
-        held.linked, held.due = False, math.inf
-        held.asked.clear()
-        return self._out(now)
-
-    def nudged(self, now: float, voter: str) -> list[Action]:
-        self.voters[voter].heard = now
-        self._ask(now, voter)
-        return self._out(now)
+    def up(self, now: float, name: str) -> list[Action]:
+        actions = super().up(now, name)
+        if not self.grantors[self.active].linked:
+            self._choose_active(now)
+        return actions + self._out(now)
 
-    def granted(self, now: float, voter: str, grant: LeaseGrant) -> list[Action]:
-        held = self.voters[voter]
-        sent = held.asked.pop(grant.number, None)
-        if sent is None:  # late, doubled, or from a link that is no more
-            return self._out(now)
-        held.heard, held.reason = now, grant.reason
-        held.asked = {number: at for number, at in held.asked.items() if number > grant.number}
-        for text in grant.policies:
-            self._keep(text)
-        if grant.change and grant.change != held.change and grant.subject in self.policies:
-            before = any(other.change == grant.change for other in self.voters.values())
-            held.change, held.subject = grant.change, grant.subject
-            reasons = self._verdict(grant.subject)
-            if not before:
-                self.actions.append(
-                    LogLine("policy checked", {"change": grant.change, "reasons": list(reasons)})
-                )
-            self._ask(now, voter)
-        wait = RENEW_PART * self.lease
-        if grant.ttl > 0 or grant.next_epoch:
-            held.number, held.epoch, held.until = (
-                grant.number,
-                grant.epoch,
-                sent + grant.ttl * (1 - self.drift),
-            )
-            held.next_epoch, held.begin = grant.next_epoch, now + grant.begin * (1 + self.drift)
-            held.next_until = sent + grant.next_ttl * (1 - self.drift)
-            for epoch, known in zip((grant.epoch, grant.next_epoch), grant.digests, strict=True):
-                if epoch:
-                    self.epochs[epoch] = known
-            wait = RENEW_PART * (grant.ttl if grant.ttl > 0 else grant.next_ttl)
-        elif grant.reason:
-            wait = RETRY_PART * self.lease
-        held.due = (
-            min(held.due, now + wait * self.random.uniform(0.8, 1.0))
-            if held.asked
-            else now + wait * self.random.uniform(0.8, 1.0)
-        )
+    def down(self, now: float, name: str) -> list[Action]:
+        self._unlink(name)
+        self._choose_active(now)
         return self._out(now)
 
     def wake(self, now: float) -> list[Action]:
-        for name, held in self.voters.items():
-            if not held.linked:
-                continue
-            if held.asked and now - held.heard >= STALLED_PART * self.lease:
-                held.linked, held.due = False, math.inf
-                held.asked.clear()
-                self.actions.append(Stalled(name))
-            elif held.due <= now:
-                self._ask(now, name)
-        return self._out(now)
+        linked = self.grantors[self.active].linked
+        actions = super().wake(now)
+        if linked and not self.grantors[self.active].linked:
+            self._choose_active(now)
+            actions += self._out(now)
+        return actions
 
     def due(self, now: float) -> float:
-        """When `wake` has something to do."""
-        times = [held.due for held in self.voters.values()]
-        times += [held.begin for held in self.voters.values() if held.begin > now and held.next_epoch]
+        times = [super().due(now)]
+        times += [
+            one.newest.begin
+            for one in self.grantors.values()
+            if one.newest.next_epoch and one.newest.begin > now
+        ]
         if self.until > now:
             times.append(self.until)
         return min(times)
 
-    # ---- what follows
+    def leave(self, now: float) -> list[Action]:
+        """Serve nothing from now on, and give all leases back."""
+        self.left, self.until = True, -math.inf
+        self.actions.append(LeaseExtended(-math.inf, RETRY_PART * self.lease))
+        for name, grantor in self.grantors.items():
+            grantor.due = math.inf
+            if grantor.linked:
+                self._release(name)
+        done, self.actions = self.actions, []
+        return done
+
+    # ---- what a holder does
 
-    def _ask(self, now: float, voter: str) -> None:
-        held = self.voters[voter]
-        if not held.linked:
+    def _send_request(self, now: float, name: str) -> None:
+        if not self.left:
+            super()._send_request(now, name)
+
+    def _request(self, number: int, grantor: Grantor) -> LeaseRequest:
+        verdict = self.policies.verdicts.get(grantor.subject) if grantor.change else None
+        answered = grantor.change if verdict is not None else ""
+        have = tuple(self.policies.texts)
+        return LeaseRequest(number, grantor.counted_from, self.serving, answered, verdict, have)
+
+    def _granted(self, now: float, name: str, before: CountedGrant, grant: LeaseGrant) -> None:
+        grantor = self.grantors[name]
+        grantor.counted_from = grantor.newest.number
+        for epoch, known in zip((grant.epoch, grant.next_epoch), grant.digests, strict=True):
+            if epoch and grantor.newest is not before:
+                self.epochs[epoch] = known
+        for text in grant.policies:
+            self.policies.keep(text, self._in_use())
+        if self.one_is_enough:
+            self._prefer(now, name, bool(grant.ttl > 0 or grant.next_epoch))
+        shortened = not grant.next_epoch and grantor.newest.end(grant.epoch) < before.end(grant.epoch)
+        if self._check(grantor, grant) or shortened:
+            self._send_request(now, name)  # tells the verdict, or that the longer lease is given up
+
+    def _is_asked(self, name: str) -> bool:
+        if self.left:
+            return False
+        if not self.one_is_enough or name == self.active:
+            return True
+        active = self.grantors[self.active]
+        return self.preference[name] < self.preference[self.active] or bool(active.reason)
+
+    # ---- changes
+
+    def _check(self, grantor: Grantor, grant: LeaseGrant) -> bool:
+        """Check the policy of a change that is new from this grantor. Whether it was."""
+        if not grant.change or grant.change == grantor.change or grant.subject not in self.policies.texts:
+            return False
+        before = any(other.change == grant.change for other in self.grantors.values())
+        grantor.change, grantor.subject = grant.change, grant.subject
+        reasons = self.policies.verdict(grant.subject)
+        if not before:
+            self.actions.append(LogLine("policy checked", {"change": grant.change, "reasons": list(reasons)}))
+        return True
+
+    def _in_use(self) -> set[str]:
+        found = {self.epochs.get(self.serving, "")}
+        for grantor in self.grantors.values():
+            newest = grantor.newest
+            found |= {
+                grantor.subject,
+                self.epochs.get(newest.epoch, ""),
+                self.epochs.get(newest.next_epoch, ""),
+            }
+        return found
+
+    # ---- aggregators
+
+    def _choose_active(self, now: float) -> None:
+        """Lease from the most preferred aggregator that is linked and gave no reason against it."""
+        linked = [name for name, one in self.grantors.items() if one.linked]
+        if not self.one_is_enough or not linked:
             return
-        self.numbers += 1
-        held.asked[self.numbers] = now
-        held.due = now + RETRY_PART * self.lease * self.random.uniform(0.8, 1.2)
-        verdict = self.verdicts.get(held.subject) if held.change else None
-        self.actions.append(
-            SendRequest(
-                voter,
-                LeaseRequest(
-                    self.numbers, held.number, self.serving, held.change, verdict, tuple(self.policies)
-                ),
-            )
-        )
+        best = min(linked, key=lambda name: (self.grantors[name].reason != "", self.preference[name]))
+        if best != self.active:
+            self.active = best
+            if not self.grantors[best].pending:
+                self._send_request(now, best)
+
+    def _prefer(self, now: float, name: str, gave: bool) -> None:
+        """An aggregator has answered: go on to another if it gave nothing, or back to it if it is preferred."""
+        if not gave:
+            if name == self.active and self.grantors[name].reason:
+                self._choose_active(now)
+        elif self.preference[name] < self.preference[self.active] or self.grantors[self.active].reason:
+            self.active = name
+        if name == self.active and gave:
+            self._release_others(name)
+
+    def _release_others(self, name: str) -> None:
+        for other, grantor in self.grantors.items():
+            if other != name and grantor.linked and grantor.newest is not NO_GRANT:
+                self._release(other)
+
+    def _release(self, name: str) -> None:
+        grantor = self.grantors[name]
+        grantor.newest, grantor.due = NO_GRANT, math.inf
+        grantor.pending.clear()
+        self.actions.append(SendToGrantor(name, LeaseRelease(self.numbers)))
 
-    def _keep(self, text: bytes) -> None:
-        known = digest(text)
-        self.policies.pop(known, None)
-        self.policies[known] = text
-        in_use = {known, self.epochs.get(self.serving)}
-        for held in self.voters.values():
-            in_use |= {held.subject, self.epochs.get(held.epoch), self.epochs.get(held.next_epoch)}
-        for old in list(self.policies):
-            if len(self.policies) <= KEPT:
-                break
-            if old not in in_use:
-                del self.policies[old]
-                self.verdicts.pop(old, None)
-
-    def _verdict(self, known: str) -> tuple[str, ...]:
-        if known not in self.verdicts:
-            self.verdicts[known] = self.check(self.policies[known])
-        return self.verdicts[known]
+    # ---- what follows
 
     def _holds(self, epoch: int, now: float) -> float:
-        """LeaseExtended when a majority has it under a lease for this epoch; in the past if none has."""
+        """Until when enough grantors have it under a lease for this epoch; in the past if they have not."""
         ends = sorted(
-            (
-                held.until if held.epoch == epoch and now < held.until else held.next_until
-                for held in self.voters.values()
-                if held.valid(epoch, now)
-            ),
+            (one.newest.end(epoch) for one in self.grantors.values() if one.newest.covers(epoch, now)),
             reverse=True,
         )
         return ends[self.quorum - 1] if len(ends) >= self.quorum else -math.inf
 
-    def _out(self, now: float) -> list[Action]:
-        """What may be served now, and what is to be done about it."""
-        epochs = {held.epoch for held in self.voters.values()} | {
-            held.next_epoch for held in self.voters.values()
-        }
+    def _good(self, now: float) -> tuple[int, float]:
+        """The epoch that may be served now, and until when; zero if there is none."""
+        epochs = {one.newest.epoch for one in self.grantors.values()}
+        epochs |= {one.newest.next_epoch for one in self.grantors.values()}
         good = {epoch: end for epoch in epochs if epoch and (end := self._holds(epoch, now)) > now}
         assert len(good) <= 1, f"leases for two epochs at a time: {good}"
-        for epoch, end in good.items():
-            text = self.policies.get(self.epochs.get(epoch, ""))
-            if text is None:
-                break
-            reasons = self._verdict(self.epochs[epoch])
-            if reasons:
-                if self.fenced is False or self.serving != 0:
-                    self.actions.append(
-                        LogLine("policy in force is refused", {"epoch": epoch, "reasons": list(reasons)})
-                    )
-                self.serving, self.fenced, self.until = 0, True, -math.inf
-                break
-            if epoch != self.serving:
-                self.serving = epoch
-                self.actions.append(EpochAdopted(epoch, text))
-            if end != self.until or self.fenced:
-                self.until, self.fenced = end, False
-                self.actions.append(LeaseExtended(end, RETRY_PART * self.lease))
-        if not good and self.serving and now >= self.until and not self.fenced:
+        return next(iter(good.items()), (0, -math.inf))
+
+    def _out(self, now: float) -> list[Action]:
+        """What may be served now, and what is to be done about it."""
+        epoch, end = (0, -math.inf) if self.left else self._good(now)
+        text = self.policies.texts.get(self.epochs.get(epoch, ""))
+        if epoch and text is not None:
+            self._serve(epoch, end, text)
+        elif not epoch and self.serving and now >= self.until and not self.fenced and not self.left:
             self.fenced = True
-            self.actions.append(
-                LogLine(
-                    "fenced: no lease of a majority of voters",
-                    {
-                        "epoch": self.serving,
-                        "voters": {name: self.trouble(now, name) for name in self.voters},
-                    },
-                )
-            )
+            troubles = {name: self.trouble(now, name) for name in self.grantors}
+            fields: dict[str, object] = {"epoch": self.serving, "grantors": troubles}
+            self.actions.append(LogLine("fenced: not enough leases", fields))
         done, self.actions = self.actions, []
         return done
 
-    def trouble(self, now: float, voter: str) -> str:
-        """Why this voter gives no lease, in words; empty if it does."""
-        held = self.voters[voter]
-        if held.valid(self.serving, now):
+    def _serve(self, epoch: int, end: float, text: bytes) -> None:
+        reasons = self.policies.verdict(self.epochs[epoch])
+        if reasons:
+            if self.fenced is False or self.serving != 0:
+                fields: dict[str, object] = {"epoch": epoch, "reasons": list(reasons)}
+                self.actions.append(LogLine("policy in force is refused", fields))
+            self.serving, self.fenced, self.until = 0, True, -math.inf
+            return
+        if epoch != self.serving:
+            self.serving = epoch
+            self.actions.append(EpochAdopted(epoch, text))
+        if end != self.until or self.fenced:
+            self.until, self.fenced = end, False
+            self.actions.append(LeaseExtended(end, RETRY_PART * self.lease))
+
+    def trouble(self, now: float, name: str) -> str:
+        """Why this grantor gives no lease, in words; empty if it does."""
+        grantor = self.grantors[name]
+        if grantor.newest.covers(self.serving, now):
             return ""
-        if not held.linked:
+        if not grantor.linked:
             return "no link"
-        return held.reason or f"no answer for {now - held.heard:.1f} s"
+        return grantor.reason or f"no answer for {now - grantor.heard:.1f} s"
--- a/banklift/fleet/messages.py
+++ b/banklift/fleet/messages.py
@@ -1,19 +1,20 @@
 """What routers of one fleet say to one another: structs as msgpack, in frames with their length in front.
 
-Every message goes over a link on which both ends have said who they are (`Hello`), which is good for one incarnation of
-each. What each handler does with a message that is late, doubled or from an older incarnation is said where it is
-handled. Durations are seconds; no point in time is ever sent, as clocks are not compared.
+Every message goes over a link on which both ends have said who they are (`Hello`), which is good for one
+incarnation of each. What each handler does with a message that is late, doubled or from an older incarnation
+is said where it is handled. Durations are seconds; no point in time is ever sent, as clocks are not compared.
 """
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import Any
 
 import msgspec
 
 from banklift.fleet.state import Outcome, State
 
-VERSION = 1  # of these messages; another one ends the link
+VERSION = 2  # of these messages; another one ends the link
 LENGTH = 4  # bytes in front of each frame
 FRAME_LIMIT = 4 * 1024 * 1024  # bytes of one frame
 Ballot = tuple[int, str]  # round and voter, compared in that order
@@ -24,6 +25,14 @@
     pass
 
 
+class Role(StrEnum):
+    """What the sender of a `Hello` is."""
+
+    ROUTER = "router"
+    AGGREGATOR = "aggregator"
+    OPERATOR = "operator"
+
+
 class Hello(Message, frozen=True):
     """First on a link, from both ends. An operator's tool has no name."""
 
@@ -33,6 +42,8 @@
     incarnation: int
     voters: tuple[str, ...]
     lease: float
+    sub_lease: float = 0.0
+    role: Role = Role.ROUTER
 
 
 class Bye(Message, frozen=True):
@@ -84,8 +95,8 @@
 
 
 class Rejoined(Message, frozen=True):
-    """`standing`: voting; whole, of a voter that asks itself and whose disk was whole; blank, of one whose was not.
-    `founding`: the incarnations that all had nothing when this fleet began."""
+    """`standing`: voting; whole, of a voter that asks itself and whose disk was whole; blank, of one whose was
+    not. `founding`: the incarnations that all had nothing when this fleet began."""
 
     incarnation: int  # of the voter that asked
     standing: str
@@ -98,14 +109,25 @@
 
 
 class Survey(Message, frozen=True):
-    """How far the voter's routers are with the change in this state, which was chosen."""
+    """How far are the voter's lease holders with this change? `version`: of the state in which it stands; a
+    voter that knows an older one says so by its own and is sent the state (`Learn`)."""
 
-    state: State
+    change: str
+    version: int
     number: int
 
 
+class Summary(msgspec.Struct, frozen=True, array_like=True):
+    """The routers that hold a sub-lease of one aggregator, in counts."""
+
+    routers: int
+    waiting: int  # of these: have not answered the change under way
+    refused: int  # of these: refuse it
+    slowest: tuple[str, ...] = ()  # for whom the change waits, a few of them, in words
+
+
 class Holder(msgspec.Struct, frozen=True, array_like=True):
-    """One router as a voter knows it."""
+    """One lease holder as its grantor knows it: a router or an aggregator."""
 
     name: str
     incarnation: int
@@ -113,22 +135,30 @@
     verdict: tuple[str, ...] | None  # reasons against the change; none: it accepts; None: it has not said
     heard: float  # seconds since it was last heard of
     left: float  # seconds until its lease has ended for certain
+    summary: Summary | None = None  # of an aggregator
 
 
 class Surveyed(Message, frozen=True):
+    """`refusals`: holders whose lease has not ended and that refuse, with reasons. `waiting`: how many holders
+    have not done what the change waits for; `slowest`: a few of them. No list of all holders is ever sent."""
+
     change: str
+    version: int  # of the state that this voter knows
     number: int
-    holders: tuple[Holder, ...]
+    refusals: tuple[Holder, ...]
+    waiting: int
+    slowest: tuple[Holder, ...]
     sealed: bool  # all of them accept, and nobody else gets a lease until the change is decided
     switched: bool  # this voter grants the new epoch alone
 
 
-# ---- leases, between a router and a voter
+# ---- leases, between a holder and its grantor: a router or an aggregator, and a voter or an aggregator
 
 
 class LeaseRequest(Message, frozen=True):
-    """`number` counts up within an incarnation. `held`: the grant that the router counts; it counts no older one of
-    this voter any more. `have`: policies whose text it has, by digest."""
+    """`number` counts up within an incarnation. `held`: the oldest grant that the holder counts; it counts
+    none before it any more. `have`: policies whose text it has, by digest. `summary`: of an aggregator, its own
+    holders."""
 
     number: int
     held: int
@@ -136,12 +166,13 @@
     change: str  # the one that `verdict` is on
     verdict: tuple[str, ...] | None
     have: tuple[str, ...]
+    summary: Summary | None = None
 
 
 class LeaseGrant(Message, frozen=True):
-    """The answer to an ask. `ttl`: the lease on `epoch` holds so long, from when it was asked for; 0: no new lease, one
-    that is held goes on. `begin`: seconds from its coming until the lease on `next_epoch` begins, which holds for
-    `next_ttl` from when it was asked for. `policies`: texts that the router lacks."""
+    """The answer to a request. `ttl`: the lease on `epoch` holds so long, from when it was asked for; 0: no
+    new lease, one that is held goes on. `begin`: seconds from its coming until the lease on `next_epoch`
+    begins, which holds for `next_ttl` from when it was asked for. `policies`: texts that the holder lacks."""
 
     number: int
     epoch: int
@@ -150,12 +181,21 @@
     begin: float
     next_ttl: float
     digests: tuple[str, str]  # of the policies of both epochs; empty: none
-    change: str  # that is to be checked ...
-    subject: str  # ... and its policy's digest
+    version: int  # of the newest state that the grantor knows; 0: none
+    change: str  # under way in that state; empty: none
+    stage: str  # of that change
+    dry: bool  # it is checked only
+    subject: str  # digest of its policy
     policies: tuple[bytes, ...]
     reason: str = ""  # for no lease
 
 
+class LeaseRelease(Message, frozen=True):
+    """The holder counts none of its grants up to `number` any more: it ends, or leases from another grantor."""
+
+    number: int
+
+
 class RenewNow(Message, frozen=True):
     """Something has changed: ask again now."""
 
@@ -221,6 +261,7 @@
     | Surveyed
     | LeaseRequest
     | LeaseGrant
+    | LeaseRelease
     | RenewNow
     | Set
     | Show
--- a/banklift/fleet/placement.py
+++ b/banklift/fleet/placement.py
@@ -1,8 +1,8 @@
 """Which aggregators a router leases from: rendezvous hashing among those of its zone. Pure.
 
-Each router ranks the candidates by a hash of both names and takes the first as its preferred aggregator. One that
-is added or removed moves only the routers that prefer it, and those spread evenly over the rest. The standby is the
-next one in rank that runs on another machine (Thaler and Ravishankar, 1998, for the hashing).
+Each router ranks the candidates by a hash of both names and takes the first as its preferred aggregator. One
+that is added or removed moves only the routers that prefer it, and those spread evenly over the rest. The
+standby is the next one in rank that runs on another machine (Thaler and Ravishankar, 1998, for the hashing).
 """
 
 from __future__ import annotations
--- a/banklift/fleet/plan.py
+++ b/banklift/fleet/plan.py
@@ -9,9 +9,9 @@
 class Plan:
     """One member's view of its fleet.
 
-    `lease`: seconds that a voter grants. `drift`: how far two clocks may differ in rate, as a part. `aggregators`:
-    those that this router leases from, the preferred one first; empty: it leases from the voters. `sub_lease`:
-    seconds that an aggregator grants; zero in a fleet without aggregators.
+    `lease`: seconds that a voter grants. `drift`: how far two clocks may differ in rate, as a part.
+    `aggregators`: those that this router leases from, the preferred one first; empty: it leases from the
+    voters. `sub_lease`: seconds that an aggregator grants; zero in a fleet without aggregators.
     """
 
     fleet: str
--- a/banklift/fleet/register.py
+++ b/banklift/fleet/register.py
@@ -1,9 +1,10 @@
 """One register with compare-and-set, replicated over the voters: CASPaxos, with voters that may forget.
 
-Theory of operation. A proposer takes a ballot, asks all voters to promise it (`Prepare`), takes the state accepted
-under the highest ballot among a majority's promises, applies its change to it and asks all voters to accept the result
-(`Accept`); accepted by a majority it is chosen, for ever. There is no leader and no log, and any voter may propose.
-(Rystsov, "CASPaxos: Replicated State Machines without logs", 2018; Lamport, "Paxos made simple", 2001.)
+Theory of operation. A proposer takes a ballot, asks all voters to promise it (`Prepare`), takes the state
+accepted under the highest ballot among a majority's promises, applies its change to it and asks all voters to
+accept the result (`Accept`); accepted by a majority it is chosen, for ever. There is no leader and no log, and
+any voter may propose. (Rystsov, "CASPaxos: Replicated State Machines without logs", 2018; Lamport, "Paxos made
+simple", 2001.)
 
 | the voter's record | message | what is written first | answer |
 | --- | --- | --- | --- |
@@ -15,23 +16,25 @@
 
 A message that comes late or twice is answered again from the record, which does no harm: ballots only rise.
 
-Voters that forget. Nobody can tell by itself that a disk was rolled back to yesterday: it is whole. So every voter that
-starts asks the others, before it votes, what it may have promised (`Rejoining`). Incarnations, a number for each start
-of each voter, go with every answer, and a proposer drops the answer of a voter that another answer knows in a newer
-incarnation. That closes the gap in which a promise given before a crash and one given afterwards make a majority.
-(Crash vectors: Michael, Ports, Sharma, Szekeres, "Recovering Shared Objects Without Stable Storage", DISC 2017; for
-disks that are damaged: Alagappan et al., "Protocol-Aware Recovery for Consensus-Based Storage", FAST 2018.)
-
-How many answers are enough. With n voters a majority m is n // 2 + 1, and up to f = n - m may have lost their state,
-or had it rolled back, since they voted last. Whatever was chosen or promised, m voters have written it. Of b voters
-that say that they lost theirs, nothing is learnt; of s voters that have just started with a whole disk, the one that
-asks among them, up to f - b may be rolled back; those that vote are sound. So among a voting and s whole ones at
-least a + s - min(s, f - b) are sound, and m of these meet every majority. A voter alone with its old disk does not
-vote: it can't know. One that starts while the others vote needs m of these; when all start at once, all are needed.
-
-The first start. Nobody has a record, which looks like the loss of all. Only where every voter answers that its folder
-never held one, the fleet begins; who finds that out tells the others which incarnations these were, as some of them may
-have to be told by one that votes already.
+Voters that forget. Nobody can tell by itself that a disk was rolled back to yesterday: it is whole. So every
+voter that starts asks the others, before it votes, what it may have promised (`Rejoining`). Incarnations, a
+number for each start of each voter, go with every answer, and a proposer drops the answer of a voter that
+another answer knows in a newer incarnation. That closes the gap in which a promise given before a crash and
+one given afterwards make a majority. (Crash vectors: Michael, Ports, Sharma, Szekeres, "Recovering Shared
+Objects Without Stable Storage", DISC 2017; for disks that are damaged: Alagappan et al., "Protocol-Aware
+Recovery for Consensus-Based Storage", FAST 2018.)
+
+How many answers are enough. With n voters a majority m is n // 2 + 1, and up to f = n - m may have lost their
+state, or had it rolled back, since they voted last. Whatever was chosen or promised, m voters have written it.
+Of b voters that say that they lost theirs, nothing is learnt; of s voters that have just started with a whole
+disk, the one that asks among them, up to f - b may be rolled back; those that vote are sound. So among a
+voting and s whole ones at least a + s - min(s, f - b) are sound, and m of these meet every majority. A voter
+alone with its old disk does not vote: it can't know. One that starts while the others vote needs m of these;
+when all start at once, all are needed.
+
+The first start. Nobody has a record, which looks like the loss of all. Only where every voter answers that its
+folder never held one, the fleet begins; who finds that out tells the others which incarnations these were, as
+some of them may have to be told by one that votes already.
 """
 
 from __future__ import annotations
@@ -164,8 +167,8 @@
 
 @dataclass(slots=True)
 class Rejoining:
-    """A voter that has started and does not vote yet. `record`: what its disk holds, under its new incarnation; its
-    disk was `whole` or not, and `absent` if there was never anything."""
+    """A voter that has started and does not vote yet. `record`: what its disk holds, under its new
+    incarnation; its disk was `whole` or not, and `absent` if there was never anything."""
 
     record: Record
     voters: tuple[str, ...]
@@ -196,6 +199,11 @@
         )
         return newest if newest > self.record.incarnation else 0
 
+    def heard_voting(self, voter: str) -> bool:
+        """Whether this voter has answered as one that votes; else it may be worth to ask it again."""
+        answer = self.answers.get(voter)
+        return answer is not None and answer.standing == VOTING
+
     def again(self, incarnation: int) -> None:
         """Begin anew under this one."""
         known = merged(self.record.incarnations, {self.record.voter: incarnation})
--- a/banklift/fleet/state.py
+++ b/banklift/fleet/state.py
@@ -1,7 +1,7 @@
 """What the voters agree on, and how it may change: small, versioned, whole.
 
-The life of a change of policy. Every arrow is one compare-and-set of the register (register.py); what does not fit the
-state as it stands leaves it as it is, so each may be tried again by anybody, late or twice.
+The life of a change of policy. Every arrow is one compare-and-set of the register (register.py); what does not
+fit the state as it stands leaves it as it is, so each may be tried again by anybody, late or twice.
 
 | state of the change | event | next | what is told |
 | --- | --- | --- | --- |
@@ -13,8 +13,8 @@
 | checking, of a dry run | the same two | none | "fine", or "refused" with reasons; nothing is in force |
 | agreed | a majority of voters grants the new epoch alone: `settle` | none | "in force" |
 
-The id of a change begins with the version that it was made for, so one that is asked for again is either found in the
-history, or is under way, or can't be made any more. It is never made twice, however long ago it was.
+The id of a change begins with the version that it was made for, so one that is asked for again is either found
+in the history, or is under way, or can't be made any more. It is never made twice, however long ago it was.
 """
 
 from __future__ import annotations
--- a/banklift/fleet/voter.py
+++ b/banklift/fleet/voter.py
@@ -1,8 +1,8 @@
 """A voter: its part of the register, its table of leases, and the changes that it drives. Pure.
 
-What has to be on disk before a word leaves is `Save`; the words wait until `saved` says that it is there. While a write
-is under way more may come; they wait for the next one together. A write that fails takes its words with it: who asked
-hears nothing, as from a voter that is gone, and the voter tries the disk again later.
+What has to be on disk before a word leaves is `Save`; the words wait until `saved` says that it is there.
+While a write is under way more may come; they wait for the next one together. A write that fails takes its
+words with it: who asked hears nothing, as from a voter that is gone, and the voter tries the disk again later.
 
 | standing | event | next |
 | --- | --- | --- |
@@ -10,8 +10,9 @@
 | voting | it has read the register | in step: it grants leases |
 | any of these | a write fails | the same, but silent until one goes through |
 
-Driving a change. The voter that an operator asked drives it; if it falls silent, any other one does, after a while that
-is drawn. Two that drive at once do no harm: every step is a compare-and-set. While it drives, it surveys all voters:
+Driving a change. The voter that an operator asked drives it; if it falls silent, any other one does, after a
+while that is drawn. Two that drive at once do no harm: every step is a compare-and-set. While it drives, it
+surveys all voters:
 
 - checking: a majority is sealed (lease_table.py): `agree`; somebody refused, or `patience` is over: `abort`;
 - agreed: a majority has switched: `settle`.
@@ -35,8 +36,10 @@
     Accepted,
     Ballot,
     Ended,
+    Holder,
     Learn,
     LeaseGrant,
+    LeaseRelease,
     LeaseRequest,
     Message,
     Nack,
@@ -157,6 +160,11 @@
         self.lease_table = LeaseTable(lease, drift)
         self.linked: dict[str, bool] = {other: False for other in voters if other != name}
         self.operators: set[int] = set()
+        self.driver = ""  # the voter that surveyed last
+        self.told: tuple[str, str] = (
+            "",
+            "",
+        )  # change and stage of which its driver was told that all is done here
         self.durable: Record | None = None  # what was written last
         self.waiting: list[Callable[[], None]] = []  # to be told once the record as it stands is written
         self.in_flight: list[Callable[[], None]] = []  # ... once the write that is under way is done
@@ -231,29 +239,28 @@
                 self._save()
         return self._out()
 
-    def ask(
-        self, now: float, name: str, incarnation: int, ask: LeaseRequest
+    def request(
+        self, now: float, name: str, incarnation: int, request: LeaseRequest
     ) -> tuple[LeaseGrant | None, list[Action]]:
-        """A router asks for a lease."""
+        """A holder asks for a lease."""
         self.now = now
         if self.rejoining is not None:
-            grant: LeaseGrant | None = LeaseGrant(
-                ask.number,
-                0,
-                0.0,
-                0,
-                0.0,
-                0.0,
-                ("", ""),
-                "",
-                "",
-                (),
-                f"this voter does not vote: {self.rejoining.waiting()}",
-            )
-        else:
-            grant = self.lease_table.ask(now, name, incarnation, ask)
+            reason = f"this voter does not vote: {self.rejoining.waiting()}"
+            return LeaseTable(0.0, 0.0).refuse(request, reason), self._out()
+        switch_at = self.lease_table.switch_at
+        grant = self.lease_table.request(now, name, incarnation, request)
+        if self.lease_table.switch_at != switch_at:
+            self.actions.append(AnnounceRenewal())  # holders can be told when the next epoch begins
+        self._tell_driver()
         return grant, self._out()
 
+    def release(self, now: float, name: str, incarnation: int, release: LeaseRelease) -> list[Action]:
+        """A holder gives its leases back."""
+        self.now = now
+        self.lease_table.release(now, name, incarnation, release)
+        self._tell_driver()
+        return self._out()
+
     def set(self, now: float, operator: int, wanted: Set) -> list[Action]:
         """An operator wants a change, or asks what became of it."""
         self.now = now
@@ -299,17 +306,18 @@
         if self.rejoining is not None and now >= self.rejoin_at:
             self.rejoin_at = now + REJOIN * self.random.uniform(0.8, 1.2)
             for voter, up in self.linked.items():
-                if up and voter not in self.rejoining.answers:
+                if up and not self.rejoining.heard_voting(voter):
                     self.actions.append(ToVoter(voter, Rejoin(self.rejoining.record.incarnation)))
         if now >= self.disk_retry:
             self.disk_retry = math.inf
             self._save()
         if now >= self.round_ends:
             self._again()
-        granting = self.lease_table.granting
+        granting, switch_at = self.lease_table.granting, self.lease_table.switch_at
         self.lease_table.tick(now)
-        if self.lease_table.granting != granting:
+        if self.lease_table.granting != granting or self.lease_table.switch_at != switch_at:
             self.actions.append(AnnounceRenewal())
+        self._tell_driver()
         change = self.lease_table.change
         if (
             self.rejoining is None
@@ -352,15 +360,10 @@
                 self._answer(voter, reply)
             case Promise() | Accepted() | Nack():
                 self._proposing(voter, message)
-            case Survey(state, number):
-                self.driven = self.now
-                self._learn(state)
-                if state.change is not None:
-                    self._send(voter, self._survey(state.change, number))
+            case Survey():
+                self._surveyed_by(voter, message)
             case Surveyed():
-                if self.drive is not None and message.change == self.drive.change:
-                    self.drive.answers[voter] = message
-                    self._decide(self.drive)
+                self._survey_answered(voter, message)
 
     def _send(self, voter: str, message: Message) -> None:
         if voter == self.name:
@@ -565,16 +568,59 @@
         self.driven = self.now
         for voter, up in self.linked.items():
             if up:
-                self.actions.append(ToVoter(voter, Survey(state, drive.number)))
-        drive.answers[self.name] = self._survey(state.change, drive.number)
+                self.actions.append(ToVoter(voter, Survey(drive.change, state.version, drive.number)))
+        drive.answers[self.name] = self._survey(drive.change, drive.number)
         self._decide(drive)
 
-    def _survey(self, change: Change, number: int) -> Surveyed:
-        holders, sealed, switched = self.lease_table.survey(self.now)
-        current = self.lease_table.change
-        if current is None or current.id != change.id:  # decided since
-            sealed = switched = False
-        return Surveyed(change.id, number, holders, sealed, switched)
+    def _surveyed_by(self, voter: str, survey: Survey) -> None:
+        """The driver asks; whichever of both knows an older state is sent the newer one."""
+        self.driven = self.now
+        state = self.lease_table.state
+        if state is not None and state.version > survey.version:
+            self._send(voter, Learn(state))
+        self.driver = voter
+        self._send(voter, self._survey(survey.change, survey.number))
+
+    def _survey_answered(self, voter: str, answer: Surveyed) -> None:
+        state, drive = self.lease_table.state, self.drive
+        if state is not None and answer.version < state.version:
+            self._send(voter, Learn(state))
+        if drive is not None and answer.change == drive.change:
+            drive.answers[voter] = answer
+            self._decide(drive)
+
+    def _survey(self, change: str, number: int) -> Surveyed:
+        state = self.lease_table.state
+        version = state.version if state is not None else 0
+        if (
+            state is None or state.change is None or state.change.id != change
+        ):  # decided since, or not known yet
+            return Surveyed(change, version, number, (), 0, (), False, False)
+        found = self.lease_table.survey(self.now)
+        return Surveyed(
+            change,
+            version,
+            number,
+            found.refusals,
+            found.waiting,
+            found.slowest,
+            found.sealed,
+            found.switched,
+        )
+
+    def _tell_driver(self) -> None:
+        """Tell the driver at once when this voter's part of a stage is done, rather than at its next survey."""
+        change = self.lease_table.change
+        if change is None or self.told == (change.id, change.stage):
+            return
+        if not self.lease_table.stage_done(self.now):
+            return
+        self.told = (change.id, change.stage)
+        answer = self._survey(change.id, 0)
+        if self.drive is not None and self.drive.change == change.id:
+            self._survey_answered(self.name, answer)
+        elif self.linked.get(self.driver, False):
+            self._send(self.driver, answer)
 
     def _decide(self, drive: Drive) -> None:
         change = self.lease_table.change
@@ -590,42 +636,42 @@
                 drive, lambda state: abort(state, change.id, ()) if change.dry else agree(state, change.id)
             )
         else:
-            refusals = {
-                holder.name: holder.verdict for one in answers for holder in one.holders if holder.verdict
-            }
-            if refusals:
-                drive.refused = min(drive.refused, self.now)
-            asked = [
-                one for one in answers for holder in one.holders if holder.left > 0 and holder.verdict is None
-            ]
-            if refusals and (not asked or self.now >= drive.refused + GRACE):
-                reasons = tuple(
-                    f"{name}: {reason}" for name, told in sorted(refusals.items()) for reason in told
-                )
-                self._step(drive, lambda state: abort(state, change.id, reasons))
-            elif self.now >= drive.since + change.patience:
-                self._step(
-                    drive, lambda state: abort(state, change.id, tuple(waiting) or ("no answer in time",))
-                )
+            self._abort_if_refused(drive, change, waiting)
         for operator in sorted(drive.operators):
             self.actions.append(ToOperator(operator, Progress(change.id, change.stage, tuple(waiting))))
 
+    def _abort_if_refused(self, drive: Drive, change: Change, waiting: list[str]) -> None:
+        answers = drive.answers.values()
+        refusals = {holder.name: holder.verdict for one in answers for holder in one.refusals}
+        if refusals:
+            drive.refused = min(drive.refused, self.now)
+        unanswered = sum(one.waiting for one in answers)
+        if refusals and (not unanswered or self.now >= drive.refused + GRACE):
+            reasons = tuple(
+                f"{name}: {reason}" for name, told in sorted(refusals.items()) for reason in told or ()
+            )
+            self._step(drive, lambda state: abort(state, change.id, reasons))
+        elif self.now >= drive.since + change.patience:
+            reasons = tuple(waiting) or ("no answer in time",)
+            self._step(drive, lambda state: abort(state, change.id, reasons))
+
     def _waiting(self, drive: Drive, change: Change) -> list[str]:
         """For whom a change waits, and why, in words."""
         found = [f"voter {name} has not answered" for name in self.voters if name not in drive.answers]
-        worst: dict[str, tuple[float, float]] = {}  # of each router: silence, and end of its lease
+        slowest: dict[str, Holder] = {}  # by name, as the voter knows it that heard of it last
         for one in drive.answers.values():
-            for holder in one.holders:
-                late = (
-                    holder.verdict is None if change.stage is Stage.CHECKING else holder.epoch != change.epoch
-                )
-                if holder.left > 0 and late:
-                    heard, left = worst.get(holder.name, (math.inf, 0.0))
-                    worst[holder.name] = min(heard, holder.heard), max(left, holder.left)
-        found += [
-            f"{name} has not answered for {heard:.1f} s; its lease ends in {left:.1f} s"
-            for name, (heard, left) in sorted(worst.items())
-        ]
+            for holder in one.slowest:
+                known = slowest.get(holder.name)
+                if known is None or holder.heard < known.heard:
+                    slowest[holder.name] = holder
+        for name, holder in sorted(slowest.items()):
+            found += holder.summary.slowest if holder.summary is not None else ()
+            found.append(
+                f"{name} has not answered for {holder.heard:.1f} s; its lease ends in {holder.left:.1f} s"
+            )
+        unnamed = max((one.waiting for one in drive.answers.values()), default=0) - len(slowest)
+        if unnamed > 0:
+            found.append(f"{unnamed} more have not answered")
         return found
 
     def _step(self, drive: Drive, step: Callable[[State], State]) -> None:
--- a/tests/test_fleet_planted.py
+++ b/tests/test_fleet_planted.py
@@ -4,16 +4,19 @@
 
 import math
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import msgspec
 import pytest
 
+from banklift.fleet import holder, lease_table, register, state, voter
 from banklift.fleet import lease as leases
-from banklift.fleet import lease_table, register, state, voter
+from banklift.fleet.holder_table import Entry
 from banklift.fleet.lease import LeaseClient
 from banklift.fleet.lease_table import LeaseTable
 from banklift.fleet.messages import LeaseGrant, LeaseRequest, Set, Show, Shown
+from banklift.fleet.policies import PolicyCache
 from banklift.fleet.register import Record, Rejoining
 from banklift.rig.world import REFUSED, FleetWorld
 
@@ -161,7 +164,7 @@
 def impatient() -> list[str]:
     """Its patience is over while it takes hold: it was agreed, so it goes on."""
     found = []
-    for patience in (0.05, 0.1, 0.2, 0.4, 1.0, 2.0, 3.0, 4.0, 5.0, 5.5):
+    for patience in (0.05, 0.1, 0.2, 0.4, 1.0, 2.0, 3.0, 3.2, 3.4, 3.6, 3.8, 4.0, 4.2, 4.4, 5.0, 5.5):
         fleet = up(10)
         cut(fleet, "r4")
         fleet.run(0.05)
@@ -203,10 +206,10 @@
 def counted_from_receipt(patch: Patch) -> None:
     real = LeaseClient.granted
 
-    def granted(self: LeaseClient, now: float, name: str, grant: LeaseGrant) -> list[leases.Action]:
-        held = self.voters[name]
-        if grant.number in held.asked:
-            held.asked[grant.number] = now
+    def granted(self: LeaseClient, now: float, name: str, grant: LeaseGrant) -> list[holder.Action]:
+        grantor = self.grantors[name]
+        if grant.number in grantor.pending:
+            grantor.pending[grant.number] = now
         return real(self, now, name, grant)
 
     patch.setattr(LeaseClient, "granted", granted)
@@ -247,9 +250,8 @@
 def a_refusal_is_not_waited_for(patch: Patch) -> None:
     real = LeaseTable.survey
 
-    def survey(self: LeaseTable, now: float) -> Any:
-        holders, _, switched = real(self, now)
-        return holders, True, switched
+    def survey(self: LeaseTable, now: float) -> lease_table.Answers:
+        return replace(real(self, now), sealed=True)
 
     patch.setattr(LeaseTable, "survey", survey)
 
@@ -270,24 +272,24 @@
 def old_leases_given_past_the_turn(patch: Patch) -> None:
     real = LeaseTable._grant
 
-    def grant(self: LeaseTable, now: float, entry: lease_table.Entry, ask: LeaseRequest) -> LeaseGrant:
-        given = real(self, now, entry, ask)
+    def grant(self: LeaseTable, now: float, entry: Entry, request: LeaseRequest) -> LeaseGrant:
+        given = real(self, now, entry, request)
         return msgspec.structs.replace(given, ttl=self.lease) if given.ttl else given
 
     patch.setattr(LeaseTable, "_grant", grant)
 
 
 def what_the_router_still_counts_is_forgotten(patch: Patch) -> None:
-    real = LeaseTable.ask
+    real = LeaseTable.request
 
-    def ask(
+    def request(
         self: LeaseTable, now: float, name: str, incarnation: int, asked: LeaseRequest
     ) -> LeaseGrant | None:
         if (entry := self.entries.get((name, incarnation))) is not None:
             entry.outstanding.clear()
         return real(self, now, name, incarnation, asked)
 
-    patch.setattr(LeaseTable, "ask", ask)
+    patch.setattr(LeaseTable, "request", request)
 
 
 def agreed_changes_taken_back(patch: Patch) -> None:
@@ -325,9 +327,9 @@
 
 
 def newcomers_get_leases_while_it_is_sealed(patch: Patch) -> None:
-    real = LeaseTable.ask
+    real = LeaseTable.request
 
-    def ask(
+    def request(
         self: LeaseTable, now: float, name: str, incarnation: int, asked: LeaseRequest
     ) -> LeaseGrant | None:
         sealed, self.sealed = self.sealed, ""
@@ -338,14 +340,14 @@
         self.sealed = sealed
         return grant
 
-    patch.setattr(LeaseTable, "ask", ask)
+    patch.setattr(LeaseTable, "request", request)
 
 
 def a_refused_policy_is_served(patch: Patch) -> None:
-    def verdict(self: LeaseClient, known: str) -> tuple[str, ...]:
+    def verdict(self: PolicyCache, known: str) -> tuple[str, ...]:
         return ()
 
-    patch.setattr(LeaseClient, "_verdict", verdict)
+    patch.setattr(PolicyCache, "verdict", verdict)
 
 
 def a_lease_of_any_voter_is_enough(patch: Patch) -> None:
