--- a/banklift/fleet/end_index.py
+++ b/banklift/fleet/end_index.py
@@ -54,6 +54,10 @@
         """The end of one key; minus infinity if it is not there."""
         return self._ends.get(key, -math.inf)
 
+    def count_after(self, now: float) -> int:
+        """How many have not come to their end; looks at all of them."""
+        return sum(end > now for end in self._ends.values())
+
     def latest(self) -> float:
         """The latest end of all; minus infinity if there is none."""
         self._settle()
--- a/banklift/fleet/links.py
+++ b/banklift/fleet/links.py
@@ -113,13 +113,20 @@
 
 
 class Links:
-    """`peers`: members that are dialled. `accepts`: whether others may make links here."""
+    """`peers`: members that are dialled, all of them of `peer_role`. `accepts`: whether others may make links here."""
 
     def __init__(
-        self, plan: Plan, role: Role, incarnation: int, random: Random, peers: tuple[str, ...], accepts: bool
+        self,
+        plan: Plan,
+        role: Role,
+        incarnation: int,
+        random: Random,
+        peers: tuple[str, ...],
+        peer_role: Role,
+        accepts: bool,
     ) -> None:
         self.plan, self.role, self.incarnation, self.random = plan, role, incarnation, random
-        self.accepts = accepts
+        self.peer_role, self.accepts = peer_role, accepts
         self.owner: Owner
         self.by_id: dict[int, Link] = {}
         self.by_name: dict[tuple[Role, str], Link] = {}
@@ -272,7 +279,7 @@
             link.claim, link.prove_by = None, math.inf
             self.claimed.pop(link.id, None)
             if newcomer is not None:
-                self.end(newcomer, f"name: a router {link.name!r} is here already", clash=True)
+                self.end(newcomer, f"name: a {link.role} {link.name!r} is here already", clash=True)
         match message:
             case Bye(reason, clash):
                 self._turned_away(link, reason, clash)
@@ -338,8 +345,10 @@
             faults.append(f"fleet.sub_lease: {hello.sub_lease:g} s, here it is {plan.sub_lease:g} s")
         if link.dialled and hello.name != link.dialled:
             faults.append(f"{hello.name!r} answers where {link.dialled!r} was called")
+        elif link.dialled and hello.role is not self.peer_role:
+            faults.append(f"{hello.name!r} is a {hello.role}, and a {self.peer_role} was called")
         if (hello.role, hello.name) == (self.role, plan.name):
-            faults.append(f"name: {hello.name!r} is this router's own")
+            faults.append(f"name: {hello.name!r} is this {self.role}'s own")
         return faults
 
     def _greeted(self, link: Link, hello: Hello) -> None:
--- a/banklift/fleet/member.py
+++ b/banklift/fleet/member.py
@@ -21,15 +21,23 @@
 
 
 class Member:
-    """`incarnation`: larger than that of any earlier process by this name. `peers`: members that are dialled."""
+    """`incarnation`: larger than that of any earlier process by this name. `peers`: members that are dialled,
+    of `peer_role`. `accepts`: whether others may make links here."""
 
     def __init__(
-        self, plan: Plan, role: Role, incarnation: int, seed: int, peers: tuple[str, ...], accepts: bool
+        self,
+        plan: Plan,
+        role: Role,
+        incarnation: int,
+        seed: int,
+        peers: tuple[str, ...],
+        peer_role: Role,
+        accepts: bool,
     ) -> None:
         self.plan, self.incarnation = plan, incarnation
         self.voter: Voter | None = None
         self.random = Random(seed)
-        self.links = Links(plan, role, incarnation, self.random, peers, accepts)
+        self.links = Links(plan, role, incarnation, self.random, peers, peer_role, accepts)
         self.links.owner = self
         self.actions: list[Action] = self.links.actions  # type: ignore[assignment]  # one list, so that order is kept
         self.inbox: deque[Callable[[], None]] = deque()  # messages to itself
--- a/banklift/fleet/node.py
+++ b/banklift/fleet/node.py
@@ -50,10 +50,10 @@
         absent: bool = True,
     ) -> None:
         is_voter = plan.name in plan.voters
-        peers = plan.voters[: plan.voters.index(plan.name)] if is_voter else plan.aggregators or plan.voters
-        super().__init__(plan, Role.ROUTER, incarnation, seed, peers, is_voter)
         self.uses_aggregators = bool(plan.aggregators) and not is_voter
         self.grantor_role = Role.AGGREGATOR if self.uses_aggregators else Role.ROUTER
+        peers = plan.voters[: plan.voters.index(plan.name)] if is_voter else plan.aggregators or plan.voters
+        super().__init__(plan, Role.ROUTER, incarnation, seed, peers, self.grantor_role, accepts=is_voter)
         grantors = plan.aggregators if self.uses_aggregators else plan.voters
         lease = plan.sub_lease if self.uses_aggregators else plan.lease
         self.leases = LeaseClient(grantors, lease, plan.drift, self.random, check, self.uses_aggregators)
--- a/banklift/fleet/voter.py
+++ b/banklift/fleet/voter.py
@@ -642,13 +642,17 @@
 
     def _abort_if_refused(self, drive: Drive, change: Change, waiting: list[str]) -> None:
         answers = drive.answers.values()
-        refusals = {holder.name: holder.verdict for one in answers for holder in one.refusals}
+        refusals = {holder.name: holder for one in answers for holder in one.refusals}
         if refusals:
             drive.refused = min(drive.refused, self.now)
         unanswered = sum(one.waiting for one in answers)
         if refusals and (not unanswered or self.now >= drive.refused + GRACE):
             reasons = tuple(
-                f"{name}: {reason}" for name, told in sorted(refusals.items()) for reason in told or ()
+                reason
+                if holder.summary is not None
+                else f"{name}: {reason}"  # an aggregator names its routers
+                for name, holder in sorted(refusals.items())
+                for reason in holder.verdict or ()
             )
             self._step(drive, lambda state: abort(state, change.id, reasons))
         elif self.now >= drive.since + change.patience:
