A router chooses its aggregators and gives its leases back on SIGTERM; daemon.py is split

FleetHost.leave() has the router refuse new requests, sends LeaseRelease and ends these links in order; the daemon waits half a second at the most until that has arrived. daemon.py is parted: process.py (clock, signals, failures), voter_state.py (a voter's folder), fleet_daemon.py (plan, policies, joining, leaving). Signals are taken before the line on standard output.

--- a/banklift/cli/main.py
+++ b/banklift/cli/main.py
@@ -14,7 +14,7 @@
 import typer
 from rich.console import Console
 
-from banklift.cli import fleet
+from banklift.cli import fleet, policy
 from banklift.cli.files import BAD_FILE, FAILED, read
 from banklift.config.address import split_address
 from banklift.config.fleet import fleet_warnings
@@ -35,6 +35,7 @@
 from banklift.judge.trace import TraceError
 from banklift.judge.trace import read as read_trace
 from banklift.net import daemon
+from banklift.net.process import MembershipRefused, stop_signals
 from banklift.net.sockets import SocketEnv
 from banklift.proxy.plan import Config
 
@@ -44,7 +45,7 @@
     pretty_exceptions_enable=False,
     help="A database proxy: writes to primaries, reads over replicas, by RESP with offsets.",
 )
-app.add_typer(fleet.app, name="policy")
+app.add_typer(policy.app, name="policy")
 app.command("fleet")(fleet.fleet)
 ConfigFile = Annotated[
     Path, typer.Option("--config", help="The operator's file (Jsonnet).", show_default=False)
@@ -69,20 +70,25 @@
     anyio.run(main, *args, backend_options={"use_uvloop": True})  # type: ignore[arg-type]
 
 
-@app.command()
-def router(config: ConfigFile) -> None:
-    """Run one router until SIGTERM or SIGINT."""
+def run_member(command: str, main: object, *args: object) -> None:
+    """Run a router or an aggregator; what ends it before its time is told, with its exit code."""
     set_up_logs()
     try:
-        run(daemon.serve, read(config, load_router), config.resolve().parent)
-    except daemon.Ousted as error:
-        typer.echo(f"banklift router: {error}", err=True)
+        run(main, *args)
+    except MembershipRefused as error:
+        typer.echo(f"banklift {command}: {error}", err=True)
         raise typer.Exit(BAD_FILE) from None
     except (OSError, ConfigError) as error:
-        typer.echo(f"banklift router: {error}", err=True)
+        typer.echo(f"banklift {command}: {error}", err=True)
         raise typer.Exit(FAILED) from None
 
 
+@app.command()
+def router(config: ConfigFile) -> None:
+    """Run one router until SIGTERM or SIGINT."""
+    run_member("router", daemon.serve, read(config, load_router), config.resolve().parent)
+
+
 @app.command()
 def check(file: Path) -> None:
     """Validate a configuration and explain what is wrong with it."""
@@ -177,8 +183,9 @@
             for number in range(routers):
                 address = f"{host}:{port + number if port else 0}"
                 processes.addresses.append(await processes.start(number, address))
-            typer.echo(json.dumps({"routers": processes.addresses, "nodes": place.describe()}))
-            await daemon.stop_signal()
+            with stop_signals() as signals:
+                typer.echo(json.dumps({"routers": processes.addresses, "nodes": place.describe()}))
+                await signals.wait()
         finally:
             with anyio.CancelScope(shield=True):
                 await processes.stop()
--- a/banklift/net/fleet.py
+++ b/banklift/net/fleet.py
@@ -1,14 +1,13 @@
-"""A router of a fleet in its surroundings: links, disk and clock for fleet/node.py; its leases for the router's
-machine."""
+"""A member of a fleet in its surroundings: links, disk and clock for a router's or an aggregator's node."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
 from banklift.fleet.actions import LogLine
-from banklift.fleet.lease import EpochAdopted, LeaseExtended
-from banklift.fleet.node import Action as NodeAction
-from banklift.fleet.node import Dial, Node, Ousted, Shut, Write
+from banklift.fleet.holder import EpochAdopted, LeaseExtended
+from banklift.fleet.links import Dial, Ousted, Shut, Write
+from banklift.fleet.member import Action, Member
 from banklift.fleet.voter import Save
 from banklift.net.env import Alarm, Env, Handle, Peer
 from banklift.net.router import Log
@@ -17,9 +16,12 @@
 
 
 class FleetHost:
-    """Runs `node`. `addresses`: of the voters, by name; `listen`: where others make links, None for who is no voter.
-    `save` writes a record and calls back with what went wrong, or nothing; `adopt` and `until` tell the router's
-    machine; `ousted` is told when this program can't be a part of the fleet.
+    """Runs `node`.
+
+    `addresses`: of all members that it connects to, by name. `listen`: where others make links, None for who takes
+    none. `save` writes a record and calls back with what went wrong, or with nothing. `adopt` and `until` tell the
+    router's machine under which policy and up to when it may take requests. `ousted` is told when this program can't
+    be a part of the fleet. An aggregator saves and adopts nothing.
 
     Errors: `OSError` if the address can't be had.
     """
@@ -27,7 +29,7 @@
     def __init__(
         self,
         env: Env,
-        node: Node,
+        node: Member,
         addresses: dict[str, str],
         listen: str | None,
         save: Callable[[bytes, Saved], None],
@@ -54,14 +56,15 @@
         if not self.dead:
             self.carry(self.node.wake(self.env.now()))
 
-    def carry(self, actions: list[NodeAction]) -> None:
+    def carry(self, actions: list[Action]) -> None:
+        """Do what the node says, in order."""
         for action in actions:
             match action:
                 case Write(link, data):
                     if link in self.handles:
                         self.handles[link].send(data)
-                case Dial(link, voter):
-                    self.handles[link] = self.env.connect(self.addresses[voter], _LinkPeer(self, link))
+                case Dial(link, peer):
+                    self.handles[link] = self.env.connect(self.addresses[peer], _LinkPeer(self, link))
                 case Shut(link):
                     if (handle := self.handles.pop(link, None)) is not None:
                         handle.finish()
@@ -70,8 +73,8 @@
                 case EpochAdopted(epoch, policy):
                     self.log("policy in force", {"epoch": epoch})
                     self.adopt(epoch, policy)
-                case LeaseExtended(time, back):
-                    self.until(time, back)
+                case LeaseExtended(time, retry_after):
+                    self.until(time, retry_after)
                 case Ousted(reason):
                     self.ousted(reason)
                 case LogLine(event, fields):
@@ -82,6 +85,20 @@
         if not self.dead:
             self.carry(self.node.saved(self.env.now(), number, error))
 
+    def leave(self) -> list[Handle]:
+        """Graceful shutdown: take no more requests, give all leases back, and do nothing from then on. The links on
+        which that was said are ended in order; they are returned, so that it can be waited for."""
+        if self.dead:
+            return []
+        actions = self.node.leave(self.env.now())
+        self.carry(actions)
+        self.dead = True
+        numbers = {action.link for action in actions if isinstance(action, Write)}
+        told = [self.handles.pop(number) for number in sorted(numbers) if number in self.handles]
+        for handle in told:
+            handle.finish()
+        return told
+
     def kill(self) -> None:
         """As by SIGKILL, for routers that share a process with what watches them."""
         self.dead = True
--- a/banklift/net/operator.py
+++ b/banklift/net/operator.py
@@ -1,9 +1,10 @@
-"""An operator's tool in talk with the voters of a fleet: one after another until one answers."""
+"""An operator's tool as a client of a fleet: it asks voters one after another, or aggregators all at once."""
 
 from __future__ import annotations
 
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import anyio
 from anyio.abc import SocketStream
@@ -18,96 +19,157 @@
     Message,
     NotProposed,
     Progress,
+    Role,
     Set,
     Show,
     Shown,
     encode,
 )
 
-CONNECT = 1.0  # seconds in which a voter takes a connection and says who it is
-SILENT = 3.0  # seconds without a word after which another voter is asked
-PAUSE = 0.2  # seconds before all are tried again
+CONNECT_TIME = 1.0  # seconds in which a member takes a connection and greets
+SILENCE = 3.0  # seconds without a message after which another voter is asked
+ROUND_PAUSE = 0.2  # seconds before all voters are tried again
+CONNECTION_ERRORS = (
+    OSError,
+    TimeoutError,
+    Garbage,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+Answer = Shown | Ended | NotProposed
+OnProgress = Callable[[Progress], None]
 
 
 class Unreachable(Exception):
     """No voter answered in time; the text says what each did."""
 
 
-class Talk:
-    """One connection. Errors of all calls: `OSError`, `TimeoutError`, `Garbage`, `anyio.EndOfStream` and the like."""
+class DoesNotVote(Exception):
+    """This voter can't propose a change now; the text says why."""
 
-    def __init__(self, stream: SocketStream) -> None:
-        self.stream, self.frames = stream, Frames()
-        self.come: list[Message] = []
 
-    async def say(self, message: Message) -> None:
-        await self.stream.send(encode(message))
+@dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """A member that did not answer, and what it did instead."""
 
-    async def hear(self, seconds: float) -> Message:
-        with anyio.fail_after(seconds):
-            while not self.come:
-                self.come = self.frames.feed(await self.stream.receive())
-        return self.come.pop(0)
+    reason: str
 
 
-FAULTS = (
-    OSError,
-    TimeoutError,
-    Garbage,
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
+class Connection:
+    """To one member. Errors of all calls: `CONNECTION_ERRORS`."""
 
+    def __init__(self, stream: SocketStream) -> None:
+        self._stream, self._frames = stream, Frames()
+        self._received: list[Message] = []
+
+    @classmethod
+    async def open(cls, address: str, fleet: str) -> Connection:
+        """Connect and greet, within `CONNECT_TIME` each."""
+        host, _, port = address.rpartition(":")
+        with anyio.fail_after(CONNECT_TIME):
+            connection = cls(await anyio.connect_tcp(host, int(port)))
+        try:
+            await connection._greet(fleet)
+        except BaseException:
+            await anyio.aclose_forcefully(connection._stream)
+            raise
+        return connection
+
+    async def __aenter__(self) -> Connection:
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await anyio.aclose_forcefully(self._stream)
+
+    async def send(self, message: Message) -> None:
+        await self._stream.send(encode(message))
+
+    async def receive(self, seconds: float) -> Message:
+        """The next message, which has to come within that time."""
+        with anyio.fail_after(seconds):
+            while not self._received:
+                self._received = self._frames.feed(await self._stream.receive())
+        return self._received.pop(0)
 
-async def greet(address: str, fleet: str) -> Talk:
-    host, _, port = address.rpartition(":")
-    with anyio.fail_after(CONNECT):
-        talk = Talk(await anyio.connect_tcp(host, int(port)))
-    await talk.say(Hello(VERSION, fleet, "", 0, (), 0.0))
-    answer = await talk.hear(CONNECT)
-    if not isinstance(answer, Hello):
-        raise OSError(answer.reason if isinstance(answer, Bye) else "it does not greet")
-    return talk
+    async def _greet(self, fleet: str) -> None:
+        await self.send(Hello(VERSION, fleet, "", 0, (), 0.0, 0.0, Role.OPERATOR))
+        answer = await self.receive(CONNECT_TIME)
+        if not isinstance(answer, Hello):
+            raise OSError(answer.reason if isinstance(answer, Bye) else "it does not greet")
 
 
-async def ask(
+async def ask_voters(
     voters: dict[str, str],
     fleet: str,
     message: Show | Set,
     seconds: float,
-    progress: Callable[[Progress], None] = lambda progress: None,
-) -> Shown | Ended | NotProposed:
-    """The answer of the first voter that has one. Errors: `Unreachable` when the time is over: what became of a change
-    is then not known, and it may be asked for again by its id."""
-    end, last = time.monotonic() + seconds, dict.fromkeys(voters, "not tried")
+    on_progress: OnProgress = lambda progress: None,
+) -> Answer:
+    """The answer of the first voter that has one; they are asked one after another. Errors: `Unreachable` when the time
+    is over: what became of a change is then not known, and it may be asked for again by its id."""
+    end = time.monotonic() + seconds
+    outcomes = dict.fromkeys(voters, "not tried")
     while True:
         for name, address in voters.items():
-            left = end - time.monotonic()
-            if left <= 0:
+            if time.monotonic() >= end:
                 break
             try:
-                talk = await greet(address, fleet)
-                async with talk.stream:
-                    await talk.say(message)
-                    while True:
-                        left = end - time.monotonic()
-                        answer = await talk.hear(max(0.0, min(left, SILENT)))
-                        if isinstance(answer, Progress):
-                            progress(answer)
-                        elif (
-                            isinstance(answer, NotProposed)
-                            and answer.busy
-                            and "does not vote" in answer.reason
-                        ):
-                            last[name] = answer.reason
-                            break
-                        elif isinstance(answer, Shown | Ended | NotProposed):
-                            return answer
-            except FAULTS as error:
-                last[name] = str(error) or (
-                    "no answer" if isinstance(error, TimeoutError) else "the connection broke"
-                )
+                return await _ask_voter(address, fleet, message, end, on_progress)
+            except (*CONNECTION_ERRORS, DoesNotVote) as error:
+                outcomes[name] = _reason(error)
         if time.monotonic() >= end:
-            raise Unreachable("; ".join(f"{name}: {reason}" for name, reason in last.items()))
-        await anyio.sleep(PAUSE)
+            raise Unreachable("; ".join(f"{name}: {reason}" for name, reason in outcomes.items()))
+        await anyio.sleep(ROUND_PAUSE)
+
+
+async def show_each(addresses: dict[str, str], fleet: str, seconds: float) -> dict[str, Shown | NoAnswer]:
+    """What each of these members shows; all are asked at once, and have so much time."""
+    answers: dict[str, Shown | NoAnswer] = {name: NoAnswer("no answer in time") for name in addresses}
+
+    async def ask(name: str, address: str) -> None:
+        try:
+            answers[name] = await _show(address, fleet, seconds)
+        except CONNECTION_ERRORS as error:
+            answers[name] = NoAnswer(_reason(error))
+
+    with anyio.move_on_after(seconds):
+        async with anyio.create_task_group() as tasks:
+            for name, address in addresses.items():
+                tasks.start_soon(ask, name, address)
+    return answers
+
+
+async def _show(address: str, fleet: str, seconds: float) -> Shown:
+    """Errors: `CONNECTION_ERRORS`."""
+    async with await Connection.open(address, fleet) as connection:
+        await connection.send(Show())
+        while True:
+            answer = await connection.receive(seconds)
+            if isinstance(answer, Shown):
+                return answer
+
+
+async def _ask_voter(
+    address: str, fleet: str, message: Show | Set, end: float, on_progress: OnProgress
+) -> Answer:
+    """Errors: `CONNECTION_ERRORS`, `DoesNotVote`."""
+    async with await Connection.open(address, fleet) as connection:
+        await connection.send(message)
+        while True:
+            left = max(0.0, end - time.monotonic())
+            answer = await connection.receive(min(left, SILENCE))
+            match answer:
+                case Progress():
+                    on_progress(answer)
+                case NotProposed(_, reason, busy) if busy and "does not vote" in reason:
+                    raise DoesNotVote(reason)
+                case Shown() | Ended() | NotProposed():
+                    return answer
+
+
+def _reason(error: Exception) -> str:
+    if str(error):
+        return str(error)
+    return "no answer" if isinstance(error, TimeoutError) else "the connection broke"
