--- a/banklift/fleet/lease_table.py
+++ b/banklift/fleet/lease_table.py
@@ -138,6 +138,9 @@
         if request.number <= entry.last_request:
             return None
         self.heard(now, entry, request)
+        if self.closing:
+            self.index(entry)  # it may have given up the last longer lease
+            self.tick(now)
         reason = self._reason_against(now, entry, request)
         grant = self._grant(now, entry, request) if reason is None else self.refuse(request, reason)
         self.index(entry)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,31 @@
+"""Which aggregators a router leases from."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from banklift.fleet.placement import Candidate, choose
+
+ROUTERS = [f"router-{number}" for number in range(3_000)]
+
+
+def test_routers_spread_evenly_and_few_move() -> None:
+    five = [Candidate(f"a{number}", f"m{number}") for number in range(5)]
+    before = {router: choose(router, five) for router in ROUTERS}
+    counts = Counter(chosen[0] for chosen in before.values())
+    assert max(counts.values()) < 1.2 * len(ROUTERS) / 5
+    after = {router: choose(router, five[:4]) for router in ROUTERS}
+    moved = [router for router in ROUTERS if before[router][0] != after[router][0]]
+    assert all(before[router][0] == "a4" for router in moved)
+    assert all(after[router][0] == before[router][1] for router in moved)  # to their standby
+    takers = Counter(after[router][0] for router in moved)
+    assert set(takers) == {"a0", "a1", "a2", "a3"}
+
+
+def test_the_standby_runs_on_another_machine() -> None:
+    candidates = [Candidate("a0", "m0"), Candidate("a1", "m0"), Candidate("b0", "m1")]
+    for router in ROUTERS[:100]:
+        preferred, standby = choose(router, candidates)
+        assert (preferred == "b0") != (standby == "b0")
+    assert len(choose("r", candidates[:2])) == 1
+    assert choose("r", []) == ()
