Discovery is asked again in time for its news after failed, refused and silent calls

Seen (virtual time, outages of 20 to 60 s in steps of 0.5 s, a change made at the return): where the settings let 120 s pass between calls, it was heard of 46.5 s later after refused and 503 calls, 48 s after connections that never came up; with 10 s, 8.95 s later where discovery took calls and answered none. By reading: after 1,025 failed calls in a row on_listing raised OverflowError (2.0 ** 1024) and the router would have ended.

Ruled out: 10 s with refused, 503 and lost connections (3.8, 3.8 and 5.3 s at the worst), pushed lists (waits of a quarter of the drain grace).

Lines at fault: balance.py, on_listing, whose wait grew with ask_within and whose power was not bounded; discovery/client.py, tick, which opened a silent watch anew only once and left the second one to that wait.

Change: of ask_within 10 s count for the wait, doubled three times at the most; a silent watch is opened anew at once each time (it took 5.5 s, so this is no storm).

Replaced: test_a_silent_watch_is_opened_anew_once_and_then_fails_in_time, which wanted the second silent watch to fail and so to wait; now each one has to be opened anew at once (four in a row), and one whose connection does not come up has to fail in time.

--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -39,7 +39,8 @@
 FEW = 8  # routers up to which each may ask a member before it sends: more of them would ask it all the time
 STRAINS = (Status.FULL, Status.TIMEOUT, Status.CANCELLED, Status.CONNECT_FAILED)  # which tell of no room
 SELDOM = 4.0  # ... lapses between looks of one of them
-WATCH_RETRY = 0.05  # of ask_within: first wait after a failed call to the list, doubled each time
+WATCH_RETRY = 0.05  # of ask_within: first wait after a failed call to the list, doubled three times ...
+ASK_CAP = 10.0  # ... seconds of it that count: news counts as told 6 s after discovery is back in reach
 
 
 @dataclass(slots=True, eq=False)
@@ -145,8 +146,8 @@
     # ---- facts: the record is updated as they arrive, and an older one never undoes a newer one
     def on_listing(self, listing: io.Listing) -> None:
         if listing.kind is io.ListKind.FAILED:
+            wait = WATCH_RETRY * 2.0 ** min(3, self.watch_failures) * min(ASK_CAP, self.settings.ask_within)
             self.watch_failures += 1
-            wait = self.settings.ask_within * min(0.4, WATCH_RETRY * 2.0 ** (self.watch_failures - 1))
             return self.after(wait * self.random.uniform(0.5, 1.0), lambda: self.actions.append(io.Watch()))
         if listing.kind is io.ListKind.CACHED and self.settings.must_ask:
             self.actions.append(io.Watch())
@@ -190,10 +191,9 @@
             self.release(member.group, TURN, member)
 
     def on_report(self, member: Member, report: io.Report, asked: float) -> None:
-        load, more = report.queued if report.in_flight is None else report.in_flight, report.queued or 0.0
-        load = report.in_flight + more if self.crowd and report.in_flight is not None else load
-        member.load = member.load if load is None else load
-        if load is not None and self.expected(member) <= TARGET * self.shortest:
+        loads = [load for load in (report.in_flight, report.queued) if load is not None]
+        member.load = sum(loads if self.crowd else loads[:1]) if loads else member.load
+        if loads and self.expected(member) <= TARGET * self.shortest:
             member.strained = -math.inf
         if report.position is not None:
             member.position = max(member.position, report.position)
--- a/banklift/discovery/client.py
+++ b/banklift/discovery/client.py
@@ -8,7 +8,7 @@
 not decided here, but for two cases:
 
 - A watch that was silent until the end of its wait is broken, whatever the catalogue is like: it is opened anew at once
-  on a new connection, once, as what it missed counts as told soon after its wait.
+  on a new connection, each time, as what it missed counts as told soon after its wait.
 - Where lists are pushed (`backoff`), nobody else asks: the watch is opened anew after each failure, with waits that
   double, up to a part of the time in which a change must be heeded.
 
@@ -99,7 +99,6 @@
         self.calling = False  # a call is out, or waits for its connection
         self.open = False  # there is a connection, or one is on its way
         self.up = False
-        self.renewed = False  # the watch was opened anew after silence, and nothing has come since
         self.status = 0
         self.body = bytearray()
         self.http = h11.Connection(h11.CLIENT)
@@ -118,7 +117,6 @@
         well."""
         self.address = address
         self._drop()
-        self.renewed = False
         if self.backoff is not None:
             self.backoff.reset()
         self.watching = self.wanted
@@ -160,8 +158,7 @@
             return
         if not self.calling:  # it is time to try again
             self._call(now)
-        elif self.up and self.watching and not self.whole and not self.renewed:
-            self.renewed = True
+        elif self.up and self.watching and not self.fetching:
             self._drop()
             self.actions.append(Tell(None, "the watch was silent, and is opened anew"))
             self._call(now)
@@ -213,7 +210,6 @@
         self.body = bytearray()
         self.version = None if stray else catalogue.rev
         self.fetching = stray or (self.fetching and not self.whole)
-        self.renewed = False
         if self.backoff is not None:
             self.backoff.reset()
         self.calling, self.due = False, math.inf
@@ -228,7 +224,6 @@
 
     def _fail(self, now: float, reason: str) -> None:
         self._drop()
-        self.renewed = False
         if self.backoff is not None:
             self.due = now + self.backoff.next()
             self.actions.append(Tell(None, reason))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -143,21 +143,34 @@
     assert "reset" in failed(client) and [type(action) for action in client.actions] == [Close, Tell]
 
 
-def test_a_silent_watch_is_opened_anew_once_and_then_fails_in_time() -> None:
+def test_a_silent_watch_is_opened_anew_at_once_each_time() -> None:
+    """A wait after the second one would add to the time in which it was silent, and what it missed counts as told."""
     client = calling()
     client.actions.clear()
-    client.tick(100.0 + LONG_POLL + CALL_TIMEOUT - 0.01)
-    assert client.actions == []
-    client.tick(100.0 + LONG_POLL + CALL_TIMEOUT)
-    assert client.actions[0] == Close() and client.actions[2:] == [Connect("10.2.0.1:8500")]
-    assert told(client).roster is None and "silent" in told(client).reason
+    now = 100.0
+    for _ in range(4):
+        client.tick(now + LONG_POLL + CALL_TIMEOUT - 0.01)
+        assert client.actions == []
+        now += LONG_POLL + CALL_TIMEOUT
+        client.tick(now)
+        assert client.actions[0] == Close() and client.actions[2:] == [Connect("10.2.0.1:8500")]
+        assert told(client).roster is None and "silent" in told(client).reason
+        client.actions.clear()
+        now += 0.1
+        client.connected(now)
+        assert b"after=41&wait_ms=4000" in sent(client)
+
+
+def test_a_silent_watch_whose_new_connection_does_not_come_up_fails_in_time() -> None:
+    client = calling()
     client.actions.clear()
-    client.connected(105.6)
-    assert b"after=41&wait_ms=4000" in sent(client)
-    client.tick(105.6 + LONG_POLL + CALL_TIMEOUT - 0.01)
+    silent = 100.0 + LONG_POLL + CALL_TIMEOUT
+    client.tick(silent)
+    client.actions.clear()
+    client.tick(silent + CALL_TIMEOUT - 0.01)
     assert client.actions == []
-    client.tick(105.6 + LONG_POLL + CALL_TIMEOUT)
-    assert "in time" in failed(client)
+    client.tick(silent + CALL_TIMEOUT)
+    assert "no connection" in failed(client)
 
 
 def test_a_watch_that_has_answered_since_is_opened_anew_once_more() -> None:
