A router adopts the next epoch when it begins, not at its next renewal

Seen in virtual time: routers behind aggregators adopted the next epoch 0.4 to 0.6 s late and served nothing in between. Node woke its lease client only where that was due, and the begin of an epoch is due only before its moment; voters hid it, as they have routers renew at the switch. Ruled out: the begin that was granted.

The lease client and the aggregator are always woken. Tests of one member without its surroundings: standby, way back, begin of an epoch, leaving, roles, stalled links (10 tests, pass).

--- a/banklift/fleet/aggregator_node.py
+++ b/banklift/fleet/aggregator_node.py
@@ -44,8 +44,7 @@
         return min(self.links.due, self.aggregator.due(self.now))
 
     def _woken(self) -> None:
-        if self.aggregator.due(self.now) <= self.now:
-            self._carry(self.aggregator.wake(self.now))
+        self._carry(self.aggregator.wake(self.now))
 
     def may_be_ousted(self) -> bool:
         return not self.aggregator.parent.windows
--- a/banklift/fleet/links.py
+++ b/banklift/fleet/links.py
@@ -346,7 +346,7 @@
         if link.dialled and hello.name != link.dialled:
             faults.append(f"{hello.name!r} answers where {link.dialled!r} was called")
         elif link.dialled and hello.role is not self.peer_role:
-            faults.append(f"{hello.name!r} is a {hello.role}, and a {self.peer_role} was called")
+            faults.append(f"{hello.name!r} answers as {hello.role}, and the one called is {self.peer_role}")
         if (hello.role, hello.name) == (self.role, plan.name):
             faults.append(f"name: {hello.name!r} is this {self.role}'s own")
         return faults
--- a/banklift/fleet/node.py
+++ b/banklift/fleet/node.py
@@ -96,8 +96,9 @@
             self._leases(self.leases.up(self.now, self.plan.name))
 
     def _woken(self) -> None:
-        if self.leases.due(self.now) <= self.now:
-            self._leases(self.leases.wake(self.now))
+        self._leases(
+            self.leases.wake(self.now)
+        )  # also where an epoch begins, which is due only before that moment
         if self.voter is not None and self.voter.due(self.now) <= self.now:
             self._voter(self.voter.wake(self.now))
 
--- /dev/null
+++ b/tests/test_fleet_node.py
@@ -0,0 +1,229 @@
+"""One member of a fleet without its surroundings: links, clashes, and what is due when."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from banklift.fleet.holder import EpochAdopted, LeaseExtended
+from banklift.fleet.lease import LeaseClient
+from banklift.fleet.links import Dial, Shut, Write
+from banklift.fleet.member import Action, Member
+from banklift.fleet.messages import (
+    VERSION,
+    Bye,
+    Frames,
+    Hello,
+    LeaseGrant,
+    LeaseRelease,
+    LeaseRequest,
+    Message,
+    Role,
+    encode,
+)
+from banklift.fleet.node import Node
+from banklift.fleet.plan import Plan
+from banklift.fleet.state import digest
+
+LEASE, DRIFT, SUB_LEASE = 3.0, 0.01, 2.0
+PLAN = Plan("fleet", "r9", ("v0", "v1", "v2"), LEASE, DRIFT, ("a0", "a1"), SUB_LEASE)
+TEXT = b"first"
+
+
+def grant(number: int, **fields: object) -> LeaseGrant:
+    """On epoch 1 for a sub-lease; `fields` go over it."""
+    usual: dict[str, object] = {
+        "number": number,
+        "epoch": 1,
+        "ttl": SUB_LEASE,
+        "next_epoch": 0,
+        "begin": 0.0,
+        "next_ttl": 0.0,
+        "digests": (digest(TEXT), ""),
+        "version": 1,
+        "change": "",
+        "stage": "",
+        "dry": False,
+        "subject": "",
+        "policies": (TEXT,),
+    }
+    return LeaseGrant(**{**usual, **fields})  # type: ignore[arg-type]
+
+
+def hello(name: str, role: Role, incarnation: int = 1, lease: float = LEASE) -> Hello:
+    return Hello(VERSION, "fleet", name, incarnation, PLAN.voters, lease, SUB_LEASE, role)
+
+
+class Driven:
+    """A member whose links and clock are in the test's hands."""
+
+    def __init__(self, member: Member) -> None:
+        self.member, self.now = member, 100.0
+        self.links: dict[str, int] = {}
+        self.frames: dict[int, Frames] = {}
+        self.said: list[tuple[int, Message]] = []
+        self.told: list[Action] = []
+        self.shut: list[int] = []
+
+    def carry(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Dial(link, peer):
+                    self.links[peer] = link
+                case Write(link, data):
+                    messages = self.frames.setdefault(link, Frames()).feed(data)
+                    self.said += [(link, message) for message in messages]
+                case Shut(link):
+                    self.shut.append(link)
+                case _:
+                    self.told.append(action)
+
+    def greet(self, peer: str, role: Role = Role.AGGREGATOR) -> None:
+        link = self.links[peer]
+        self.carry(self.member.connected(self.now, link))
+        self.hear(link, hello(peer, role))
+
+    def accept(self, message: Hello) -> int:
+        link = self.member.number()
+        self.carry(self.member.accepted(self.now, link))
+        self.hear(link, message)
+        return link
+
+    def hear(self, link: int, message: Message) -> None:
+        self.carry(self.member.data(self.now, link, encode(message)))
+
+    def requests(self, peer: str) -> list[LeaseRequest]:
+        return [one for link, one in self.said if link == self.links[peer] and isinstance(one, LeaseRequest)]
+
+    def wake(self) -> None:
+        """Go on to when it is due."""
+        self.now = max(self.now, self.member.due)
+        self.carry(self.member.wake(self.now))
+
+
+def router(plan: Plan = PLAN) -> Driven:
+    driven = Driven(Node(plan, 1, 1, TEXT, lambda text: ()))
+    driven.carry(driven.member.start(driven.now))
+    return driven
+
+
+def served(driven: Driven, number: int = 1) -> None:
+    """The preferred aggregator has granted."""
+    driven.greet("a0")
+    driven.hear(driven.links["a0"], grant(number))
+    driven.greet("a1")
+
+
+def test_a_router_asks_its_preferred_aggregator_alone() -> None:
+    driven = router()
+    assert set(driven.links) == {"a0", "a1"}
+    served(driven)
+    assert len(driven.requests("a0")) == 1 and driven.requests("a1") == []
+    assert [one for one in driven.told if isinstance(one, EpochAdopted)] == [EpochAdopted(1, TEXT)]
+
+
+@pytest.mark.parametrize("how", ["lost", "silent", "no lease"])
+def test_the_standby_is_asked_when_the_preferred_one_gives_nothing(how: str) -> None:
+    driven = router()
+    served(driven)
+    if how == "lost":
+        driven.now += 0.5
+        driven.carry(driven.member.lost(driven.now, driven.links["a0"], "closed"))
+    while not driven.requests("a1"):
+        driven.wake()
+        if how == "no lease":
+            number = driven.requests("a0")[-1].number
+            driven.hear(driven.links["a0"], grant(number, epoch=0, ttl=0.0, digests=("", ""), reason="none"))
+    assert driven.now < 100.0 + SUB_LEASE * (1 - DRIFT)  # its sub-lease has not ended
+    before = [one.time for one in driven.told if isinstance(one, LeaseExtended)][-1]
+    driven.hear(driven.links["a1"], grant(driven.requests("a1")[-1].number))
+    assert [one.time for one in driven.told if isinstance(one, LeaseExtended)][-1] > before
+
+
+def test_it_goes_back_to_the_preferred_one_and_gives_back_what_the_standby_granted() -> None:
+    driven = router()
+    served(driven)
+    driven.carry(driven.member.lost(driven.now, driven.links["a0"], "closed"))
+    driven.hear(driven.links["a1"], grant(driven.requests("a1")[-1].number))
+    while driven.links["a0"] in driven.frames:
+        driven.wake()
+        if driven.links["a0"] not in driven.frames:
+            break
+    driven.greet("a0")
+    driven.hear(driven.links["a0"], grant(driven.requests("a0")[-1].number))
+    released = [
+        one for link, one in driven.said if link == driven.links["a1"] and isinstance(one, LeaseRelease)
+    ]
+    assert len(released) == 1
+    asked = len(driven.requests("a1"))
+    for _ in range(5):
+        driven.wake()
+        driven.hear(driven.links["a0"], grant(driven.requests("a0")[-1].number))
+    assert len(driven.requests("a1")) == asked
+
+
+def test_the_next_epoch_is_adopted_when_it_begins() -> None:
+    driven = router()
+    served(driven)
+    driven.wake()
+    number = driven.requests("a0")[-1].number
+    coming = grant(
+        number,
+        ttl=0.2,
+        next_epoch=2,
+        begin=0.3,
+        next_ttl=0.3 + SUB_LEASE,
+        digests=(digest(TEXT), digest(b"second")),
+        policies=(b"second",),
+    )
+    driven.hear(driven.links["a0"], coming)
+    begins = driven.now + 0.3 * (1 + DRIFT)
+    while driven.now < begins:
+        assert EpochAdopted(2, b"second") not in driven.told
+        driven.wake()
+    assert driven.now == begins and EpochAdopted(2, b"second") in driven.told
+
+
+def test_a_router_that_leaves_serves_nothing_and_gives_its_leases_back() -> None:
+    driven = router()
+    served(driven)
+    driven.told.clear()
+    driven.said.clear()
+    driven.carry(driven.member.leave(driven.now))
+    assert [one.time for one in driven.told if isinstance(one, LeaseExtended)] == [float("-inf")]
+    assert (driven.links["a0"], LeaseRelease(1)) in driven.said
+    driven.hear(driven.links["a0"], grant(1))
+    assert len(driven.told) == 1
+
+
+def test_who_answers_has_to_be_who_was_called() -> None:
+    driven = router()
+    driven.greet("a0", Role.ROUTER)
+    byes = [one for _, one in driven.said if isinstance(one, Bye)]
+    assert [one.reason for one in byes] == ["'a0' answers as router, and the one called is aggregator"]
+    assert driven.shut == [driven.links["a0"]]
+
+
+def test_a_router_and_an_aggregator_may_have_one_name() -> None:
+    plan = Plan("fleet", "v2", PLAN.voters, LEASE, DRIFT, (), SUB_LEASE)
+    driven = Driven(Node(plan, 1, 1, TEXT, lambda text: (), None, True))
+    driven.carry(driven.member.start(driven.now))
+    first = driven.accept(hello("x", Role.ROUTER))
+    second = driven.accept(hello("x", Role.AGGREGATOR))
+    assert driven.shut == []
+    twin = driven.accept(hello("x", Role.AGGREGATOR, incarnation=2))
+    driven.hear(second, LeaseRelease(0))  # it gives a word
+    assert driven.shut == [twin] and first != second
+
+
+def test_a_link_is_stalled_by_its_oldest_request_without_an_answer() -> None:
+    client = LeaseClient(("v0",), LEASE, 0.0, Random(1), lambda text: ())
+    client.up(0.0, "v0")
+    client.granted(0.0, "v0", grant(1, ttl=LEASE))
+    client.wake(1.0)  # a renewal, long after the last answer
+    assert client.grantors["v0"].linked
+    client.wake(1.1)
+    assert client.grantors["v0"].linked
+    client.wake(1.0 + LEASE / 4)
+    assert not client.grantors["v0"].linked
