banklift aggregator runs a lease aggregator as a process

Need: the tier between routers and voters has to run by itself, from any file of the fleet or from a small one. net/aggregator.py runs AggregatorNode without a data plane; it says where it listens, ends on SIGTERM and SIGINT, and exits 2 when the file is bad or the fleet turns it away. tests/test_fleet_daemon.py: 11 passed, real processes: leases and sub-leases given back, two of one name, another sub-lease, an address that is taken (exit 1, no traceback). tests/test_fleet_config.py: every fault is refused by the command too, passed.

--- a/banklift/cli/main.py
+++ b/banklift/cli/main.py
@@ -34,6 +34,7 @@
 from banklift.judge.show import show
 from banklift.judge.trace import TraceError
 from banklift.judge.trace import read as read_trace
+from banklift.net import aggregator as aggregator_process
 from banklift.net import daemon
 from banklift.net.process import MembershipRefused, stop_signals
 from banklift.net.sockets import SocketEnv
@@ -89,6 +90,21 @@
     run_member("router", daemon.serve, read(config, load_router), config.resolve().parent)
 
 
+@app.command()
+def aggregator(
+    config: Annotated[
+        Path,
+        typer.Option(
+            "--config",
+            help="A file with `name` and `fleet`, or any router's with this `name`.",
+            show_default=False,
+        ),
+    ],
+) -> None:
+    """Run one lease aggregator of a fleet until SIGTERM or SIGINT."""
+    run_member("aggregator", aggregator_process.serve_aggregator, read(config, load_aggregator))
+
+
 @app.command()
 def check(file: Path) -> None:
     """Validate a configuration and explain what is wrong with it."""
--- /dev/null
+++ b/banklift/net/aggregator.py
@@ -0,0 +1,74 @@
+"""A lease aggregator as a process: no data plane, nothing on disk; it ends on SIGTERM or SIGINT."""
+
+from __future__ import annotations
+
+import structlog
+
+from banklift.config.fleet import fleet_warnings
+from banklift.config.load import AggregatorFile
+from banklift.fleet.aggregator_node import AggregatorNode
+from banklift.fleet.plan import Plan
+from banklift.net.fleet import FleetHost
+from banklift.net.fleet_daemon import leave
+from banklift.net.process import announce, clock, new_incarnation, new_seed, running, stop_signals
+from banklift.net.sockets import SocketEnv
+from banklift.proxy.fleet_plan import Fleet
+
+
+def aggregator_plan(name: str, fleet: Fleet) -> Plan:
+    """An aggregator leases from the voters."""
+    return Plan(fleet.name, name, tuple(fleet.voters), fleet.lease, fleet.drift, (), fleet.granted_sub_lease)
+
+
+def listening_address(name: str, fleet: Fleet) -> str:
+    """`listen` if the file has one; in a voter's file that is the voter's, and the aggregator's is in the table."""
+    if fleet.listen is not None and name not in fleet.voters:
+        return fleet.listen
+    return fleet.aggregators[name].address
+
+
+async def serve_aggregator(file: AggregatorFile) -> None:
+    """Run until SIGTERM or SIGINT.
+
+    Once it listens, one line of JSON with its name and address goes to standard output. Errors: `OSError` if the
+    address can't be had, `MembershipRefused` if the fleet turns it away.
+    """
+    fleet = file.fleet
+    logger = structlog.get_logger().bind(aggregator=file.name)
+    for text in fleet_warnings(file.name, fleet):
+        logger.warning("configuration", text=text)
+
+    def log(event: str, fields: dict[str, object]) -> None:
+        logger.info(event, **fields)
+
+    with stop_signals() as signals:
+        async with running() as run:
+            env = SocketEnv(run.tasks, clock)
+            host = FleetHost(
+                env,
+                AggregatorNode(aggregator_plan(file.name, fleet), new_incarnation(), new_seed()),
+                dict(fleet.voters),
+                listening_address(file.name, fleet),
+                _never_saved,
+                _never_adopted,
+                _never_extended,
+                run.refused,
+                log,
+            )
+            host.start()
+            logger.info("listening", address=host.address)
+            announce("aggregator", file.name, host.address)
+            logger.info("stopping", signal=await signals.wait())
+            await leave(host, env)
+
+
+def _never_saved(content: bytes, done: object) -> None:
+    raise AssertionError("an aggregator keeps nothing on disk")
+
+
+def _never_adopted(epoch: int, policy: bytes) -> None:
+    raise AssertionError("an aggregator takes no requests")
+
+
+def _never_extended(until: float, retry_after: float) -> None:
+    raise AssertionError("an aggregator takes no requests")
--- a/tests/test_fleet_config.py
+++ b/tests/test_fleet_config.py
@@ -336,7 +336,16 @@
 
 @pytest.mark.parametrize(("doc", "expected"), AGGREGATOR_FAULTS.values(), ids=AGGREGATOR_FAULT_IDS)
 def test_an_aggregators_file_is_refused(tmp_path: Path, doc: Doc, expected: list[str]) -> None:
-    assert reasons(write(tmp_path, doc), load_aggregator) == expected
+    path = write(tmp_path, doc)
+    assert reasons(path, load_aggregator) == expected
+    aggregator_ends(path, expected)
+
+
+def aggregator_ends(path: Path, expected: list[str]) -> None:
+    """`banklift aggregator` refuses the file for these reasons."""
+    result = CliRunner().invoke(app, ["aggregator", "--config", str(path)])
+    assert result.exit_code == BAD
+    assert result.stderr.splitlines() == [f"{path}: {reason}" for reason in expected]
 
 
 @pytest.mark.parametrize(("spoil", "expected"), FAULTS.values(), ids=FAULT_IDS)
@@ -352,5 +361,6 @@
         path = write(tmp_path, doc)
         if wanted:
             assert reasons(path, load_aggregator) == wanted
+            aggregator_ends(path, wanted)
         else:
             assert load_aggregator(path).name == "a0"
--- /dev/null
+++ b/tests/test_fleet_daemon.py
@@ -0,0 +1,312 @@
+"""Routers and aggregators as processes: what they say at their start and end, and the leases that they give back."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import Process
+
+from banklift.config.load import EXAMPLE, evaluate
+from banklift.fleet.placement import choose
+from banklift.fleet.plan import Plan
+from banklift.net.aggregator import aggregator_plan, listening_address
+from banklift.net.fleet_daemon import candidates, peer_addresses, router_plan
+from banklift.proxy.fleet_plan import Aggregator, Fleet
+from tests.fake_members import free_address
+
+LEASE = 120.0  # seconds: longer than any of these tests, so a lease that has ended was given back
+SUB_LEASE = 90.0
+PATIENCE = (
+    60.0  # seconds that anything may take on a busy machine; less than two thirds of a lease or sub-lease
+)
+BAD = 2  # exit code of a file, or of a member, that is refused
+FAILED = 1
+
+# ---- plans
+
+
+FLEET = Fleet(
+    name="game",
+    voters={"v0": "10.0.0.1:7000", "v1": "10.0.0.2:7000"},
+    lease=9.0,
+    aggregators={
+        "a0": Aggregator(address="10.0.1.1:7100", zone="north", machine="m1"),
+        "a1": Aggregator(address="10.0.1.2:7100", zone="north", machine="m2"),
+        "a2": Aggregator(address="10.0.1.3:7100", zone="north"),
+        "a3": Aggregator(address="10.0.2.1:7100", zone="south"),
+    },
+    zone="north",
+    listen="0.0.0.0:7100",
+)
+
+
+def test_a_router_prefers_aggregators_of_its_zone() -> None:
+    plan = router_plan("r7", FLEET)
+    assert plan.aggregators == choose("r7", candidates(FLEET)) and len(plan.aggregators) == 2
+    assert set(plan.aggregators) <= {"a0", "a1", "a2"}
+    assert peer_addresses(plan, FLEET) == {name: FLEET.aggregators[name].address for name in plan.aggregators}
+    assert (plan.lease, plan.voters) == (9.0, ("v0", "v1"))
+    assert plan.sub_lease == pytest.approx(6.0)
+
+
+def test_routers_of_a_zone_are_spread_over_its_aggregators() -> None:
+    preferred = [router_plan(f"r{number}", FLEET).aggregators[0] for number in range(300)]
+    counts = {name: preferred.count(name) for name in ("a0", "a1", "a2")}
+    assert sum(counts.values()) == 300 and min(counts.values()) > 60, counts
+
+
+def test_voters_and_aggregators_lease_from_the_voters() -> None:
+    voter = router_plan("v0", FLEET)
+    assert voter.aggregators == () and peer_addresses(voter, FLEET) == FLEET.voters
+    assert aggregator_plan("a0", FLEET) == Plan(
+        "game", "a0", ("v0", "v1"), 9.0, 0.01, (), FLEET.granted_sub_lease
+    )
+    direct = router_plan("r7", Fleet(name="game", voters=FLEET.voters))
+    assert (direct.aggregators, direct.sub_lease) == ((), 0.0)
+
+
+def test_where_an_aggregator_listens() -> None:
+    """`listen` goes over the table; in the file of a voter that is an aggregator too, it is the voter's."""
+    assert listening_address("a0", FLEET) == "0.0.0.0:7100"
+    both = Fleet(
+        name="game", voters={"a0": "10.0.0.1:7000"}, aggregators=FLEET.aggregators, listen="0.0.0.0:7000"
+    )
+    assert listening_address("a0", both) == "10.0.1.1:7100"
+
+
+# ---- processes
+
+
+class Processes:
+    """A voter `v0`, aggregators `a0` and `a1` and any routers, each from a file of its own in `folder`."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.running: dict[str, Process] = {}
+        self.voter = free_address()
+        self.aggregators = {name: free_address() for name in ("a0", "a1")}
+
+    def file(self, name: str, **fleet: Any) -> Path:
+        """A router's file by that name; `fleet`: changes to its table."""
+        table = {
+            "name": "game",
+            "voters": {"v0": self.voter},
+            "lease": LEASE,
+            "sub_lease": SUB_LEASE,
+            "aggregators": {
+                one: {"address": address, "zone": "north"} for one, address in self.aggregators.items()
+            },
+            "zone": "north",
+            "folder": f"{name}.state",
+            **fleet,
+        }
+        content = {**json.loads(evaluate(EXAMPLE)), "name": name, "listen": "127.0.0.1:0", "fleet": table}
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(content))
+        return path
+
+    async def start(self, command: str, name: str, path: Path | None = None) -> dict[str, Any]:
+        """Start one and wait for its line of JSON."""
+        with self.log(name).open("ab") as errors:
+            process = await anyio.open_process(
+                [sys.executable, "-m", "banklift", command, "--config", str(path or self.file(name))],
+                stderr=errors,
+            )
+        self.running[name] = process
+        assert process.stdout is not None
+        line = b""
+        with anyio.fail_after(PATIENCE):
+            while not line.endswith(b"\n"):
+                line += await process.stdout.receive()
+        said: dict[str, Any] = json.loads(line)
+        return said
+
+    def log(self, name: str) -> Path:
+        return self.folder / f"{name}.log"
+
+    async def end(self, name: str, number: signal.Signals = signal.SIGTERM) -> int:
+        """Its exit code."""
+        self.running[name].send_signal(number)
+        with anyio.fail_after(PATIENCE):
+            return await self.running[name].wait()
+
+    async def refused(self, command: str, path: Path) -> tuple[int, str]:
+        """Exit code and last words of one that ends by itself, however late."""
+        with anyio.fail_after(PATIENCE):
+            done = await anyio.run_process(
+                [sys.executable, "-m", "banklift", command, "--config", str(path)], check=False
+            )
+        return done.returncode, done.stderr.decode()
+
+    async def fleet(self) -> dict[str, Any]:
+        """`banklift fleet --routers --json`."""
+        command = [sys.executable, "-m", "banklift", "fleet", "--json", "--routers", "--config"]
+        with anyio.fail_after(PATIENCE):
+            done = await anyio.run_process([*command, str(self.file("r0"))], check=False)
+        assert done.returncode == 0, done.stderr.decode()
+        found: dict[str, Any] = json.loads(done.stdout)
+        return found
+
+    async def until(self, true: Callable[[dict[str, Any]], bool]) -> dict[str, Any]:
+        """Ask `banklift fleet` until it shows what is waited for."""
+        found: dict[str, Any] = {}
+        with anyio.move_on_after(PATIENCE):
+            while not true(found := await self.fleet()):
+                await anyio.sleep(0.05)
+            return found
+        raise AssertionError(found)
+
+    async def close(self) -> None:
+        for process in self.running.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+            await process.aclose()
+
+
+@asynccontextmanager
+async def processes(folder: Path) -> AsyncIterator[Processes]:
+    found = Processes(folder)
+    try:
+        yield found
+    finally:
+        with anyio.CancelScope(shield=True):
+            await found.close()
+
+
+def play(folder: Path, act: Callable[[Processes], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with processes(folder) as found:
+            await act(found)
+
+    anyio.run(main)
+
+
+def routers_of(shown: dict[str, Any]) -> dict[str, str]:
+    """Which aggregator each router has a live sub-lease from."""
+    return {
+        router["name"]: aggregator
+        for aggregator, routers in shown["routers_of"].items()
+        for router in routers
+        if router["left"] > 0
+    }
+
+
+def test_a_router_on_aggregators_gives_its_sub_lease_back(tmp_path: Path) -> None:
+    """A whole small fleet, each process by its own command. Leases outlast the test: what has ended was given back."""
+
+    async def act(fleet: Processes) -> None:
+        await fleet.start("router", "v0")
+        said = {name: await fleet.start("aggregator", name) for name in fleet.aggregators}
+        assert said == {
+            name: {"aggregator": name, "listening": address} for name, address in fleet.aggregators.items()
+        }
+        await fleet.start("router", "r0")
+        preferred = choose("r0", candidates_of(fleet))[0]
+        shown = await fleet.until(lambda shown: routers_of(shown).get("r0") == preferred)
+        assert {one["name"] for one in shown["aggregators"] if one["left"] > 0} == {"a0", "a1"}
+        assert shown["direct"] == ["v0"]  # a voter leases from the voters
+
+        assert await fleet.end("r0") == 0
+        await fleet.until(lambda shown: "r0" not in routers_of(shown))
+        assert '"event": "stopping"' in fleet.log("r0").read_text()
+
+        for name, number in (("a0", signal.SIGTERM), ("a1", signal.SIGINT)):
+            assert await fleet.end(name, number) == 0
+            assert '"event": "stopping"' in fleet.log(name).read_text()
+
+    play(tmp_path, act)
+
+
+def candidates_of(fleet: Processes) -> Any:
+    return candidates(
+        Fleet(
+            name="game",
+            voters={"v0": fleet.voter},
+            aggregators={
+                name: Aggregator(address=address, zone="north") for name, address in fleet.aggregators.items()
+            },
+            zone="north",
+        )
+    )
+
+
+def test_a_router_on_voters_gives_its_lease_back_and_a_killed_one_does_not(tmp_path: Path) -> None:
+    async def act(fleet: Processes) -> None:
+        direct: dict[str, Any] = {"aggregators": {}, "zone": None, "sub_lease": None}
+        await fleet.start("router", "v0", fleet.file("v0", **direct))
+        for name in ("r1", "r2"):
+            await fleet.start("router", name, fleet.file(name, **direct))
+
+        def left(shown: dict[str, Any], name: str) -> float:
+            return max((float(one["left"]) for one in shown["holders"] if one["name"] == name), default=0.0)
+
+        original = fleet.file
+
+        def file(name: str, **changes: Any) -> Path:
+            return original(name, **{**direct, **changes})
+
+        fleet.file = file  # type: ignore[method-assign]
+        await fleet.until(lambda shown: left(shown, "r1") > 0 and left(shown, "r2") > 0)
+        assert await fleet.end("r1") == 0
+        assert await fleet.end("r2", signal.SIGKILL) == -signal.SIGKILL
+        shown = await fleet.until(lambda shown: left(shown, "r1") == 0)
+        assert left(shown, "r2") > 0  # it may be alive for all that anybody knows
+
+    play(tmp_path, act)
+
+
+def test_an_aggregator_of_another_lease_is_turned_away(tmp_path: Path) -> None:
+    async def act(fleet: Processes) -> None:
+        await fleet.start("router", "v0")
+        code, text = await fleet.refused("aggregator", fleet.file("a0", sub_lease=60.0))
+        assert code == BAD
+        assert "banklift aggregator: v0: fleet.sub_lease: " in text, text
+
+    play(tmp_path, act)
+
+
+def test_two_aggregators_of_one_name(tmp_path: Path) -> None:
+    async def act(fleet: Processes) -> None:
+        await fleet.start("router", "v0")
+        await fleet.start("aggregator", "a0")
+        await fleet.until(lambda shown: any(one["left"] > 0 for one in shown["aggregators"]))
+        code, text = await fleet.refused("aggregator", fleet.file("a0", listen="127.0.0.1:0"))
+        assert code == BAD and "is here already" in text, text
+        assert fleet.running["a0"].returncode is None
+
+    play(tmp_path, act)
+
+
+def test_an_aggregator_needs_no_more_than_name_and_fleet(tmp_path: Path) -> None:
+    async def act(fleet: Processes) -> None:
+        table = json.loads(fleet.file("a0").read_text())["fleet"]
+        path = tmp_path / "small.json"
+        path.write_text(json.dumps({"name": "a0", "fleet": table}))
+        assert (await fleet.start("aggregator", "a0", path))["aggregator"] == "a0"
+        assert await fleet.end("a0") == 0  # also while no voter is there
+
+    play(tmp_path, act)
+
+
+@pytest.mark.parametrize("command", ["aggregator", "router"])
+def test_an_address_that_is_taken(tmp_path: Path, command: str) -> None:
+    async def act(fleet: Processes) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            name = "a0" if command == "aggregator" else "v0"
+            code, text = await fleet.refused(command, fleet.file(name, listen=address))
+        assert code == FAILED
+        assert f"banklift {command}: " in text and "Address already in use" in text
+        assert "Traceback" not in text
+
+    play(tmp_path, act)
