Checks of files are modules of small functions: config/check.py, config/groups.py

load.py had grown: it reads files now, and what is wrong with them is found in check.py, groups.py and fleet.py.

--- a/banklift/cli/main.py
+++ b/banklift/cli/main.py
@@ -17,6 +17,7 @@
 from banklift.cli import fleet, policy
 from banklift.cli.files import BAD_FILE, FAILED, read
 from banklift.config.address import split_address
+from banklift.config.check import warnings
 from banklift.config.fleet import fleet_warnings
 from banklift.config.load import (
     EXAMPLE,
@@ -25,7 +26,6 @@
     load,
     load_aggregator,
     load_router,
-    warnings,
 )
 from banklift.emulator.stand import RouterProcesses, Stand
 from banklift.judge.day import load_day
--- a/banklift/config/policy.py
+++ b/banklift/config/policy.py
@@ -11,7 +11,8 @@
 
 import msgspec
 
-from banklift.config.load import ConfigError, check, evaluate
+from banklift.config.check import check
+from banklift.config.load import ConfigError, evaluate
 from banklift.proxy.plan import Class, Config, Limits, Route, Rules, Strict, User
 
 FIXED = {
--- a/banklift/net/daemon.py
+++ b/banklift/net/daemon.py
@@ -10,7 +10,8 @@
 import structlog
 
 from banklift.config import build
-from banklift.config.load import ConfigError, load_roster, warnings
+from banklift.config.check import warnings
+from banklift.config.load import ConfigError, load_roster
 from banklift.net import fleet_daemon
 from banklift.net.process import announce, clock, new_seed, running, stop_signals
 from banklift.net.router import RouterHost
--- a/tests/test_fleet_config.py
+++ b/tests/test_fleet_config.py
@@ -11,6 +11,7 @@
 from typer.testing import CliRunner
 
 from banklift.cli.main import app
+from banklift.config.check import warnings
 from banklift.config.fleet import machine_of
 from banklift.config.load import (
     EXAMPLE,
@@ -19,7 +20,6 @@
     load,
     load_aggregator,
     load_router,
-    warnings,
 )
 
 Doc = dict[str, Any]
