Hollow fleets: real control processes and routers without a data plane, many to a process

Need: the planned size has 6,200 routers, which no one machine runs with their data plane. A hollow router is the real lease code, codec and TCP; voters write their state to disk; aggregators are as an operator starts them.

--- /dev/null
+++ b/tests/test_hollow.py
@@ -0,0 +1,91 @@
+"""Hollow fleets: real control processes and many routers to a process come up, change and survive deaths.
+
+Nothing here depends on how fast the machine is: all waits are for what the processes tell.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import anyio
+
+from banklift.fleet.state import Result
+from banklift.rig.hollow_fleet import HollowFleet, Shape, hollow_fleet
+
+PATIENCE = 60.0  # seconds that a change may take here, on a machine however busy
+DIRECT = Shape(routers=20, voters=3, lease=4.0, per_process=10)
+TIERED = Shape(routers=20, voters=3, aggregators=2, lease=4.0, sub_lease=2.6, per_process=10)
+
+
+@asynccontextmanager
+async def started(shape: Shape, folder: Path) -> AsyncIterator[HollowFleet]:
+    async with hollow_fleet(shape, folder) as fleet:
+        await fleet.start()
+        yield fleet
+
+
+async def changes(fleet: HollowFleet) -> None:
+    """One change takes hold everywhere."""
+    before = fleet.epoch
+    done = await fleet.change(PATIENCE)
+    assert done.result == Result.IN_FORCE
+    assert fleet.epoch == before + 1 and fleet.all_serve(fleet.epoch)
+    assert 0 < done.told <= done.everywhere < math.inf
+
+
+def test_a_change_with_routers_that_lease_from_voters(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with started(DIRECT, tmp_path) as fleet:
+            await changes(fleet)
+            figures = await fleet.figures()
+            assert set(figures) == {"voter0", "voter1", "voter2", "routers0", "routers1"}
+            for told in figures.values():
+                assert told.cpu > 0 and told.sent > 0 and told.received > 0 and told.memory > 0
+
+    anyio.run(play)
+
+
+def test_a_change_with_routers_that_lease_from_aggregators(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with started(TIERED, tmp_path) as fleet:
+            assert all(len(choice) == 2 for choice in fleet.choices.values())
+            await changes(fleet)
+            figures = await fleet.figures()
+            assert figures["aggregator0"].received > 0 and figures["aggregator1"].received > 0
+
+    anyio.run(play)
+
+
+def test_changes_take_hold_after_a_router_and_an_aggregator_were_killed(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with started(TIERED, tmp_path) as fleet:
+            await fleet.kill_routers(["router3"])
+            await changes(fleet)
+            await fleet.start_routers(["router3"])
+            await fleet.kill_process("aggregator0")
+            await changes(fleet)
+            await fleet.start_process("aggregator0")
+            await changes(fleet)
+
+    anyio.run(play)
+
+
+def test_a_router_that_leaves_holds_nothing_back(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with started(TIERED, tmp_path) as fleet:
+            await fleet.leave_routers(["router1", "router2"])
+            await changes(fleet)
+
+    anyio.run(play)
+
+
+def test_processes_end_with_the_fleet(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with started(DIRECT, tmp_path) as fleet:
+            processes = [host.process for host in fleet.hosts.values()]
+        assert all(process is not None and process.returncode is not None for process in processes)
+
+    anyio.run(play)
