A refusal counts while a change is checked, also of a router without a lease

Seen in virtual time: a router that refuses moved to another aggregator while it was asked; that one had sealed already and told nobody, and the change took hold, with the router dark.

Change: nobody seals a change that somebody refuses; an aggregator that has accepted passes a later refusal on while the change may still be aborted, and voters take it over.

--- a/banklift/fleet/aggregator.py
+++ b/banklift/fleet/aggregator.py
@@ -40,6 +40,7 @@
 from banklift.fleet import holder
 from banklift.fleet.messages import LeaseGrant, LeaseRelease, LeaseRequest, Summary
 from banklift.fleet.parent_lease import ChangeView, ParentLease
+from banklift.fleet.state import Stage
 from banklift.fleet.sub_lease_table import SubLeaseTable, Terms, answer
 
 REFUSAL_GRACE = 0.3  # seconds after the first refusal in which other routers may still answer
@@ -131,7 +132,7 @@
         """When `wake` has something to do."""
         times = [self.parent.due(now)]
         if self.view.change and self.parent.verdict is None:
-            last = max(self.table.unanswered.latest(), self.table.refused.latest())
+            last = self.table.unanswered.latest()
             times.append(last if last > now else math.inf)
             times.append(self.first_refusal + REFUSAL_GRACE)
         if self.closing:
@@ -156,20 +157,25 @@
             return
         before, self.view = self.view, view
         self.table.view_changed(now, view)
+        if view.stage == Stage.AGREED and self.table.sealed == view.change:
+            self.parent.verdict = ()  # a refusal that came too late undoes nothing
         if view.change and view.change != before.change:
             self.first_refusal = math.inf
             self.actions.append(AnnounceRenewal())
 
     def _gather_verdict(self, now: float) -> None:
         """Tell the voters once all routers have answered the change under way."""
-        if not self.view.change or self.parent.verdict is not None:
+        if not self.view.change:
             return
-        if self.table.seal(now):
-            self._tell_verdict(now, ())
-        elif self.table.refused:
+        refused = bool(self.table.refused) and self.table.checking
+        if refused and self.parent.verdict is None:
             self.first_refusal = min(self.first_refusal, now)
             if self.table.unanswered.latest() <= now or now >= self.first_refusal + REFUSAL_GRACE:
                 self._tell_verdict(now, self._reasons(now))
+        elif refused and self.parent.verdict == ():
+            self._tell_verdict(now, self._reasons(now))  # of a router that came once all others had accepted
+        elif self.parent.verdict is None and self.table.seal(now):
+            self._tell_verdict(now, ())
 
     def _reasons(self, now: float) -> tuple[str, ...]:
         return tuple(
--- a/banklift/fleet/holder_table.py
+++ b/banklift/fleet/holder_table.py
@@ -82,6 +82,7 @@
         self.unanswered: EndIndex[Key] = EndIndex()  # of holders without a verdict on the change under way
         self.refused: EndIndex[Key] = EndIndex()  # ... and of those that refuse it
         self.change_id = ""
+        self.checking = False  # whether that change may still be refused
 
     # ---- the change under way
 
@@ -96,8 +97,10 @@
                     self._index_answer(entry)
 
     def accepted_by_all(self, now: float) -> bool:
-        """Whether nobody holds a lease who has not accepted the change under way."""
-        return max(self.unanswered.latest(), self.refused.latest()) <= now
+        """Whether nobody holds a lease who has not accepted the change under way; nor, while it may be refused, anybody
+        else refuses it."""
+        refused = bool(self.refused) if self.checking else self.refused.latest() > now
+        return not refused and self.unanswered.latest() <= now
 
     def has_accepted(self, entry: Entry, change: str) -> bool:
         return entry.change == change and entry.verdict == ()
@@ -149,7 +152,14 @@
         entry.outstanding = {
             number: one for number, one in entry.outstanding.items() if number >= request.held
         }
-        if self.change_id and request.change == self.change_id and entry.change != self.change_id:
+        if self.change_id and request.change == self.change_id:
+            self._answered(entry, request)
+
+    def _answered(self, entry: Entry, request: LeaseRequest) -> None:
+        """A verdict stands, but for an aggregator's "accepted", which a router that comes later may undo."""
+        first = entry.change != self.change_id
+        undone = self.checking and entry.verdict == () and bool(request.verdict)
+        if first or undone:
             entry.change, entry.verdict = request.change, request.verdict
 
     def index(self, entry: Entry) -> None:
--- a/banklift/fleet/lease_table.py
+++ b/banklift/fleet/lease_table.py
@@ -93,6 +93,7 @@
             self.sealed = ""
         if change is None or before is None or before.id != change.id:
             self.begin_change(now, change.id if change is not None else "")
+        self.checking = change is not None and change.stage is Stage.CHECKING
         if change is not None and change.stage is Stage.AGREED:
             if self.granting < state.epoch or (self.granting == state.epoch and not self.closing):
                 self.granting, self.closing, self.switch_at = state.epoch, True, math.inf
--- a/banklift/fleet/sub_lease_table.py
+++ b/banklift/fleet/sub_lease_table.py
@@ -22,6 +22,7 @@
 from banklift.fleet.holder_table import MAX_HOLDERS, Entry, HolderTable, Key, Outstanding
 from banklift.fleet.messages import LeaseGrant, LeaseRequest, Summary
 from banklift.fleet.parent_lease import ChangeView, Window
+from banklift.fleet.state import Stage
 
 SHORTEST_PART = 1 / 1000  # of a sub-lease: one that would be shorter is not granted
 
@@ -63,6 +64,7 @@
             self.sealed = ""
         if view.change != self.change_id:
             self.begin_change(now, view.change)
+        self.checking = view.stage == Stage.CHECKING
 
     def seal(self, now: float) -> bool:
         """Seal the change under way if all that hold a sub-lease have accepted it. Whether it is sealed."""
--- a/banklift/fleet/voter.py
+++ b/banklift/fleet/voter.py
@@ -305,9 +305,7 @@
         self.now = now
         if self.rejoining is not None and now >= self.rejoin_at:
             self.rejoin_at = now + REJOIN * self.random.uniform(0.8, 1.2)
-            for voter, up in self.linked.items():
-                if up and not self.rejoining.heard_voting(voter):
-                    self.actions.append(ToVoter(voter, Rejoin(self.rejoining.record.incarnation)))
+            self._go_on_rejoining(self.rejoining)
         if now >= self.disk_retry:
             self.disk_retry = math.inf
             self._save()
@@ -429,6 +427,16 @@
         elif done is not None:
             self._voting(done)
 
+    def _go_on_rejoining(self, own: Rejoining) -> None:
+        """Ask those that may have more to tell; begin again where enough is known and the write of it failed."""
+        for voter, up in self.linked.items():
+            if up and not own.heard_voting(voter):
+                self.actions.append(ToVoter(voter, Rejoin(own.record.incarnation)))
+        known = own.done()
+        idle = not self.saving and not self.waiting and not self.disk
+        if known is not None and idle:
+            self._voting(known)
+
     def _voting(self, record: Record) -> None:
         """Write what it knows, then vote; then learn what was chosen last, or begin the fleet."""
         own = self.rejoining
--- a/tests/test_aggregator.py
+++ b/tests/test_aggregator.py
@@ -165,6 +165,27 @@
         assert summary is not None and summary.routers == 2
 
 
+def test_a_refusal_after_it_has_accepted_is_passed_on_while_the_change_is_checked() -> None:
+    tier = Tier()
+    tier.ask(0.0, "r0")
+    change = tier.propose(0.5)
+    tier.ask(0.5, "r0", change)
+    assert tier.sealed(0.5)
+    assert tier.ask(0.6, "r1", change, ("no",)).ttl == 0.0
+    assert not tier.sealed(0.6)
+    assert all(table.survey(0.6).refusals for table in tier.tables.values())
+
+
+def test_a_refusal_after_the_change_is_agreed_undoes_nothing() -> None:
+    tier = Tier()
+    tier.ask(0.0)
+    change = tier.agreed(0.5)
+    assert tier.ask(0.55, "r1", change, ("no",)).ttl == 0.0
+    tier.renew(0.56)
+    assert tier.ask(0.6, change=change).ttl > 0
+    assert all(not table.refused for table in tier.tables.values())
+
+
 def test_longer_grants_go_on_to_be_counted_until_routers_have_given_theirs_up() -> None:
     tier = Tier()
     tier.ask(0.0)
