An aggregator's process waits for sockets in place and collects less garbage

Need: it has a budget of half a core, and nothing in its process but signals needs the event loop. SocketEnv(alone=True), and the collector as a router's, in net/process.py.

--- a/banklift/net/aggregator.py
+++ b/banklift/net/aggregator.py
@@ -10,7 +10,15 @@
 from banklift.fleet.plan import Plan
 from banklift.net.fleet import FleetHost
 from banklift.net.fleet_daemon import leave
-from banklift.net.process import announce, clock, new_incarnation, new_seed, running, stop_signals
+from banklift.net.process import (
+    announce,
+    clock,
+    new_incarnation,
+    new_seed,
+    running,
+    stop_signals,
+    tune_collector,
+)
 from banklift.net.sockets import SocketEnv
 from banklift.proxy.fleet_plan import Fleet
 
@@ -43,7 +51,7 @@
 
     with stop_signals() as signals:
         async with running() as run:
-            env = SocketEnv(run.tasks, clock)
+            env = SocketEnv(run.tasks, clock, alone=True)
             host = FleetHost(
                 env,
                 AggregatorNode(aggregator_plan(file.name, fleet), new_incarnation(), new_seed()),
@@ -56,6 +64,7 @@
                 log,
             )
             host.start()
+            tune_collector()
             logger.info("listening", address=host.address)
             announce("aggregator", file.name, host.address)
             logger.info("stopping", signal=await signals.wait())
--- a/banklift/net/daemon.py
+++ b/banklift/net/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import time
 from pathlib import Path
 
@@ -13,7 +12,7 @@
 from banklift.config.check import warnings
 from banklift.config.load import ConfigError, load_roster
 from banklift.net import fleet_daemon
-from banklift.net.process import announce, clock, new_seed, running, stop_signals
+from banklift.net.process import announce, clock, new_seed, running, stop_signals, tune_collector
 from banklift.net.router import RouterHost
 from banklift.net.sockets import SocketEnv
 from banklift.proxy.plan import Config
@@ -48,7 +47,7 @@
                 fleet_host = fleet_daemon.join(config, config.fleet, folder, env, router, run, note)
             if path is not None:
                 run.tasks.start_soon(_watch, router, config, path, log)
-            _tune_collector()
+            tune_collector()
             log.info("listening", address=router.address)
             announce("router", config.name, router.address)
             log.info("stopping", signal=await signals.wait())
@@ -56,13 +55,6 @@
                 await fleet_daemon.leave(fleet_host, env)
 
 
-def _tune_collector() -> None:
-    """What is there by now stays for good; what requests leave behind has no cycles."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(50_000, 20, 50)
-
-
 async def _watch(host: RouterHost, config: Config, path: Path, log: structlog.stdlib.BoundLogger) -> None:
     """Tell the machine of each new content of the roster file, whole or not at all."""
     last: tuple[int, int, int] | None = None
--- a/banklift/net/process.py
+++ b/banklift/net/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import random
 import signal
@@ -14,6 +15,7 @@
 from anyio.abc import TaskGroup
 
 SEEDS = 2**63
+COLLECT_AFTER = (50_000, 20, 50)  # objects, and rounds, after which the garbage collector looks for cycles
 
 
 class MembershipRefused(Exception):
@@ -40,6 +42,13 @@
     print(json.dumps({role: name, "listening": address}), flush=True)
 
 
+def tune_collector() -> None:
+    """What is there by now stays for good; what requests leave behind has no cycles."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECT_AFTER)
+
+
 class StopSignals:
     """SIGTERM and SIGINT, as they come."""
 
