--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -12,14 +12,22 @@
 from typing import Any
 
 import anyio
+import anyio.to_thread
 import pytest
 from anyio.abc import Process
 
 from banklift.config.load import EXAMPLE, evaluate
+from banklift.fleet.links import Write
+from banklift.fleet.messages import VERSION, Frames, Hello, RenewNow, encode
+from banklift.fleet.node import Node
 from banklift.fleet.placement import choose
 from banklift.fleet.plan import Plan
 from banklift.net.aggregator import aggregator_plan, listening_address
-from banklift.net.fleet_daemon import candidates, peer_addresses, router_plan
+from banklift.net.env import Listener, Peer
+from banklift.net.fleet import FleetHost
+from banklift.net.fleet_daemon import candidates, leave, peer_addresses, router_plan
+from banklift.net.process import clock
+from banklift.net.sockets import SocketEnv
 from banklift.proxy.fleet_plan import Aggregator, Fleet
 from tests.fake_members import free_address
 
@@ -83,6 +91,121 @@
     assert listening_address("a0", both) == "10.0.1.1:7100"
 
 
+# ---- leaving
+
+
+class RecordingHandle:
+    """A connection that notes what is done with it."""
+
+    source = ""
+
+    def __init__(self, name: str, notes: list[str]) -> None:
+        self.name, self.notes = name, notes
+
+    def send(self, data: bytes) -> None:
+        for message in Frames().feed(data):
+            self.notes.append(f"{self.name}: {type(message).__name__}")
+
+    def finish(self, away: bool = False) -> None:
+        self.notes.append(f"{self.name}: finish")
+
+    def close(self) -> None:
+        self.notes.append(f"{self.name}: close")
+
+    def pause(self) -> None:
+        raise AssertionError
+
+    def resume(self) -> None:
+        raise AssertionError
+
+
+class RecordingEnv:
+    """Surroundings whose clock stands still, and in which every connection is up at once."""
+
+    def __init__(self) -> None:
+        self.notes: list[str] = []
+        self.peers: dict[str, Peer] = {}
+        self.handles: dict[str, RecordingHandle] = {}
+
+    def now(self) -> float:
+        return 100.0
+
+    def at(self, when: float, callback: Callable[[], None]) -> None:
+        return
+
+    def listen(self, address: str, accept: Callable[[], Peer]) -> Listener:
+        raise AssertionError
+
+    def connect(self, address: str, peer: Peer, source: str | None = None) -> RecordingHandle:
+        self.peers[address] = peer
+        self.handles[address] = RecordingHandle(address, self.notes)
+        return self.handles[address]
+
+
+def test_leaving_stops_the_router_before_it_gives_its_leases_back() -> None:
+    """Only links on which something was given back are waited for; nothing is done after that."""
+    env = RecordingEnv()
+    plan = Plan("game", "r7", ("v0", "v1", "v2"), 9.0, 0.01)
+    node = Node(plan, 1, 1, b"{}", lambda text: ())
+    host = FleetHost(
+        env,
+        node,
+        {name: name for name in plan.voters},
+        None,
+        lambda content, done: None,
+        lambda epoch, text: None,
+        lambda until, retry_after: env.notes.append(f"until {until:g}"),
+        lambda reason: env.notes.append(reason),
+        lambda event, fields: None,
+    )
+    host.start()
+    for name in ("v0", "v1"):  # the link to v2 never comes up
+        env.peers[name].up(env.handles[name])
+        env.peers[name].data(encode(Hello(VERSION, "game", name, 1, plan.voters, 9.0, 0.0)))
+    env.notes.clear()
+    told = host.leave()
+    assert env.notes == [
+        "until -inf",
+        "v0: LeaseRelease",
+        "v1: LeaseRelease",
+        "v0: finish",
+        "v1: finish",
+    ]
+    assert told == [env.handles["v0"], env.handles["v1"]]
+    env.notes.clear()
+    env.peers["v0"].data(encode(RenewNow()))
+    env.peers["v2"].lost("refused")
+    assert host.leave() == []
+    assert env.notes == ["v2: close"]  # a connection that is lost is closed; nothing is said or made anew
+
+
+def nothing(*arguments: Any) -> None:
+    return
+
+
+def test_leaving_is_bounded_where_the_other_end_never_closes() -> None:
+    """The other end takes the connection and nothing more; the wait ends all the same."""
+
+    async def main() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            async with anyio.create_task_group() as tasks:
+                env = SocketEnv(tasks, clock)
+                node = Node(Plan("game", "r7", ("v0",), LEASE, 0.01), 1, 1, b"{}", lambda text: ())
+                node.leave = lambda now: [Write(1, b"given back")]  # type: ignore[method-assign]
+                host = FleetHost(
+                    env, node, {"v0": address}, None, nothing, nothing, nothing, nothing, nothing
+                )
+                host.start()
+                with anyio.fail_after(PATIENCE):
+                    other, _ = await anyio.to_thread.run_sync(listener.accept)
+                    await leave(host, env)
+                other.close()
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 # ---- processes
 
 
