The voter is split: proposer.py, durable.py and driver.py part from voter.py

Need: voter.py had grown to 707 lines with three lives in it: proposals to the register, the record on disk, and the changes that it drives.

The planted bugs patch the classes at their new places.

--- a/banklift/fleet/node.py
+++ b/banklift/fleet/node.py
@@ -13,6 +13,7 @@
 
 from banklift.fleet import voter as voting
 from banklift.fleet.actions import LogLine
+from banklift.fleet.durable import Save
 from banklift.fleet.holder import Action as HolderAction
 from banklift.fleet.holder import EpochAdopted, LeaseExtended, SendToGrantor, Stalled
 from banklift.fleet.lease import LeaseClient
@@ -32,7 +33,7 @@
 from banklift.fleet.plan import Plan
 from banklift.fleet.policies import Check
 from banklift.fleet.register import Record
-from banklift.fleet.voter import Save, Voter
+from banklift.fleet.voter import Voter
 
 
 class Node(Member):
--- a/banklift/fleet/voter.py
+++ b/banklift/fleet/voter.py
@@ -21,22 +21,21 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
 import msgspec
 
 from banklift.fleet import register
 from banklift.fleet.actions import LogLine
+from banklift.fleet.driver import Drive, Step, StepKind
+from banklift.fleet.durable import DurableRecord, Save
 from banklift.fleet.lease_table import LeaseTable
 from banklift.fleet.messages import (
     Accept,
     Accepted,
-    Ballot,
     Ended,
-    Holder,
     Learn,
     LeaseGrant,
     LeaseRelease,
@@ -55,11 +54,10 @@
     Surveyed,
     Trouble,
 )
-from banklift.fleet.register import BLANK, VOTING, Proposal, Record, Rejoining, majority
+from banklift.fleet.proposer import Proposer, Task
+from banklift.fleet.register import BLANK, VOTING, Record, Rejoining
 from banklift.fleet.state import (
-    Change,
     ProposalRejected,
-    Stage,
     State,
     abort,
     agree,
@@ -69,12 +67,8 @@
     settle,
 )
 
-ROUND = 0.5  # seconds that a proposal waits for answers before it is tried again; grows with each try ...
-ROUND_MOST = 4.0  # ... up to this
 POLL = 0.1  # seconds between surveys while a change is driven
-GRACE = 1.0  # seconds after the first refusal in which others may still be told of
 REJOIN = 0.3  # seconds between questions of a voter that has started
-DISK_RETRY = 1.0  # seconds after a write that failed
 TAKEOVER_PART = 1 / 4  # of a lease: silence of who drives a change, after which another may
 
 
@@ -90,12 +84,6 @@
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class Save:
-    number: int
-    record: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class AnnounceRenewal:
     """Every router that is linked is to ask again."""
@@ -104,29 +92,6 @@
 Action = ToVoter | ToOperator | Save | AnnounceRenewal | LogLine
 
 
-@dataclass(slots=True, eq=False)
-class Task:
-    """A change of the register that is wanted, and what is done once it was made or can't be."""
-
-    change: Callable[[State | None], State]
-    done: Callable[[State], None]
-    rejected: Callable[[ProposalRejected], None]
-    tries: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class Drive:
-    """A change that this voter takes further."""
-
-    change: str
-    since: float
-    operators: set[int] = field(default_factory=set)
-    answers: dict[str, Surveyed] = field(default_factory=dict)
-    number: int = 0
-    refused: float = math.inf  # when the first refusal was seen
-    deciding: bool = False  # a compare-and-set is under way
-
-
 class Voter:
     """`policy`: what the fleet begins with, should there be nothing yet. `record`: what the disk held, or None;
     `absent`: there was never anything."""
@@ -146,6 +111,7 @@
     ) -> None:
         self.fleet, self.name, self.voters, self.policy = fleet, name, voters, policy
         self.random = random
+        self.actions: list[Action] = []
         blank = Record(fleet, name, 0)
         base = blank if record is None else record
         incarnation = max(incarnation, base.incarnation + 1)
@@ -154,35 +120,21 @@
             incarnation=incarnation,
             incarnations=register.merged(base.incarnations, {name: incarnation}),
         )
-        self.record = base
+        self.disk = DurableRecord(base, self.actions.append)
+        self.proposer = Proposer(name, voters, random, self._all, self._chosen)
         self.rejoining: Rejoining | None = Rejoining(base, voters, record is not None, absent)
         self.in_step = False  # it has read the register since it started
         self.lease_table = LeaseTable(lease, drift)
         self.linked: dict[str, bool] = {other: False for other in voters if other != name}
         self.operators: set[int] = set()
         self.driver = ""  # the voter that surveyed last
-        self.told: tuple[str, str] = (
-            "",
-            "",
-        )  # change and stage of which its driver was told that all is done here
-        self.durable: Record | None = None  # what was written last
-        self.waiting: list[Callable[[], None]] = []  # to be told once the record as it stands is written
-        self.in_flight: list[Callable[[], None]] = []  # ... once the write that is under way is done
-        self.saving = 0  # number of the write under way; 0: none
-        self.saves = 0
-        self.disk = ""  # what is wrong with it
-        self.disk_retry = math.inf
-        self.tasks: deque[Task] = deque()
-        self.proposal: Proposal | None = None
-        self.round_ends = math.inf
-        self.highest: Ballot = (0, "")
+        self.told = ("", "")  # change and stage of which its driver was told that all is done here
         self.drive: Drive | None = None
         self.driven = -math.inf  # when somebody was last heard to drive the change
         self.takeover = TAKEOVER_PART * lease * random.uniform(1.0, 2.0)
         self.polled = -math.inf
         self.rejoin_at = -math.inf
         self.now = 0.0
-        self.actions: list[Action] = []
 
     # ---- events
 
@@ -220,23 +172,7 @@
     def saved(self, now: float, number: int, error: str) -> list[Action]:
         """The write of that number is on disk, or failed with `error`."""
         self.now = now
-        if number != self.saving:
-            return self._out()
-        self.saving = 0
-        told, self.in_flight = self.in_flight, []
-        if error:
-            if error != self.disk:
-                self.actions.append(LogLine("disk in trouble, this voter is silent", {"reason": error}))
-            self.disk, self.disk_retry = error, now + DISK_RETRY
-            self.waiting.clear()
-        else:
-            if self.disk:
-                self.actions.append(LogLine("disk written again", {}))
-            self.disk, self.disk_retry = "", math.inf
-            for call in told:
-                call()
-            if self.waiting:
-                self._save()
+        self.disk.saved(now, number, error)
         return self._out()
 
     def request(
@@ -297,8 +233,8 @@
         found = [Trouble(name, "no link") for name, up in self.linked.items() if not up]
         if self.rejoining is not None:
             found.append(Trouble(self.name, f"does not vote: {self.rejoining.waiting()}"))
-        if self.disk:
-            found.append(Trouble(self.name, f"disk: {self.disk}"))
+        if self.disk.fault:
+            found.append(Trouble(self.name, f"disk: {self.disk.fault}"))
         return found
 
     def wake(self, now: float) -> list[Action]:
@@ -306,11 +242,8 @@
         if self.rejoining is not None and now >= self.rejoin_at:
             self.rejoin_at = now + REJOIN * self.random.uniform(0.8, 1.2)
             self._go_on_rejoining(self.rejoining)
-        if now >= self.disk_retry:
-            self.disk_retry = math.inf
-            self._save()
-        if now >= self.round_ends:
-            self._again()
+        self.disk.wake(now)
+        self.proposer.wake(now)
         granting, switch_at = self.lease_table.granting, self.lease_table.switch_at
         self.lease_table.tick(now)
         if self.lease_table.granting != granting or self.lease_table.switch_at != switch_at:
@@ -323,13 +256,13 @@
             and self.drive is None
             and now - self.driven >= self.takeover
         ):
-            self.drive = Drive(change.id, now)
+            self.drive = Drive(change.id, now, self.voters)
         if self.drive is not None and now >= self.polled + POLL:
             self._poll(self.drive)
         return self._out()
 
     def due(self, now: float) -> float:
-        times = [self.round_ends, self.disk_retry, self.lease_table.due(now)]
+        times = [self.proposer.round_ends, self.disk.retry_at, self.lease_table.due(now)]
         if self.rejoining is not None:
             times.append(self.rejoin_at)
         if self.drive is not None:
@@ -351,13 +284,13 @@
             case _ if self.rejoining is not None:
                 return  # it does not vote, and nothing of an earlier incarnation is its own
             case Prepare():
-                self.record, answer = register.prepare(self.record, message)
+                self.disk.record, answer = register.prepare(self.disk.record, message)
                 self._answer(voter, answer)
             case Accept():
-                self.record, reply = register.accept(self.record, message)
+                self.disk.record, reply = register.accept(self.disk.record, message)
                 self._answer(voter, reply)
             case Promise() | Accepted() | Nack():
-                self._proposing(voter, message)
+                self.proposer.message(self.now, voter, message)
             case Survey():
                 self._surveyed_by(voter, message)
             case Surveyed():
@@ -375,43 +308,23 @@
 
     def _answer(self, voter: str, message: Message) -> None:
         """Send it once the record as it stands is on disk."""
-        self._once_written(lambda: self._send(voter, message))
-
-    def _once_written(self, call: Callable[[], None]) -> None:
-        if self.record == self.durable and not self.saving and not self.disk:
-            call()
-            return
-        self.waiting.append(call)
-        if not self.saving and not self.disk:
-            self._save()
-
-    def _save(self) -> None:
-        self.saves += 1
-        self.saving = self.saves
-        self.in_flight, self.waiting = self.waiting, []
-        record = self.record
-
-        def written() -> None:
-            self.durable = record
-
-        self.in_flight.insert(0, written)
-        self.actions.append(Save(self.saving, msgspec.msgpack.encode(record)))
+        self.disk.once_written(lambda: self._send(voter, message))
 
     # ---- starting
 
     def _rejoin(self, voter: str, message: Rejoin) -> None:
         if self.rejoining is None:
-            self.record, answer = register.rejoin(self.record, voter, message, VOTING, False)
+            self.disk.record, answer = register.rejoin(self.disk.record, voter, message, VOTING, False)
             self._answer(voter, answer)
             return
         own = self.rejoining
         own.record, answer = register.rejoin(own.record, voter, message, own.standing, own.absent)
-        if (
-            own.standing == BLANK
-        ):  # a record of nothing is not written: it would look whole after the next start
-            self._send(voter, answer)
+        if own.standing == BLANK:
+            self._send(
+                voter, answer
+            )  # a record of nothing is not written: it would look whole after a restart
             return
-        self.record = own.record
+        self.disk.record = own.record
         self._answer(voter, answer)
 
     def _rejoined(self, voter: str, message: Rejoined) -> None:
@@ -433,26 +346,25 @@
             if up and not own.heard_voting(voter):
                 self.actions.append(ToVoter(voter, Rejoin(own.record.incarnation)))
         known = own.done()
-        idle = not self.saving and not self.waiting and not self.disk
-        if known is not None and idle:
+        if known is not None and self.disk.idle:
             self._voting(known)
 
     def _voting(self, record: Record) -> None:
         """Write what it knows, then vote; then learn what was chosen last, or begin the fleet."""
         own = self.rejoining
-        self.record = record
+        self.disk.record = record
 
         def begin() -> None:
             if self.rejoining is not own:
                 return
             self.rejoining = None
-            self.highest = max(self.highest, record.promised)
+            self.proposer.highest = max(self.proposer.highest, record.promised)
             self.actions.append(LogLine("votes", {"incarnation": record.incarnation}))
             self._task(
                 lambda state: state or found(self.fleet, self.policy), self._in_step, lambda rejected: None
             )
 
-        self._once_written(begin)
+        self.disk.once_written(begin)
 
     def _in_step(self, state: State) -> None:
         """It has read the register since it started: from here on it grants leases."""
@@ -469,71 +381,19 @@
         done: Callable[[State], None],
         rejected: Callable[[ProposalRejected], None],
     ) -> None:
-        self.tasks.append(Task(change, done, rejected))
-        if self.proposal is None and self.round_ends == math.inf:
-            self._begin()
-
-    def _begin(self) -> None:
-        task = self.tasks[0]
-        self.highest = (self.highest[0] + 1, self.name)
-        self.proposal = Proposal(self.highest, self.voters, task.change)
-        self.round_ends = self.now + min(ROUND_MOST, ROUND * 2 ** min(task.tries, 8)) * self.random.uniform(
-            0.8, 1.2
-        )
-        self._all(Prepare(self.highest))
-
-    def _again(self) -> None:
-        """The round got no majority in time, or its pause is over."""
-        self.proposal, self.round_ends = None, math.inf
-        if self.tasks:
-            self.tasks[0].tries += 1
-            self._begin()
-
-    def _proposing(self, voter: str, message: Promise | Accepted | Nack) -> None:
-        if isinstance(message, Nack):
-            self.highest = max(self.highest, message.promised)
-        proposal = self.proposal
-        if proposal is None:
-            return
-        match message:
-            case Promise():
-                try:
-                    asked = proposal.promised(voter, message)
-                except ProposalRejected as rejected:
-                    task = self._over()
-                    task.rejected(rejected)
-                    return
-                if asked is not None:
-                    self._all(asked)
-            case Accepted():
-                state = proposal.accepted(voter, message)
-                if state is not None:
-                    task = self._over()
-                    for other, up in self.linked.items():
-                        if up:
-                            self.actions.append(ToVoter(other, Learn(state)))
-                    self._learn(state)
-                    task.done(state)
-            case Nack():
-                if proposal.nack(message):  # a pause that is drawn, or two proposers beat each other for ever
-                    self.proposal = None
-                    self.round_ends = self.now + self.random.uniform(0.0, 0.1) * 2 ** min(
-                        self.tasks[0].tries, 5
-                    )
-
-    def _over(self) -> Task:
-        self.proposal, self.round_ends = None, math.inf
-        task = self.tasks.popleft()
-        if self.tasks:
-            self._begin()
-        return task
+        self.proposer.add(self.now, Task(change, done, rejected))
+
+    def _chosen(self, state: State) -> None:
+        """A state of its own was chosen: everybody is to know it."""
+        for other, up in self.linked.items():
+            if up:
+                self.actions.append(ToVoter(other, Learn(state)))
+        self._learn(state)
 
     def _learn(self, state: State) -> None:
         before = self.lease_table.state
-        if not self.in_step or not self.lease_table.apply_state(
-            self.now, state
-        ):  # what it reads itself will be as new
-            return
+        if not self.in_step or not self.lease_table.apply_state(self.now, state):
+            return  # known already, or it is about to read the register itself
         self.driven = self.now
         if before is None or state.change != before.change or state.epoch != before.epoch:
             self.actions.append(AnnounceRenewal())
@@ -559,7 +419,7 @@
             self.actions.append(ToOperator(operator, Ended(ended)))
         elif state.change is not None and state.change.id == change:
             if self.drive is None or self.drive.change != change:
-                self.drive = Drive(change, self.now)
+                self.drive = Drive(change, self.now, self.voters)
             if operator in self.operators:
                 self.drive.operators.add(operator)
             self._poll(self.drive)
@@ -600,9 +460,8 @@
     def _survey(self, change: str, number: int) -> Surveyed:
         state = self.lease_table.state
         version = state.version if state is not None else 0
-        if (
-            state is None or state.change is None or state.change.id != change
-        ):  # decided since, or not known yet
+        if state is None or state.change is None or state.change.id != change:
+            # decided since, or not known yet
             return Surveyed(change, version, number, (), 0, (), False, False)
         found = self.lease_table.survey(self.now)
         return Surveyed(
@@ -634,57 +493,18 @@
         change = self.lease_table.change
         if change is None or change.id != drive.change or drive.deciding:
             return
-        quorum, answers = majority(len(self.voters)), drive.answers.values()
-        waiting = self._waiting(drive, change)
-        if change.stage is Stage.AGREED:
-            if sum(one.switched for one in answers) >= quorum:
+        step = drive.next_step(self.now, change)
+        match step:
+            case Step(StepKind.SETTLE):
                 self._step(drive, lambda state: settle(state, change.id))
-        elif sum(one.sealed for one in answers) >= quorum:
-            self._step(
-                drive, lambda state: abort(state, change.id, ()) if change.dry else agree(state, change.id)
-            )
-        else:
-            self._abort_if_refused(drive, change, waiting)
-        for operator in sorted(drive.operators):
-            self.actions.append(ToOperator(operator, Progress(change.id, change.stage, tuple(waiting))))
-
-    def _abort_if_refused(self, drive: Drive, change: Change, waiting: list[str]) -> None:
-        answers = drive.answers.values()
-        refusals = {holder.name: holder for one in answers for holder in one.refusals}
-        if refusals:
-            drive.refused = min(drive.refused, self.now)
-        unanswered = sum(one.waiting for one in answers)
-        if refusals and (not unanswered or self.now >= drive.refused + GRACE):
-            reasons = tuple(
-                reason
-                if holder.summary is not None
-                else f"{name}: {reason}"  # an aggregator names its routers
-                for name, holder in sorted(refusals.items())
-                for reason in holder.verdict or ()
-            )
-            self._step(drive, lambda state: abort(state, change.id, reasons))
-        elif self.now >= drive.since + change.patience:
-            reasons = tuple(waiting) or ("no answer in time",)
-            self._step(drive, lambda state: abort(state, change.id, reasons))
-
-    def _waiting(self, drive: Drive, change: Change) -> list[str]:
-        """For whom a change waits, and why, in words."""
-        found = [f"voter {name} has not answered" for name in self.voters if name not in drive.answers]
-        slowest: dict[str, Holder] = {}  # by name, as the voter knows it that heard of it last
-        for one in drive.answers.values():
-            for holder in one.slowest:
-                known = slowest.get(holder.name)
-                if known is None or holder.heard < known.heard:
-                    slowest[holder.name] = holder
-        for name, holder in sorted(slowest.items()):
-            found += holder.summary.slowest if holder.summary is not None else ()
-            found.append(
-                f"{name} has not answered for {holder.heard:.1f} s; its lease ends in {holder.left:.1f} s"
-            )
-        unnamed = max((one.waiting for one in drive.answers.values()), default=0) - len(slowest)
-        if unnamed > 0:
-            found.append(f"{unnamed} more have not answered")
-        return found
+            case Step(StepKind.AGREE):
+                self._step(drive, lambda state: agree(state, change.id))
+            case Step(StepKind.ABORT, reasons):
+                self._step(drive, lambda state: abort(state, change.id, reasons))
+        if drive.operators:
+            progress = Progress(change.id, change.stage, tuple(drive.waiting()))
+            for operator in sorted(drive.operators):
+                self.actions.append(ToOperator(operator, progress))
 
     def _step(self, drive: Drive, step: Callable[[State], State]) -> None:
         drive.deciding = True
@@ -703,5 +523,6 @@
         self._task(change, done, rejected)
 
     def _out(self) -> list[Action]:
-        done, self.actions = self.actions, []
+        done = list(self.actions)
+        self.actions.clear()  # the disk's record appends to this very list
         return done
--- a/banklift/net/fleet.py
+++ b/banklift/net/fleet.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 
 from banklift.fleet.actions import LogLine
+from banklift.fleet.durable import Save
 from banklift.fleet.holder import EpochAdopted, LeaseExtended
 from banklift.fleet.links import Dial, Ousted, Shut, Write
 from banklift.fleet.member import Action, Member
-from banklift.fleet.voter import Save
 from banklift.net.env import Alarm, Env, Handle, Peer
 from banklift.net.router import Log
 
--- a/banklift/rig/capacity_voter.py
+++ b/banklift/rig/capacity_voter.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from banklift.fleet.durable import Save
 from banklift.fleet.links import Dial, Shut, Write
 from banklift.fleet.member import Action
 from banklift.fleet.messages import (
@@ -30,7 +31,6 @@
 from banklift.fleet.node import Node
 from banklift.fleet.plan import Plan
 from banklift.fleet.state import digest
-from banklift.fleet.voter import Save
 
 FLEET = "measured"
 VOTERS = ("measured", "driver")
--- a/tests/test_fleet_planted.py
+++ b/tests/test_fleet_planted.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from banklift.fleet import holder, lease_table, register, state, voter
+from banklift.fleet import driver, holder, lease_table, register, state, voter
 from banklift.fleet import lease as leases
 from banklift.fleet.holder_table import Entry
 from banklift.fleet.lease import LeaseClient
@@ -302,7 +302,7 @@
             )
         return real(old, change, reasons)
 
-    def decide(self: voter.Voter, drive: voter.Drive) -> None:
+    def decide(self: voter.Voter, drive: driver.Drive) -> None:
         change = self.lease_table.change
         if change is not None and not drive.deciding and self.now >= drive.since + change.patience:
             self._step(drive, lambda old: abort(old, change.id, ("late",)))
@@ -314,7 +314,7 @@
 
 
 def half_is_a_majority(patch: Patch) -> None:
-    for module in (register, leases, voter):
+    for module in (register, leases, driver):
         patch.setattr(module, "majority", lambda voters: voters // 2)
 
 
