Where lists are pushed, too, discovery is asked again within four seconds

Need: a change counts as told 6 s after discovery had it and could be reached, however long a drain grace the settings have.

Seen (virtual time, outages of 20 to 60 s): with a grace of 60 s a change was heard of 14.25 s after the return, 15.75 s where connections never came up; 0.5 and 1.9 s with 2 s. Line at fault: net/service.py, Service.__init__, whose longest wait was a quarter of the grace without a bound.

Change: waits are bounded by 4 s as well, which with a connection that was given up is 5.5 s. The sites at hand have graces of 1 to 2 s, so nothing changes there.

--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -61,6 +61,9 @@
 FIRST_RETRY = 0.1
 # ... up to this part of the time in which the settings want a drain heeded: news count from their return
 HEEDED = 0.25
+LONGEST_RETRY = (
+    4.0  # ... and up to so many seconds: 6 s after discovery is back in reach its news count as told
+)
 # descriptors for the listener, discovery, logs, the event loop, connections that end
 OTHERS = 16 + MOST_LINGERING
 CLIENTS_PART = 0.5  # of the other descriptors; nodes have the rest
@@ -304,7 +307,7 @@
         self.machine = build(start)
         # then the module waits for lists, and the watch is what brings them
         pushed = not start.settings.must_ask
-        most = max(FIRST_RETRY, HEEDED * start.settings.drain_grace)
+        most = max(FIRST_RETRY, min(LONGEST_RETRY, HEEDED * start.settings.drain_grace))
         backoff = client.Backoff(FIRST_RETRY, most, Random(start.seed)) if pushed else None
         self.core = client.Client(
             start.discovery, version=start.known.rev if start.known is not None else None, backoff=backoff
--- a/tests/test_renewed_terms.py
+++ b/tests/test_renewed_terms.py
@@ -27,7 +27,7 @@
 from tests.surroundings import PATIENCE, pair, run
 from tests.test_balance import SETTINGS as MODULE_SETTINGS
 from tests.test_balance import of
-from tests.test_rare_moments import draining
+from tests.test_rare_moments import draining, pushed
 from tests.test_service import Platform, platform
 
 __all__ = ["platform"]  # the fixture
@@ -112,6 +112,24 @@
     assert draining(site)
 
 
+@pytest.mark.parametrize("outage", [7.7, 30.5, 45.5, 59.0])
+@pytest.mark.parametrize("drain_grace", [1.0, 60.0])
+@pytest.mark.parametrize("down", [refuse, fail, never_connect, say_nothing])
+def test_where_lists_are_pushed_a_change_is_heard_of_as_soon(
+    down: Callable[[Site], Callable[[], object]], drain_grace: float, outage: float
+) -> None:
+    """Waits are a part of the drain grace there, which may be a minute."""
+    settings = pushed()
+    site = Site(settings={**settings, "rules": {**settings["rules"], "drain_grace_s": drain_grace}})
+    back = down(site)
+    site.run(outage)
+    site.catalogue.list("r1", site.nodes["r1"].address, state="DRAINING")
+    assert not draining(site)
+    back()
+    site.run(TOLD - 0.05)
+    assert draining(site)
+
+
 @pytest.mark.parametrize("ask_within", [10.0, 120.0])
 def test_waits_after_failed_calls_are_bounded_however_many_have_failed(ask_within: float) -> None:
     """Thousands of them are an outage of hours."""
