A change to check goes with the announcement; a longer lease is given up by a release

Aggregators send the change to check (and its policy's text, if it is lacked) with RenewNow, so that the first request carries the verdict; a router that was granted a shorter lease gives the longer one up by a LeaseRelease, which needs no answer, in place of another request.

--- a/banklift/fleet/aggregator.py
+++ b/banklift/fleet/aggregator.py
@@ -38,7 +38,8 @@
 from random import Random
 
 from banklift.fleet import holder
-from banklift.fleet.messages import LeaseGrant, LeaseRelease, LeaseRequest, Summary
+from banklift.fleet.holder_table import Entry
+from banklift.fleet.messages import LeaseGrant, LeaseRelease, LeaseRequest, RenewNow, Summary
 from banklift.fleet.parent_lease import ChangeView, ParentLease
 from banklift.fleet.state import Stage
 from banklift.fleet.sub_lease_table import SubLeaseTable, Terms, answer
@@ -49,9 +50,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AnnounceRenewal:
-    """Routers are to ask again: those that hold a sub-lease, or all that are linked (`everyone`)."""
+    """Routers are to ask again: those that hold a sub-lease, or all that are linked (`everyone`). `check`: a change is
+    to be checked; it goes with the message (`news`)."""
 
     everyone: bool = False
+    check: bool = False
 
 
 Action = holder.Action | AnnounceRenewal
@@ -87,9 +90,9 @@
         """The link to a voter is down."""
         return self._advance(now, self.parent.down(now, voter))
 
-    def renew_now(self, now: float, voter: str) -> list[Action]:
+    def renew_now(self, now: float, voter: str, news: RenewNow) -> list[Action]:
         """A voter has news."""
-        return self._advance(now, self.parent.renew_now(now, voter))
+        return self._advance(now, self.parent.renew_now(now, voter, news))
 
     def granted(self, now: float, voter: str, grant: LeaseGrant) -> list[Action]:
         """A voter has answered."""
@@ -117,6 +120,11 @@
         self.table.release(now, name, incarnation, release)
         return self._advance(now, [])
 
+    def news(self, entry: Entry) -> RenewNow:
+        """What a router is told of the change to check."""
+        view = self.view
+        return RenewNow(view.change, view.subject, self._lacking(entry.have, {view.subject}))
+
     def _lacking(self, have: tuple[str, ...], wanted: set[str]) -> tuple[bytes, ...]:
         """Texts of the wanted policies that the router does not have."""
         texts = self.parent.policies.texts
@@ -161,7 +169,7 @@
             self.parent.verdict = ()  # a refusal that came too late undoes nothing
         if view.change and view.change != before.change:
             self.first_refusal = math.inf
-            self.actions.append(AnnounceRenewal())
+            self.actions.append(AnnounceRenewal(check=True))
 
     def _gather_verdict(self, now: float) -> None:
         """Tell the voters once all routers have answered the change under way."""
--- a/banklift/fleet/aggregator_node.py
+++ b/banklift/fleet/aggregator_node.py
@@ -62,7 +62,7 @@
             case LeaseGrant() if self._is_voter(link):
                 self._carry(self.aggregator.granted(self.now, link.name, message))
             case RenewNow() if self._is_voter(link):
-                self._carry(self.aggregator.renew_now(self.now, link.name))
+                self._carry(self.aggregator.renew_now(self.now, link.name, message))
             case RenewNow():
                 return
             case LeaseRequest() if link.role is Role.ROUTER and not self._is_voter(link):
@@ -109,14 +109,14 @@
                 case Stalled(voter):
                     if (link := self.links.to(Role.ROUTER, voter)) is not None:
                         self.links.end(link, "no answer: the link has stalled")
-                case AnnounceRenewal(everyone):
-                    self._announce(everyone)
+                case AnnounceRenewal():
+                    self._announce(action)
                 case LogLine():
                     self.actions.append(action)
 
-    def _announce(self, everyone: bool) -> None:
+    def _announce(self, announcement: AnnounceRenewal) -> None:
         """Tell routers to ask again."""
-        if everyone:
+        if announcement.everyone:
             for link in self.links.by_name.values():
                 if not self._is_voter(link):
                     self.links.write(link, RenewNow())
@@ -124,4 +124,5 @@
         for entry in self.aggregator.table.live(self.now):
             routers_link = self.links.to(Role.ROUTER, entry.name)
             if routers_link is not None and routers_link.incarnation == entry.incarnation:
-                self.links.write(routers_link, RenewNow())
+                news = self.aggregator.news(entry) if announcement.check else RenewNow()
+                self.links.write(routers_link, news)
--- a/banklift/fleet/holder.py
+++ b/banklift/fleet/holder.py
@@ -24,7 +24,7 @@
 from random import Random
 
 from banklift.fleet.actions import LogLine
-from banklift.fleet.messages import LeaseGrant, LeaseRelease, LeaseRequest
+from banklift.fleet.messages import LeaseGrant, LeaseRelease, LeaseRequest, RenewNow
 
 RENEW_PART = 1 / 3  # of what a grant gave: when the next one is asked for
 RENEW_FLOOR = 1 / 50  # of a lease: the least that is waited for, as what is left of a lease gets shorter
@@ -135,6 +135,10 @@
         """An answer was taken over; `before`: what its grantor had granted last."""
         raise NotImplementedError
 
+    def _told(self, grantor: Grantor, news: RenewNow) -> bool:
+        """Take over what the grantor tells of a change. Whether it has to be answered."""
+        return False
+
     def _is_asked(self, name: str) -> bool:
         """Whether this grantor is asked for leases without being told to."""
         return True
@@ -160,11 +164,11 @@
         self._unlink(name)
         return self._out(now)
 
-    def renew_now(self, now: float, name: str) -> list[Action]:
+    def renew_now(self, now: float, name: str, news: RenewNow) -> list[Action]:
         """The grantor has news. A request that is under way will bring them: links deliver in order."""
         grantor = self.grantors[name]
         grantor.heard = now
-        if not grantor.pending:
+        if self._told(grantor, news) or not grantor.pending:
             self._send_request(now, name)
         return self._out(now)
 
--- a/banklift/fleet/holder_table.py
+++ b/banklift/fleet/holder_table.py
@@ -60,6 +60,7 @@
     outstanding: dict[int, Outstanding] = field(default_factory=dict)  # by number
     change: str = ""  # that its verdict is on
     verdict: tuple[str, ...] | None = None
+    have: tuple[str, ...] = ()  # policies whose text it has, by digest
     summary: Summary | None = None
 
     @property
@@ -148,7 +149,7 @@
     def heard(self, now: float, entry: Entry, request: LeaseRequest) -> None:
         """Take over what a request says of its sender."""
         entry.last_request, entry.heard, entry.epoch = request.number, now, request.epoch
-        entry.summary = request.summary
+        entry.have, entry.summary = request.have, request.summary
         entry.outstanding = {
             number: one for number, one in entry.outstanding.items() if number >= request.held
         }
--- a/banklift/fleet/lease.py
+++ b/banklift/fleet/lease.py
@@ -38,7 +38,7 @@
     LeaseHolder,
     SendToGrantor,
 )
-from banklift.fleet.messages import LeaseGrant, LeaseRelease, LeaseRequest
+from banklift.fleet.messages import LeaseGrant, LeaseRelease, LeaseRequest, RenewNow
 from banklift.fleet.policies import Check, PolicyCache
 from banklift.fleet.register import majority
 
@@ -132,9 +132,10 @@
             self.policies.keep(text, self._in_use())
         if self.one_is_enough:
             self._prefer(now, name, bool(grant.ttl > 0 or grant.next_epoch))
-        shortened = not grant.next_epoch and grantor.newest.end(grant.epoch) < before.end(grant.epoch)
-        if self._check(grantor, grant) or shortened:
-            self._send_request(now, name)  # tells the verdict, or that the longer lease is given up
+        if grantor.newest.end(grant.epoch) < before.end(grant.epoch):  # the longer lease is given up
+            self.actions.append(SendToGrantor(name, LeaseRelease(before.number)))
+        if self._check(grantor, grant.change, grant.subject):
+            self._send_request(now, name)
 
     def _is_asked(self, name: str) -> bool:
         if self.left:
@@ -146,15 +147,20 @@
 
     # ---- changes
 
-    def _check(self, grantor: Grantor, grant: LeaseGrant) -> bool:
+    def _told(self, grantor: Grantor, news: RenewNow) -> bool:
+        for text in news.policies:
+            self.policies.keep(text, self._in_use())
+        return self._check(grantor, news.change, news.subject)
+
+    def _check(self, grantor: Grantor, change: str, subject: str) -> bool:
         """Check the policy of a change that is new from this grantor. Whether it was."""
-        if not grant.change or grant.change == grantor.change or grant.subject not in self.policies.texts:
+        if not change or change == grantor.change or subject not in self.policies.texts:
             return False
-        before = any(other.change == grant.change for other in self.grantors.values())
-        grantor.change, grantor.subject = grant.change, grant.subject
-        reasons = self.policies.verdict(grant.subject)
+        before = any(other.change == change for other in self.grantors.values())
+        grantor.change, grantor.subject = change, subject
+        reasons = self.policies.verdict(subject)
         if not before:
-            self.actions.append(LogLine("policy checked", {"change": grant.change, "reasons": list(reasons)}))
+            self.actions.append(LogLine("policy checked", {"change": change, "reasons": list(reasons)}))
         return True
 
     def _in_use(self) -> set[str]:
--- a/banklift/fleet/messages.py
+++ b/banklift/fleet/messages.py
@@ -197,7 +197,12 @@
 
 
 class RenewNow(Message, frozen=True):
-    """Something has changed: ask again now."""
+    """Something has changed: ask again now. From an aggregator with the change to check, if that is what is
+    new; and its policy's text, if the router lacks it."""
+
+    change: str = ""
+    subject: str = ""  # digest of its policy
+    policies: tuple[bytes, ...] = ()
 
 
 # ---- operators
--- a/banklift/fleet/node.py
+++ b/banklift/fleet/node.py
@@ -127,7 +127,7 @@
             case LeaseGrant() if self._is_grantor(link):
                 self._leases(self.leases.granted(self.now, link.name, message))
             case RenewNow() if self._is_grantor(link):
-                self._leases(self.leases.renew_now(self.now, link.name))
+                self._leases(self.leases.renew_now(self.now, link.name, message))
             case RenewNow():
                 return
             case _ if self.voter is None:
@@ -198,6 +198,8 @@
                 case voting.AnnounceRenewal():
                     for link in self.links.by_name.values():
                         self.links.write(link, RenewNow())
-                    self.inbox.append(lambda: self._leases(self.leases.renew_now(self.now, self.plan.name)))
+                    self.inbox.append(
+                        lambda: self._leases(self.leases.renew_now(self.now, self.plan.name, RenewNow()))
+                    )
                 case LogLine() | Save():
                     self.actions.append(action)
--- a/tests/test_aggregator.py
+++ b/tests/test_aggregator.py
@@ -10,7 +10,7 @@
 from banklift.fleet.aggregator import Action, Aggregator, AnnounceRenewal
 from banklift.fleet.holder import SendToGrantor
 from banklift.fleet.lease_table import LeaseTable
-from banklift.fleet.messages import LeaseGrant, LeaseRelease, LeaseRequest
+from banklift.fleet.messages import LeaseGrant, LeaseRelease, LeaseRequest, RenewNow
 from banklift.fleet.state import State, agree, found, propose, settle
 
 LEASE, SUB_LEASE, DRIFT = 3.0, 2.0, 0.01
@@ -53,7 +53,7 @@
 
     def renew(self, now: float) -> None:
         for voter in VOTERS:
-            self.carry(now, self.aggregator.renew_now(now, voter))
+            self.carry(now, self.aggregator.renew_now(now, voter, RenewNow()))
 
     def ask(
         self,
@@ -111,13 +111,24 @@
     assert grant is not None and grant.policies == ()
 
 
+def test_a_change_to_check_is_told_with_the_text_that_a_router_lacks() -> None:
+    tier = Tier()
+    tier.ask(0.0)
+    change = tier.propose(0.5)
+    entry = tier.aggregator.table.entries["r0", 1]
+    subject = tier.aggregator.view.subject
+    assert tier.aggregator.news(entry) == RenewNow(change, subject, (b"second",))
+    entry.have = (subject,)
+    assert tier.aggregator.news(entry) == RenewNow(change, subject)
+
+
 def test_voters_hear_that_it_accepts_only_once_all_routers_have() -> None:
     tier = Tier()
     tier.ask(0.0, "r0")
     tier.ask(0.0, "r1")
     tier.announced.clear()
     change = tier.propose(0.5)
-    assert tier.announced == [AnnounceRenewal()]
+    assert tier.announced == [AnnounceRenewal(check=True)]
     assert tier.ask(0.5, "r0").ttl == 0.0  # it has to answer first
     assert tier.ask(0.5, "r0", change).ttl > 0
     assert not tier.sealed(0.6)
@@ -241,7 +252,7 @@
     tier = Tier()
     tier.carry(0.0, tier.aggregator.voter_up(0.0, "v0"))
     later = 0.6 * LEASE
-    tier.carry(later, tier.aggregator.renew_now(later, "v0"), unheard=("v1", "v2"))
+    tier.carry(later, tier.aggregator.renew_now(later, "v0", RenewNow()), unheard=("v1", "v2"))
     assert tier.ask(LEASE).reason == "this aggregator has no lease of a majority of voters"
-    tier.carry(LEASE, tier.aggregator.renew_now(LEASE, "v1"), unheard=("v2",))
+    tier.carry(LEASE, tier.aggregator.renew_now(LEASE, "v1", RenewNow()), unheard=("v2",))
     assert tier.ask(LEASE).ttl > 0
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -19,6 +19,7 @@
     LeaseRelease,
     LeaseRequest,
     Message,
+    RenewNow,
     Role,
     encode,
 )
@@ -185,6 +186,25 @@
     assert driven.now == begins and EpochAdopted(2, b"second") in driven.told
 
 
+def test_a_change_to_check_is_answered_also_while_a_request_is_under_way() -> None:
+    driven = router()
+    served(driven)
+    driven.wake()
+    asked = driven.requests("a0")
+    driven.hear(driven.links["a0"], RenewNow())
+    assert driven.requests("a0") == asked  # the one under way brings the news
+    driven.hear(driven.links["a0"], RenewNow("1-x", digest(b"second"), (b"second",)))
+    assert driven.requests("a0")[-1].change == "1-x" and driven.requests("a0")[-1].verdict == ()
+
+
+def test_a_shorter_lease_gives_the_longer_one_up_at_once() -> None:
+    driven = router()
+    served(driven)
+    driven.wake()
+    driven.hear(driven.links["a0"], grant(driven.requests("a0")[-1].number, ttl=0.1))
+    assert driven.said[-1] == (driven.links["a0"], LeaseRelease(1))
+
+
 def test_a_router_that_leaves_serves_nothing_and_gives_its_leases_back() -> None:
     driven = router()
     served(driven)
