A standby that has news is not asked while the preferred aggregator serves

Seen with real processes: an aggregator that gains its lease tells all linked routers; those that had it as their standby asked it too, and were counted, and waited for, at two aggregators until their next renewal.

A router answers news only of those it leases from.

--- a/banklift/fleet/lease.py
+++ b/banklift/fleet/lease.py
@@ -80,6 +80,11 @@
         self._choose_active(now)
         return self._out(now)
 
+    def renew_now(self, now: float, name: str, news: RenewNow) -> list[Action]:
+        if not self._is_asked(name) and self.grantors[name].newest is NO_GRANT:
+            return []  # a standby has news, and holds nothing of this router
+        return super().renew_now(now, name, news)
+
     def wake(self, now: float) -> list[Action]:
         linked = self.grantors[self.active].linked
         actions = super().wake(now)
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -197,6 +197,13 @@
     assert driven.requests("a0")[-1].change == "1-x" and driven.requests("a0")[-1].verdict == ()
 
 
+def test_a_standby_with_news_is_not_asked_while_the_preferred_one_serves() -> None:
+    driven = router()
+    served(driven)
+    driven.hear(driven.links["a1"], RenewNow())
+    assert driven.requests("a1") == []
+
+
 def test_a_shorter_lease_gives_the_longer_one_up_at_once() -> None:
     driven = router()
     served(driven)
