benchmarks/capacity.py measures what each role costs against its size

Need: the capacity page must stand on measured slopes. Parts: requests to a voter and an aggregator, lists, policies and an operator question without sockets; real routers at rest; hollow fleets at rest, with changes, with deaths at drawn moments, at a rate. Each figure is written as soon as it is there. A cost too small to be seen no longer decides the form of a slope (test).

--- a/banklift/rig/capacity_voter.py
+++ b/banklift/rig/capacity_grantor.py
@@ -1,7 +1,8 @@
-"""What one message costs a voter, and an aggregator, without sockets: processor time against its lease holders.
+"""What one message costs a voter or an aggregator, without sockets: processor time against its lease holders.
 
-Two voters stand in one process, joined in memory; the measured one has all the lease holders, the other drives the
-changes and surveys it. Holders are stand-ins that send the frames a router sends. Every event is followed by a look at
+The measured grantor has all the lease holders; a voter beside it, joined in memory, drives the changes. The measured
+one is another voter, which the driver surveys, or an aggregator that leases from the driver. Holders are stand-ins that
+send the frames a router sends. Every event is followed by a look at
 `due`, as fleet host does, so that what is measured is what a message costs on sockets less the sockets.
 Time is what the caller says it is; processor time is the least of some rounds, as the machine may be busy.
 """
@@ -12,10 +13,12 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from enum import StrEnum
 
+from banklift.fleet.aggregator_node import AggregatorNode
 from banklift.fleet.durable import Save
 from banklift.fleet.links import Dial, Shut, Write
-from banklift.fleet.member import Action
+from banklift.fleet.member import Action, Member
 from banklift.fleet.messages import (
     VERSION,
     Ended,
@@ -33,17 +36,26 @@
 from banklift.fleet.state import digest
 
 FLEET = "measured"
-VOTERS = ("measured", "driver")
-LEASE = 10.0
+MEASURED, DRIVER = "measured", "driver"
+LEASE, SUB_LEASE = 10.0, 6.0
 DRIFT = 0.01
 PATIENCE = 600.0  # seconds: no change ends for its time here
 ROUNDS = 5
 SAMPLE = 300  # holders whose requests are timed in one round
-STEP = 0.001  # seconds of virtual time between two messages
+SHORT_PART = 0.11  # of a lease: the longest that one is while leases run out
+SURVEY_PAUSE = 0.2  # seconds after which the driver surveys again
+STEP = 0.0001  # seconds of virtual time between two messages
 FIRST = b"first policy "
 SECOND = b"second policy "
 
 
+class Tier(StrEnum):
+    """What is measured."""
+
+    VOTER = "voter"
+    AGGREGATOR = "aggregator"
+
+
 def policy(size: int, prefix: bytes = FIRST) -> bytes:
     """A policy's text of that many bytes."""
     return prefix + b"x" * max(0, size - len(prefix))
@@ -57,6 +69,7 @@
     link: int
     number: int = 0
     granted: int = 0
+    ttl: float = 0.0  # of its newest lease
     frames: Frames = field(default_factory=Frames)
 
     def request(
@@ -66,24 +79,28 @@
         return encode(LeaseRequest(self.number, self.granted, epoch, change, verdict, have))
 
 
-class VoterPair:
-    """Both voters with their link. `holders` of them lease from the measured one."""
+class GrantorPair:
+    """The measured grantor and the driver, with their link. So many holders lease from the measured one."""
 
-    def __init__(self, holders: int, policy_size: int = len(FIRST)) -> None:
-        self.now = 1000.0
+    def __init__(self, tier: Tier, holders: int, policy_size: int = len(FIRST)) -> None:
+        self.tier, self.now = tier, 1000.0
+        self.voters = (MEASURED, DRIVER) if tier is Tier.VOTER else (DRIVER,)
+        self.sub_lease = SUB_LEASE if tier is Tier.AGGREGATOR else 0.0
         self.text = policy(policy_size)
         self.next_text = policy(policy_size, SECOND)
-        self.nodes = {name: self._node(name) for name in VOTERS}
-        self.measured = self.nodes[VOTERS[0]]
-        self.driver = self.nodes[VOTERS[1]]
+        self.driver = self._voter(DRIVER)
+        self.measured: Member = self._voter(MEASURED)
+        if tier is Tier.AGGREGATOR:
+            self.measured = AggregatorNode(self._plan(MEASURED), 1, 1)
+        self.nodes: dict[str, Member] = {MEASURED: self.measured, DRIVER: self.driver}
         self.pairs: dict[tuple[str, int], tuple[str, int]] = {}  # both ends of each link between voters
         self.queue: deque[tuple[str, int, bytes]] = deque()
+        self.saves: deque[tuple[str, int]] = deque()  # writes to disk that are under way
         self.holders: dict[int, StandInHolder] = {}
         self.operator_link = 0
         self.told: list[Message] = []  # to the operator
-        self.grants: list[LeaseGrant] = []
         self.surveyed_bytes = 0  # of the last answer to a survey
-        for name in VOTERS:
+        for name in self.nodes:
             self._carry(name, self.nodes[name].start(self.now))
         self._settle()
         self.pass_time(1.2 * LEASE)
@@ -91,42 +108,49 @@
             self._join(f"router{number}")
         self.round(list(self.holders.values()))
 
-    def _node(self, name: str) -> Node:
-        plan = Plan(FLEET, name, VOTERS, LEASE, DRIFT)
-        return Node(plan, 1, 1, self.text, lambda text: ())
+    def _plan(self, name: str) -> Plan:
+        return Plan(FLEET, name, self.voters, LEASE, DRIFT, (), self.sub_lease)
+
+    def _voter(self, name: str) -> Node:
+        return Node(self._plan(name), 1, 1, self.text, lambda text: ())
 
     # ---- links in memory
 
     def _carry(self, name: str, actions: Sequence[Action]) -> None:
         for action in actions:
             match action:
-                case Dial(link, voter):
-                    other = self.nodes[voter].number()
-                    self.pairs[name, link], self.pairs[voter, other] = (voter, other), (name, link)
-                    self._carry(voter, list(self.nodes[voter].accepted(self.now, other)))
+                case Dial(link, peer):
+                    other = self.nodes[peer].number()
+                    self.pairs[name, link], self.pairs[peer, other] = (peer, other), (name, link)
+                    self._carry(peer, list(self.nodes[peer].accepted(self.now, other)))
                     self._carry(name, list(self.nodes[name].connected(self.now, link)))
                 case Write(link, data):
                     self._write(name, link, data)
                 case Shut(link):
                     raise AssertionError(f"{name} ended a link")
                 case Save(number, _):
-                    self._carry(name, list(self.nodes[name].saved(self.now, number, "")))
+                    self.saves.append((name, number))
 
     def _write(self, name: str, link: int, data: bytes) -> None:
         if (name, link) in self.pairs:
             self.queue.append((*self.pairs[name, link], data))
-        elif name == VOTERS[0]:
+        elif name == MEASURED:
             holder = self.holders[link]
             for message in holder.frames.feed(data):
                 if isinstance(message, LeaseGrant):
-                    holder.granted = message.number
+                    holder.granted, holder.ttl = message.number, message.ttl
         else:
             self.told += Frames().feed(data)
 
     def _settle(self) -> None:
-        while self.queue:
+        """Deliver what was written on links, in order, and end writes to disk once nothing is on its way."""
+        while self.queue or self.saves:
+            if not self.queue:
+                name, number = self.saves.popleft()
+                self._carry(name, self.nodes[name].saved(self.now, number, ""))
+                continue
             name, link, data = self.queue.popleft()
-            if name == VOTERS[1] and any(isinstance(one, Surveyed) for one in Frames().feed(data)):
+            if name == DRIVER and any(isinstance(one, Surveyed) for one in Frames().feed(data)):
                 self.surveyed_bytes = len(data)
             self._carry(name, list(self.nodes[name].data(self.now, link, data)))
 
@@ -134,7 +158,7 @@
         """Let time pass with both voters' timers."""
         end = self.now + seconds
         while True:
-            name = min(VOTERS, key=lambda one: self.nodes[one].due)
+            name = min(self.nodes, key=lambda one: self.nodes[one].due)
             when = self.nodes[name].due
             if when > end:
                 break
@@ -148,9 +172,9 @@
     def _join(self, name: str) -> None:
         link = self.measured.number()
         self.holders[link] = StandInHolder(name, link)
-        self._carry(VOTERS[0], list(self.measured.accepted(self.now, link)))
-        hello = Hello(VERSION, FLEET, name, 1, VOTERS, LEASE)
-        self._carry(VOTERS[0], list(self.measured.data(self.now, link, encode(hello))))
+        self._carry(MEASURED, list(self.measured.accepted(self.now, link)))
+        hello = Hello(VERSION, FLEET, name, 1, self.voters, LEASE, self.sub_lease)
+        self._carry(MEASURED, list(self.measured.data(self.now, link, encode(hello))))
 
     def round(
         self,
@@ -171,8 +195,9 @@
             _ = node.due
         spent = time.process_time() - begin
         for actions in answers:
-            self._carry(VOTERS[0], actions)
+            self._carry(MEASURED, actions)
         self._settle()
+        self.pass_time(0.0)
         return spent / max(1, len(wanted))
 
     # ---- a change
@@ -181,11 +206,11 @@
         """An operator at the driver wants it."""
         if not self.operator_link:
             self.operator_link = self.driver.number()
-            self._carry(VOTERS[1], list(self.driver.accepted(self.now, self.operator_link)))
+            self._carry(DRIVER, list(self.driver.accepted(self.now, self.operator_link)))
             hello = Hello(VERSION, FLEET, "", 0, (), 0.0)
-            self._carry(VOTERS[1], list(self.driver.data(self.now, self.operator_link, encode(hello))))
+            self._carry(DRIVER, list(self.driver.data(self.now, self.operator_link, encode(hello))))
         wanted = encode(Set(change, text, PATIENCE))
-        self._carry(VOTERS[1], list(self.driver.data(self.now, self.operator_link, wanted)))
+        self._carry(DRIVER, list(self.driver.data(self.now, self.operator_link, wanted)))
         self._settle()
 
     @property
@@ -201,49 +226,49 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestCosts:
-    """Of a voter with so many holders: processor seconds of a lease request and of a survey; bytes of its answer."""
+    """Of a grantor with so many holders: processor seconds of a lease request in each stage of a change. Of a voter, of
+    a survey as well, and bytes of its answer; zero of an aggregator, which is not surveyed."""
 
     holders: int
     rest: float
     checking: float
     closing: float
-    survey: float
-    survey_bytes: int
+    survey: float = 0.0
+    survey_bytes: int = 0
 
 
-def request_costs(holders: int, rounds: int = ROUNDS, sample: int = SAMPLE) -> RequestCosts:
+def request_costs(tier: Tier, holders: int, rounds: int = ROUNDS, sample: int = SAMPLE) -> RequestCosts:
     """Measure one size."""
-    pair = VoterPair(holders)
+    pair = GrantorPair(tier, holders)
     everyone = list(pair.holders.values())
     # one stays out of the measured rounds: its verdict and its lease decide how long each stage lasts
     last, measured = everyone[-1], everyone[: min(sample, holders - 1)]
     rest = min(pair.round(measured) for _ in range(rounds))
     change = f"{pair.version}-measured"
     pair.propose(change, pair.next_text)
+    pair.pass_time(0.0)
     checking = min(pair.round(measured, change, ()) for _ in range(rounds))
     pair.round(everyone[:-1], change, ())
-    survey = min(_survey(pair) for _ in range(rounds))
-    survey_bytes = pair.surveyed_bytes
+    survey = min(_survey(pair) for _ in range(rounds)) if tier is Tier.VOTER else 0.0
     pair.round([last], change, ())
     pair.pass_time(0.3)  # agreed; the others' long leases run out now
-    assert pair.measured.voter is not None and pair.measured.voter.lease_table.closing
     closing = min(pair.round(measured, change, ()) for _ in range(rounds))
-    return RequestCosts(holders, rest, checking, closing, survey, survey_bytes)
+    assert 0 < measured[0].ttl <= SHORT_PART * LEASE, "leases are not short: another stage was measured"
+    return RequestCosts(holders, rest, checking, closing, survey, pair.surveyed_bytes)
 
 
-def _survey(pair: VoterPair) -> float:
+def _survey(pair: GrantorPair) -> float:
     """Processor seconds that the measured voter spends on one survey by the driver."""
-    actions = pair.driver.wake(pair.now + 0.2)
-    pair.now += 0.2
-    pair._carry(VOTERS[1], list(actions))
+    pair.now += SURVEY_PAUSE
+    pair._carry(DRIVER, pair.driver.wake(pair.now))
     spent = 0.0
     while pair.queue:
         name, link, data = pair.queue.popleft()
-        if name == VOTERS[1]:
+        if name == DRIVER:
             pair.surveyed_bytes = len(data)
         begin = time.process_time()
         done = pair.nodes[name].data(pair.now, link, data)
-        if name == VOTERS[0]:
+        if name == MEASURED:
             spent += time.process_time() - begin
-        pair._carry(name, list(done))
+        pair._carry(name, done)
     return spent
--- a/banklift/rig/capacity_plan.py
+++ b/banklift/rig/capacity_plan.py
@@ -47,9 +47,7 @@
 SIZES = (40, 200, 1_000, 6_200)  # at which costs are measured
 FLEET_SIZES = (200, 1_000, 3_000, 6_200)  # of hollow fleets
 LIST_SIZES = (100, 500, 2_000, 8_400)  # members of a list
-POLICY_SIZES = (
-    4 * 1024,
-    64 * 1024,
-    256 * 1024 - 512,
-)  # bytes; the last is what a policy may have, less its frame
+POLICY_SIZES = (4 * 1024, 16 * 1024, 64 * 1024, 256 * 1024 - 512)  # bytes; the last: the most, less its frame
 POLICY_USUAL = 4 * 1024  # bytes of a policy in the fleets that are measured
+
+LEASE, SUB_LEASE = 4.0, 2.6  # seconds, chosen for the planned fleet: docs/CAPACITY.md says why
--- a/banklift/rig/slopes.py
+++ b/banklift/rig/slopes.py
@@ -19,7 +19,6 @@
     1.5  # residual of a simpler form over that of the best one, up to which the simpler one is taken
 )
 LEAST_POINTS = 2
-SMALLEST = 1e-12  # a cost of zero is weighed as this
 
 
 class Form(StrEnum):
@@ -85,39 +84,45 @@
     return next(one for one in fits if one.residual <= allowed)
 
 
-def _weight(point: Point) -> float:
-    return 1.0 / max(point.cost, SMALLEST) ** 2
+def _weights(points: Sequence[Point]) -> list[float]:
+    """By which squared errors are multiplied to be relative ones. A cost of zero was too small to be seen; its error is
+    taken relative to the largest cost, as it would outweigh all others else."""
+    largest = max(point.cost for point in points) or 1.0
+    return [1.0 / (point.cost or largest) ** 2 for point in points]
+
+
+def _sum(weights: Sequence[float], values: Sequence[float]) -> float:
+    return sum(weight * value for weight, value in zip(weights, values, strict=True))
 
 
 def _only_base(points: Sequence[Point]) -> tuple[float, float]:
-    total = sum(_weight(point) for point in points)
-    return sum(_weight(point) * point.cost for point in points) / total, 0.0
+    weights = _weights(points)
+    return _sum(weights, [point.cost for point in points]) / sum(weights), 0.0
 
 
 def _only_factor(form: Form, points: Sequence[Point]) -> tuple[float, float]:
-    squares = sum(_weight(point) * growth(form, point.size) ** 2 for point in points)
-    products = sum(_weight(point) * growth(form, point.size) * point.cost for point in points)
-    return 0.0, products / squares
+    weights = _weights(points)
+    grown = [growth(form, point.size) for point in points]
+    products = _sum(weights, [one * point.cost for one, point in zip(grown, points, strict=True)])
+    return 0.0, products / _sum(weights, [one**2 for one in grown])
 
 
 def _both(form: Form, points: Sequence[Point]) -> list[tuple[float, float]]:
     """Weighted least squares of a line; empty if all sizes are the same."""
-    total = sum(_weight(point) for point in points)
-    middle_growth = sum(_weight(point) * growth(form, point.size) for point in points) / total
-    middle_cost = sum(_weight(point) * point.cost for point in points) / total
-    spread = sum(_weight(point) * (growth(form, point.size) - middle_growth) ** 2 for point in points)
+    weights = _weights(points)
+    grown = [growth(form, point.size) for point in points]
+    middle_growth = _sum(weights, grown) / sum(weights)
+    middle_cost = _sum(weights, [point.cost for point in points]) / sum(weights)
+    spread = _sum(weights, [(one - middle_growth) ** 2 for one in grown])
     if spread == 0.0:
         return []
-    shared = sum(
-        _weight(point) * (growth(form, point.size) - middle_growth) * (point.cost - middle_cost)
-        for point in points
-    )
-    factor = shared / spread
+    shared = [
+        (one - middle_growth) * (point.cost - middle_cost) for one, point in zip(grown, points, strict=True)
+    ]
+    factor = _sum(weights, shared) / spread
     return [(middle_cost - factor * middle_growth, factor)]
 
 
 def _residual(form: Form, base: float, factor: float, points: Sequence[Point]) -> float:
-    errors = [
-        (base + factor * growth(form, point.size) - point.cost) ** 2 * _weight(point) for point in points
-    ]
-    return math.sqrt(sum(errors) / len(errors))
+    errors = [(base + factor * growth(form, point.size) - point.cost) ** 2 for point in points]
+    return math.sqrt(_sum(_weights(points), errors) / len(errors))
--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,375 @@
+"""What each role of a fleet costs against its size, measured; and the page that is made of it.
+
+    .venv/bin/python benchmarks/capacity.py [--parts alone real rest direct aims data] [--small] [--page]
+
+Parts are measured one after the other and written into benchmarks/results/capacity.json, each over what an earlier run
+has left there; with `--page` the tables in docs/CAPACITY.md are made from that file, and without parts nothing is
+measured. Processor time is that of the process (the least of some rounds where code is measured alone), so a busy
+machine disturbs it little; elapsed times of changes need a quiet machine. `--small` takes seconds, for tests.
+
+- alone: requests to a voter and to an aggregator, lists of members, policies, an operator's question, without sockets
+- real: `banklift router` processes at rest
+- rest: hollow fleets with aggregators at several sizes, at rest
+- direct: hollow fleets whose routers lease from voters, at rest and with changes
+- aims: changes in a hollow fleet with aggregators, with deaths at drawn moments, at a rate, and as fast as they go
+- data: processor time of one statement of the router on the platform (benchmarks/service.py)
+"""
+
+from __future__ import annotations
+
+import argparse
+import re
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+import anyio
+import msgspec
+
+from banklift.rig import capacity_page
+from banklift.rig import capacity_plan as plan
+from banklift.rig.capacity_alone import (
+    member_slopes,
+    policy_slopes,
+    request_slopes,
+    show_slopes,
+    slopes_of_requests,
+)
+from banklift.rig.capacity_grantor import RequestCosts, Tier
+from banklift.rig.capacity_real import real_fleet, real_rest
+from banklift.rig.capacity_results import (
+    Changes,
+    Death,
+    How,
+    RealRouter,
+    Rest,
+    Results,
+    Slope,
+    fitted,
+    load_average,
+    machine,
+    read,
+    write,
+)
+from banklift.rig.capacity_trials import Victim, changes, death, rest
+from banklift.rig.hollow import grant_descriptors
+from banklift.rig.hollow_fleet import Broken, HollowFleet, Shape, hollow_fleet
+
+ROOT = Path(__file__).resolve().parent.parent
+RESULTS = Path(__file__).with_name("results") / "capacity.json"
+PAGE = ROOT / "docs" / "CAPACITY.md"
+PARTS = ("alone", "real", "rest", "direct", "aims", "data")
+MEMORY_PART = 0.5  # of the machine's memory that real routers may take together
+REAL_MEMORY = 45 * 1024 * 1024  # bytes that one takes, about; how many are started depends on it
+
+
+@dataclass(frozen=True, slots=True)
+class Scale:
+    """How much is measured."""
+
+    holders: tuple[int, ...] = plan.SIZES
+    members: tuple[int, ...] = plan.LIST_SIZES
+    requests: int = 400
+    policies: tuple[int, ...] = plan.POLICY_SIZES
+    real: tuple[int, ...] = (25, 50, 100, 200)
+    fleets: tuple[int, ...] = plan.FLEET_SIZES
+    direct: tuple[int, ...] = (40, 100, 230, 1000)
+    rest: float = 8.0  # seconds that a fleet at rest is watched
+    undisturbed: int = 8  # changes of one series
+    deaths: int = 8  # changes of one series with something killed
+    rate_time: float = 120.0  # seconds
+    fastest_time: float = 20.0
+    aggregators: int = plan.AGGREGATORS
+    voters: int = plan.VOTERS
+    zones: int = 5
+    direct_changes: int = 5
+    aggregator_deaths: int = 3
+    data_seconds: float = 12.0
+
+
+SMALL = Scale(
+    (8, 16, 32, 64),
+    (30, 60, 120, 240),
+    40,
+    (4096, 8192, 16384, 32768),
+    (1, 2, 3, 4),
+    (8, 12, 16, 20),
+    (4, 6, 8, 10),
+    1.0,
+    1,
+    1,
+    4.0,
+    3.0,
+    2,
+    3,
+    1,
+    1,
+    1,
+    4.0,
+)
+
+
+def commit() -> str:
+    """The version that is measured; marked if files differ from it."""
+    told = subprocess.run(
+        ["git", "describe", "--always", "--dirty"], cwd=ROOT, capture_output=True, text=True, check=False
+    )
+    return told.stdout.strip()
+
+
+def flat(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
+    """The errors of a group, without groups."""
+    found: list[BaseException] = []
+    for one in group.exceptions:
+        found += flat(one) if isinstance(one, BaseExceptionGroup) else [one]
+    return found
+
+
+class Run:
+    """One run: each figure is written to the file as soon as it is there, so a run that is cut short keeps it."""
+
+    def __init__(self, path: Path, scale: Scale, given: argparse.Namespace) -> None:
+        self.path, self.scale, self.given = path, scale, given
+        self.results = read(path) if path.exists() else Results()
+
+    def _replace(self, **fields: object) -> None:
+        self.results = msgspec.structs.replace(self.results, **fields)
+        write(self.path, self.results)
+
+    def part(self, name: str) -> None:
+        """Measure a part, in place of what an earlier run has left of it."""
+        print(f"{time.strftime('%H:%M:%S')} {name}", flush=True)
+        load = load_average()
+        self._replace(notes=tuple(one for one in self.results.notes if not one.startswith(f"{name}:")))
+        getattr(self, name)()
+        self._replace(machines={**self.results.machines, name: machine(commit(), load)})
+
+    def slopes(self, found: list[Slope]) -> None:
+        """Slopes in place of earlier ones with their keys."""
+        keys = {one.key for one in found}
+        self._replace(slopes=(*(one for one in self.results.slopes if one.key not in keys), *found))
+        for one in found:
+            print(
+                f"  {one.role}, {one.what}: {one.form}, residual {one.residual:.2f}; "
+                f"{one.value:.3g} {one.unit} at {one.size:,.0f} {one.against}"
+            )
+
+    def add(self, field: str, one: Rest | Changes | Death | RealRouter) -> None:
+        self._replace(**{field: (*getattr(self.results, field), one)})
+        print(f"  {one}", flush=True)
+
+    def forget(self, field: str, tiered: bool) -> None:
+        """Drop what an earlier run found in fleets with aggregators, or without."""
+        kept = tuple(one for one in getattr(self.results, field) if (one.aggregators > 0) is not tiered)
+        self._replace(**{field: kept})
+
+    # ---- without sockets
+
+    def alone(self) -> None:
+        scale = self.scale
+        for tier in Tier:
+            self.slopes(request_slopes(tier, scale.holders))
+        self.slopes(show_slopes(scale.holders))
+        self.slopes(member_slopes(scale.members, scale.requests))
+        self.slopes(policy_slopes(scale.policies))
+
+    def before(self, path: Path) -> None:
+        """Take over costs that were measured of an older version."""
+        costs = msgspec.json.decode(path.read_bytes(), type=list[RequestCosts])
+        self._replace(before=tuple(slopes_of_requests(Tier.VOTER, costs)))
+
+    # ---- real routers
+
+    def real(self) -> None:
+        self._replace(real=())
+
+        async def measure() -> None:
+            with tempfile.TemporaryDirectory() as folder:
+                async with real_fleet(Path(folder)) as fleet:
+                    for size in fits(self.scale.real):
+                        self.add("real", await real_rest(fleet, size, self.scale.rest))
+
+        anyio.run(measure)
+        found = self.results.real
+        self.slopes(
+            [
+                rising("real.core", "router", "real router at rest", "core", How.REAL, points)
+                for points in [[(float(one.processes), one.core) for one in found]]
+                if len(points) > 1
+            ]
+        )
+
+    # ---- hollow fleets
+
+    def shape(self, routers: int) -> Shape:
+        """With aggregators."""
+        given, scale = self.given, self.scale
+        return Shape(
+            routers,
+            scale.voters,
+            scale.aggregators,
+            given.lease,
+            given.sub_lease,
+            scale.zones,
+            plan.POLICY_USUAL,
+            given.per_process,
+        )
+
+    def played(self, part: str, shape: Shape, play: Callable[[HollowFleet, float], Awaitable[None]]) -> None:
+        """Start a hollow fleet and play on it. What fails is noted, with what was found before kept."""
+
+        async def run() -> None:
+            with tempfile.TemporaryDirectory() as folder:
+                async with hollow_fleet(shape, Path(folder)) as fleet:
+                    await play(fleet, await fleet.start())
+
+        try:
+            anyio.run(run)
+        except* (Broken, TimeoutError, OSError) as group:
+            told = "; ".join(f"{type(one).__name__} {one}".strip()[:200] for one in flat(group))
+            note = f"{part}: {shape.routers} routers, {shape.aggregators} aggregators: cut short: {told}"
+            self._replace(notes=(*self.results.notes, note))
+            print(f"  {note}", flush=True)
+
+    def rest(self) -> None:
+        self.forget("rests", True)
+
+        async def watch(fleet: HollowFleet, start: float) -> None:
+            self.add("rests", await rest(fleet, self.scale.rest, start))
+
+        for routers in self.scale.fleets:
+            self.played("rest", self.shape(routers), watch)
+        self.slopes(rest_slopes(self.results, True))
+
+    def direct(self) -> None:
+        self.forget("rests", False)
+        self.forget("changes", False)
+
+        async def watch(fleet: HollowFleet, start: float) -> None:
+            self.add("rests", await rest(fleet, self.scale.rest, start))
+            for victim in (Victim.NOBODY, Victim.ROUTER):
+                self.add("changes", await changes(fleet, victim, self.scale.direct_changes, 0.0, 1))
+
+        for routers in self.scale.direct:
+            shape = replace(self.shape(routers), aggregators=0, sub_lease=0.0)
+            self.played("direct", shape, watch)
+        self.slopes(rest_slopes(self.results, False))
+
+    def aims(self) -> None:
+        for field in ("changes", "deaths"):
+            self.forget(field, True)
+        scale = self.scale
+
+        async def play(fleet: HollowFleet, start: float) -> None:
+            await anyio.sleep(1.3 * fleet.shape.lease)
+            self.add("changes", await changes(fleet, Victim.NOBODY, scale.undisturbed, 0.0, 1))
+            self.add("deaths", await death(fleet, scale.aggregator_deaths, 1))
+            for victim in (Victim.ROUTER, Victim.ROUTERS, Victim.AGGREGATOR):
+                self.add("changes", await changes(fleet, victim, scale.deaths, 0.0, 2))
+            if fleet.shape.routers == self.given.routers[-1]:
+                count = max(2, int(scale.rate_time * plan.CHANGES_A_SECOND))
+                rate = plan.CHANGES_A_SECOND
+                self.add(
+                    "changes", await changes(fleet, Victim.NOBODY, count, rate, 3, 1.5 * scale.rate_time)
+                )
+                self.add("changes", await changes(fleet, Victim.NOBODY, 1000, FASTEST, 4, scale.fastest_time))
+
+        for routers in self.given.routers:
+            self.played("aims", self.shape(routers), play)
+
+    # ---- the data plane
+
+    def data(self) -> None:
+        """A statement on sockets, by the benchmark of the service."""
+        command = [sys.executable, "-m", "benchmarks.service", "--seconds", str(self.scale.data_seconds)]
+        told = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True).stdout
+        quarters = [float(found) / 1e6 for found in re.findall(r": (\d+) us a request", told)]
+        points = [(float(number + 1), cost) for number, cost in enumerate(quarters)]
+        self.slopes(
+            [
+                fitted(
+                    "data.statement",
+                    "router",
+                    "one statement on sockets",
+                    "s",
+                    "quarters of the run",
+                    How.REAL,
+                    points,
+                    len(points),
+                )
+            ]
+        )
+
+
+FASTEST = 1000.0  # changes a second that are asked for where the next one begins as soon as one has ended
+
+
+def rising(key: str, role: str, what: str, unit: str, how: How, points: list[tuple[float, float]]) -> Slope:
+    """A slope against routers, up to the planned number."""
+    return fitted(key, role, what, unit, "routers", how, points, plan.ROUTERS)
+
+
+def rest_slopes(results: Results, tiered: bool) -> list[Slope]:
+    """Of hollow fleets at rest: what a member of each kind uses against the number of routers."""
+    rests = [one for one in results.rests if (one.aggregators > 0) is tiered]
+    if len(rests) < 2:
+        return []
+    tier = "tiered" if tiered else "direct"
+    whom = "aggregators" if tiered else "voters"
+    found = []
+    for role in ("router", "voter", "aggregator"):
+        shares = [(float(one.routers), getattr(one, role)) for one in rests if getattr(one, role) is not None]
+        if len(shares) < 2:
+            continue
+        core = [(size, share.core) for size, share in shares]
+        traffic = [(size, share.sent + share.received) for size, share in shares]
+        memory = [(size, share.memory) for size, share in shares]
+        what = f"at rest, routers lease from {whom}"
+        found += [
+            rising(f"{tier}.{role}.core", role, what, "core", How.HOLLOW, core),
+            rising(
+                f"{tier}.{role}.traffic", role, f"sent and received {what}", "bytes/s", How.HOLLOW, traffic
+            ),
+            rising(f"{tier}.{role}.memory", role, f"memory {what}", "bytes", How.HOLLOW, memory),
+        ]
+    return found
+
+
+def fits(sizes: tuple[int, ...]) -> list[int]:
+    """Sizes of which all processes fit into the part of memory."""
+    most = int(MEMORY_PART * machine("", 0.0).memory / REAL_MEMORY)
+    return sorted({min(size, most) for size in sizes})
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--parts", nargs="*", choices=PARTS, default=())
+    parser.add_argument("--small", action="store_true", help="sizes that take seconds")
+    parser.add_argument("--out", type=Path, default=RESULTS)
+    parser.add_argument("--before", type=Path, help="costs of an older version, to stand beside these")
+    parser.add_argument("--page", action="store_true", help="make the tables of docs/CAPACITY.md")
+    parser.add_argument("--lease", type=float, default=plan.LEASE)
+    parser.add_argument("--sub-lease", type=float, default=plan.SUB_LEASE)
+    parser.add_argument(
+        "--routers", type=int, nargs="+", default=(1000, plan.ROUTERS), help="of the part aims"
+    )
+    parser.add_argument("--per-process", type=int, default=500, help="hollow routers in one process")
+    given = parser.parse_args()
+    grant_descriptors()
+    run = Run(given.out, SMALL if given.small else Scale(), given)
+    for part in given.parts:
+        run.part(part)
+    if given.before is not None:
+        run.before(given.before)
+    if given.page:
+        PAGE.write_text(capacity_page.filled(PAGE.read_text(), run.results))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -66,6 +66,11 @@
     assert found.cost(6200) == 0.0
 
 
+def test_one_cost_too_small_to_be_seen_does_not_decide_the_form() -> None:
+    found = choose([Point(25, 0.0), Point(50, 0.0051), Point(100, 0.0049), Point(200, 0.005)])
+    assert found.cost(6200) < 0.02
+
+
 def test_one_point_is_no_slope() -> None:
     with pytest.raises(ValueError, match="2 points"):
         choose([Point(1, 1.0)])
