docs/CAPACITY.md: needs beside budgets, made from the results by a command

Need: each role at the planned size, worst ratio first, with no figure typed by hand; a test fails when page and results differ.

--- a/banklift/rig/capacity_page.py
+++ b/banklift/rig/capacity_page.py
@@ -1,5 +1,611 @@
-from banklift.rig.capacity_results import Results
+"""The tables of docs/CAPACITY.md, made from the results of the benchmark. Pure.
 
+The page has places `<!-- table: NAME -->` ... `<!-- end of table -->`; what stands between them is made here and never
+typed. A figure that was not measured is said to be so.
+"""
 
-def filled(text: str, results: Results) -> str:
-    return text
+from __future__ import annotations
+
+import re
+import statistics
+from collections.abc import Callable, Sequence
+
+from banklift.discovery.client import CALL_TIMEOUT, LONG_POLL
+from banklift.fleet.lease_table import CLOSING_PART
+from banklift.rig import capacity_plan as plan
+from banklift.rig.capacity_needs import (
+    LIST_CHANGES,
+    Need,
+    Unit,
+    fastest_run,
+    needs,
+    percentile,
+    rate_run,
+    with_deaths,
+)
+from banklift.rig.capacity_results import Changes, How, Rest, Results, Slope
+
+MISSING = "not measured"
+NOTHING_KILLED = "nothing"
+RATE_HELD = 0.97  # of the rate that was asked for: the last change begins before the time is over
+PLACE = re.compile(r"(<!-- table: ([a-z-]+) -->\n).*?(<!-- end of table -->)", re.DOTALL)
+
+
+class UnknownTable(Exception):
+    """The page has a place for a table that is not made here."""
+
+
+def filled(page: str, results: Results) -> str:
+    """The page with all its tables made anew. Errors: `UnknownTable`."""
+
+    def table(found: re.Match[str]) -> str:
+        maker = TABLES.get(found[2])
+        if maker is None:
+            raise UnknownTable(found[2])
+        return f"{found[1]}{maker(results)}\n{found[3]}"
+
+    return PLACE.sub(table, page)
+
+
+# ---- figures
+
+
+def seconds(value: float) -> str:
+    if value >= 0.9995:
+        return f"{value:.2f} s"
+    return f"{value * 1e3:.3g} ms" if value >= 0.0009995 else f"{value * 1e6:.3g} us"
+
+
+def size(value: float) -> str:
+    for limit, unit in ((1e9, "GB"), (1e6, "MB"), (1e3, "KB")):
+        if value >= limit:
+            return f"{value / limit:.3g} {unit}"
+    return f"{value:.0f} bytes"
+
+
+def core(value: float) -> str:
+    return f"{100 * value:.3g}% of a core"
+
+
+def shown(value: float | None, unit: str) -> str:
+    """A figure with its unit."""
+    if value is None:
+        return MISSING
+    match unit:
+        case Unit.CORE:
+            return core(value)
+        case Unit.BYTES:
+            return size(value)
+        case Unit.BYTES_A_SECOND:
+            return f"{size(value)}/s"
+        case Unit.SECONDS:
+            return seconds(value)
+        case Unit.A_SECOND:
+            return f"{value:,.0f}/s"
+    return f"{value:,.0f}"
+
+
+def rows(head: Sequence[str], body: Sequence[Sequence[str]]) -> str:
+    """A table; a line of words where it would be empty."""
+    if not body:
+        return f"{MISSING.capitalize()}."
+    lines = [" | ".join(head), " | ".join("---" for _ in head), *(" | ".join(row) for row in body)]
+    return "\n".join(f"| {line} |" for line in lines)
+
+
+def fleet(one: Rest | Changes) -> str:
+    """Which hollow fleet it was."""
+    tiers = f"{one.voters} voters"
+    if one.aggregators:
+        tiers += f" + {one.aggregators} aggregators"
+    return f"{one.routers:,} routers, {tiers}"
+
+
+# ---- tables
+
+
+def machines(results: Results) -> str:
+    body = [
+        [
+            name,
+            f"{one.cores} cores, {size(one.memory)}, Python {one.python}, kernel {one.kernel}",
+            one.commit,
+            f"{one.load_before:.1f}, {one.load_after:.1f}",
+        ]
+        for name, one in results.machines.items()
+    ]
+    return rows(["part", "machine", "version", "load average before, after"], body)
+
+
+def planned(results: Results) -> str:
+    body = [
+        ["routers", f"{plan.ROUTERS:,}", ""],
+        ["databases (members)", f"{plan.DATABASES:,}", ""],
+        ["client connections", f"{plan.CLIENT_CONNECTIONS:,}", f"{plan.CLIENTS_A_ROUTER:,.0f} a router"],
+        ["statements a second", f"{plan.STATEMENTS:,}", f"{plan.STATEMENTS_A_ROUTER:,.0f} a router"],
+        ["regions, zones", f"{plan.REGIONS}, {plan.ZONES}", "docs/questions.md"],
+        [
+            "changes of configuration a day",
+            f"{plan.CONFIGURATION_CHANGES:,}",
+            f"{plan.CHANGES_A_SECOND:.3f} a second",
+        ],
+        ["in force everywhere within", seconds(plan.CHANGE_TIME), ""],
+        [
+            "changes of primary a day, each over within",
+            f"{plan.PRIMARY_CHANGES}, {seconds(plan.PRIMARY_CHANGE_TIME)}",
+            "",
+        ],
+        [
+            "machines that fail, routers restarted, a day",
+            f"{plan.MACHINES_FAILING}, {plan.RESTARTS:,}",
+            f"one of both each {plan.DAY / plan.EVENTS_A_DAY:.0f} s",
+        ],
+        [
+            "a router's control",
+            f"{core(plan.ROUTER_CORE_SHARE)}, {size(plan.ROUTER_MEMORY)}, {size(plan.ROUTER_BYTES)}/s",
+            "",
+        ],
+        [
+            "machines for control",
+            f"{plan.CONTROL_MACHINES}",
+            f"{plan.VOTERS} voters, {plan.AGGREGATORS} aggregators, "
+            f"{plan.ROUTERS_AN_AGGREGATOR:.0f} routers an aggregator",
+        ],
+        ["connections, every router to every member", f"{plan.MEMBER_CONNECTIONS:,}", ""],
+    ]
+    return rows(["plan", "figure", "reckoned"], body)
+
+
+def budget(results: Results) -> str:
+    def row(one: Need) -> list[str]:
+        ratio = "" if one.ratio is None else f"{one.ratio:.3g}"
+        return [
+            one.role,
+            one.what,
+            shown(one.need, one.unit),
+            "none stated" if one.budget is None else shown(one.budget, one.unit),
+            ratio,
+            one.how,
+            one.mechanism,
+        ]
+
+    head = ["role", "what", "need", "budget", "need / budget", "from", "carried by"]
+    return rows(head, [row(one) for one in needs(results)])
+
+
+def _slope_rows(slopes: Sequence[Slope]) -> str:
+    body = [
+        [
+            one.role,
+            one.what,
+            one.against,
+            ", ".join(f"{at:,.0f}: {shown(cost, one.unit)}" for at, cost in one.points),
+            one.form,
+            f"{one.residual:.2f}",
+            f"{shown(one.value, one.unit)} at {one.size:,.0f}",
+            one.how,
+        ]
+        for one in slopes
+    ]
+    return rows(
+        ["role", "cost", "against", "measured", "form", "residual", "at the planned size", "from"], body
+    )
+
+
+def slopes(results: Results) -> str:
+    return _slope_rows([one for one in results.slopes if not one.key.startswith("data.")])
+
+
+def before(results: Results) -> str:
+    """The lease table with its scans beside the one of now."""
+    body = []
+    for old in results.before:
+        new = results.slope(old.key)
+        now = [MISSING, ""] if new is None else [shown(new.value, new.unit), new.form]
+        body.append([old.what, shown(old.value, old.unit), old.form, *now])
+    return rows([f"a voter with {plan.ROUTERS:,} lease holders", "before", "form", "now", "form"], body)
+
+
+def rests(results: Results) -> str:
+    body = []
+    for one in results.rests:
+        for role in ("router", "voter", "aggregator"):
+            share = getattr(one, role)
+            if share is not None:
+                body.append(
+                    [
+                        fleet(one),
+                        role,
+                        core(share.core),
+                        size(share.memory),
+                        f"{size(share.sent)}/s, {size(share.received)}/s",
+                        f"{share.messages:.3g}",
+                        f"{one.machine_core:.1f}",
+                        f"{one.refusing}",
+                    ]
+                )
+    head = [
+        "fleet",
+        "role",
+        "processor time of one",
+        "memory of one",
+        "sent, received",
+        "messages a second",
+        "cores, all processes",
+        "lapses of a lease",
+    ]
+    return rows(head, body)
+
+
+def real(results: Results) -> str:
+    body = [
+        [
+            f"{one.processes}",
+            core(one.core),
+            size(one.memory),
+            size(one.memory_alone),
+            size(one.memory_alone * one.processes),
+        ]
+        for one in results.real
+    ]
+    return rows(
+        ["real routers", "processor time of one", "resident", "of this its own", "own, all of them"], body
+    )
+
+
+def changes(results: Results) -> str:
+    body = []
+    for one in results.changes:
+        times = one.times
+        body.append(
+            [
+                fleet(one),
+                one.kill or "nothing",
+                _rate(one),
+                f"{len(times)}",
+                f"{one.failed}",
+                seconds(statistics.median(times)) if times else MISSING,
+                seconds(percentile(times, 0.99)) if times else MISSING,
+                f"{seconds(one.refusing_mean)}, {seconds(one.refusing_most)}",
+                _cores(one),
+            ]
+        )
+    head = [
+        "fleet",
+        "killed",
+        "asked for",
+        "in force",
+        "not in time",
+        "median",
+        "most, or 99 of 100",
+        "a router without a lease: mean of a change, most",
+        "a router, a voter, an aggregator",
+    ]
+    return rows(head, body)
+
+
+def _rate(one: Changes) -> str:
+    if not one.rate:
+        return "one after the other, with pauses for what was killed"
+    if one.rate > 2 * plan.CHANGES_A_SECOND:
+        return f"as fast as they go: {len(one.times) / one.seconds:.2f} a second"
+    return f"{one.rate:.2f} a second for {one.seconds:.0f} s"
+
+
+def _cores(one: Changes) -> str:
+    shares = [one.router, one.voter, *([one.aggregator] if one.aggregator is not None else [])]
+    return ", ".join(core(share.core) for share in shares)
+
+
+def deaths(results: Results) -> str:
+    body = [
+        [
+            f"{one.routers:,} routers, {one.aggregators} aggregators",
+            f"{one.trials}",
+            f"{one.moved:,}",
+            f"{one.refusing}",
+            seconds(one.refusing_most),
+        ]
+        for one in results.deaths
+    ]
+    head = [
+        "fleet at rest",
+        "aggregators killed",
+        "routers that leased from them",
+        "times that a router had no lease",
+        "longest",
+    ]
+    return rows(head, body)
+
+
+def aims(results: Results) -> str:
+    """Each aim with what was measured of the largest fleet, and whether it holds."""
+    runs, rate, fastest = with_deaths(results), rate_run(results), fastest_run(results)
+    times = [time for one in runs for time in one.times]
+    failed = sum(one.failed for one in runs)
+    death = max(results.deaths, key=lambda one: one.routers, default=None)
+    body = []
+
+    def aim(what: str, whose: str, figure: float | None, limit: float, unit: Unit) -> None:
+        holds = MISSING if figure is None else ("yes" if figure <= limit else "**no**")
+        body.append([what, shown(limit, unit), shown(figure, unit), whose, holds])
+
+    whose = f"{runs[0].routers:,} routers, {len(times) + failed} changes" if runs else MISSING
+    middle = statistics.median(times) if times else None
+    late = percentile(times, 0.99) if times else None
+    aim("change with deaths, median", whose, middle, plan.CHANGE_MEDIAN, Unit.SECONDS)
+    aim("change with deaths, 99 of 100", whose, late, plan.CHANGE_99, Unit.SECONDS)
+    aim(
+        "changes with deaths that were not in force in time",
+        whose,
+        float(failed) if runs else None,
+        0.0,
+        Unit.COUNT,
+    )
+    at_rest = MISSING if death is None else f"{death.routers:,} routers, {death.trials} deaths"
+    lapses = None if death is None else float(death.refusing)
+    aim("routers without a lease where an aggregator dies", at_rest, lapses, 0.0, Unit.COUNT)
+    if rate is None:
+        body.append(
+            [f"{plan.CHANGES_A_SECOND:.2f} changes a second for two minutes", "", MISSING, "", MISSING]
+        )
+    else:
+        asked = len(rate.times) + rate.failed
+        held = len(rate.times) / rate.seconds
+        body.append(
+            [
+                f"{plan.CHANGES_A_SECOND:.2f} changes a second for two minutes",
+                f"{plan.CHANGES_A_SECOND:.2f}/s",
+                f"{held:.2f}/s, {len(rate.times)} of {asked} in force",
+                f"{rate.routers:,} routers, {rate.seconds:.0f} s",
+                "yes" if rate.failed == 0 and held >= RATE_HELD * plan.CHANGES_A_SECOND else "**no**",
+            ]
+        )
+        _role_aims(rate, aim)
+    if fastest is not None:
+        held = len(fastest.times) / fastest.seconds
+        whose = f"{fastest.routers:,} routers, {fastest.seconds:.0f} s"
+        body.append(["highest rate held", "", f"{held:.2f}/s", whose, ""])
+    return rows(["aim", "limit", "measured, hollow", "fleet", "holds"], body)
+
+
+def _role_aims(rate: Changes, aim: Callable[[str, str, float | None, float, Unit], None]) -> None:
+    whose = f"{rate.routers:,} routers, at that rate"
+    aim("a voter's processor time", whose, rate.voter.core, plan.VOTER_CORE_SHARE, Unit.CORE)
+    if rate.aggregator is not None:
+        figure = rate.aggregator.core
+        aim("an aggregator's processor time", whose, figure, plan.AGGREGATOR_CORE_SHARE, Unit.CORE)
+    aim("a router's processor time", whose, rate.router.core, plan.ROUTER_CORE_SHARE, Unit.CORE)
+    traffic = rate.router.sent + rate.router.received
+    aim("a router's payload", whose, traffic, plan.ROUTER_BYTES, Unit.BYTES_A_SECOND)
+
+
+def way(results: Results) -> str:
+    """A change's way to force, as a sum of times, by what was just lost."""
+    lease, sub_lease = plan.LEASE, plan.SUB_LEASE
+    series = [one for one in results.changes if one.aggregators and not one.rate]
+    if series:
+        lease, sub_lease = series[0].lease, series[0].sub_lease
+    closing = CLOSING_PART * lease
+    lost = [
+        ("nothing", 0.0, NOTHING_KILLED),
+        ("a router, killed", sub_lease, "a router"),
+        ("a router that ends by SIGTERM", 0.0, ""),
+        ("a rack of routers", sub_lease, "five routers"),
+        ("a control machine with an aggregator", lease, "an aggregator"),
+        ("a control machine with a voter", 0.0, ""),
+        ("a zone: routers, aggregators, a voter", lease, ""),
+    ]
+    body = []
+    for what, wait, kill in lost:
+        total = wait + closing
+        body.append(
+            [
+                what,
+                f"up to {seconds(wait)}" if wait else "0",
+                seconds(closing),
+                f"up to {seconds(total)}" if wait else seconds(total),
+                _measured(results, kill),
+            ]
+        )
+    head = [
+        "lost just before",
+        "until its lease has ended",
+        "short leases run out",
+        "sum, without messages and disk",
+        "measured, hollow: median, most",
+    ]
+    return rows(head, body)
+
+
+def _measured(results: Results, kill: str) -> str:
+    wanted = "" if kill == NOTHING_KILLED else kill
+    if not kill:
+        return MISSING
+    found = [
+        one
+        for one in results.changes
+        if one.kill == wanted and one.aggregators and not one.rate and one.times
+    ]
+    largest = max(found, key=lambda one: one.routers, default=None)
+    if largest is None:
+        return MISSING
+    return (
+        f"{seconds(statistics.median(largest.times))}, {seconds(max(largest.times))} "
+        f"({largest.routers:,} routers)"
+    )
+
+
+def primary(results: Results) -> str:
+    """A change of primary, as a sum of times."""
+    delta = results.slope("members.delta")
+    read = None if delta is None else delta.value
+    told = LONG_POLL + CALL_TIMEOUT
+    left = plan.PRIMARY_CHANGE_TIME - told - (read or 0.0)
+    body = [
+        ["a long poll is answered as soon as discovery knows", "one way over the network", ""],
+        [
+            "... or, where the watch was silent, until it is opened anew",
+            f"up to {seconds(told)}",
+            How.RECKONED,
+        ],
+        ["the change is read and known to the decision module", shown(read, Unit.SECONDS), How.ALONE],
+        ["writes that were held go to the new primary", "at once", ""],
+        ["left for the group to elect and tell discovery", shown(left, Unit.SECONDS), How.RECKONED],
+    ]
+    return rows([f"part of {seconds(plan.PRIMARY_CHANGE_TIME)}", "time", "from"], body)
+
+
+def day(results: Results) -> str:
+    """An ordinary day's failures and restarts, and what each costs."""
+    sub_lease = plan.SUB_LEASE
+    late = plan.MACHINES_FAILING * plan.CHANGES_A_SECOND * sub_lease
+    killed = plan.EVENTS_A_DAY * plan.CHANGES_A_SECOND * sub_lease
+    whole = results.slope("members.list.bytes")
+    first = results.slope("members.first")
+    lists = None if whole is None else whole.value * plan.EVENTS_A_DAY
+    body = [
+        [
+            f"{plan.MACHINES_FAILING} machines fail",
+            "changes that begin within a sub-lease of it wait for its end",
+            f"{late:.0f} of {plan.CONFIGURATION_CHANGES:,} changes, {_part(late)}",
+        ],
+        [
+            f"{plan.RESTARTS:,} routers restart by SIGTERM",
+            "they give their sub-leases back, and no change waits",
+            "0",
+        ],
+        [
+            f"... if these were killed as well, {plan.EVENTS_A_DAY:,} in all",
+            "the same wait",
+            f"{killed:,.0f} changes, {_part(killed)}",
+        ],
+        [
+            "each start reads the whole list",
+            "bytes of discovery a day; processor time of the router",
+            f"{shown(lists, Unit.BYTES)}; {shown(None if first is None else first.value, Unit.SECONDS)}",
+        ],
+        [
+            f"{plan.PRIMARY_CHANGES} changes of primary",
+            "one entry of the list to every router",
+            f"{plan.PRIMARY_CHANGES * plan.ROUTERS:,} answers of discovery a day",
+        ],
+        [
+            f"{plan.CONFIGURATION_CHANGES:,} changes of configuration",
+            "each router without a lease for a moment at the switch",
+            _refusing(results),
+        ],
+    ]
+    return rows(["in a day", "what it does", "what it costs (reckoned)"], body)
+
+
+def _part(count: float) -> str:
+    return f"{100 * count / plan.CONFIGURATION_CHANGES:.2f}%"
+
+
+def _refusing(results: Results) -> str:
+    run = rate_run(results)
+    if run is None:
+        return MISSING
+    share = run.refusing_mean * plan.CHANGES_A_SECOND
+    return (
+        f"{seconds(run.refusing_mean)} a change and router, {100 * share:.2g}% of the time (measured, hollow)"
+    )
+
+
+def zone(results: Results) -> str:
+    """A zone's loss and return, by both readings of the number of zones."""
+    whole = results.slope("members.list.bytes")
+    body = []
+    for zones, reading in ((plan.ZONES, "8 zones in all"), (plan.ZONES_IN_ALL, "8 zones in each region")):
+        routers = plan.ROUTERS / zones
+        lists = None if whole is None else whole.value * routers
+        body.append(
+            [
+                reading,
+                f"{routers:,.0f}",
+                f"{plan.AGGREGATORS / zones:.1f}",
+                f"up to {seconds(plan.LEASE)}",
+                shown(lists, Unit.BYTES),
+                f"{plan.CLIENT_CONNECTIONS / zones:,.0f}",
+            ]
+        )
+    head = [
+        "reading",
+        "routers of a zone",
+        "aggregators of a zone, of those planned",
+        "a change that begins then waits",
+        "whole lists at its return",
+        "clients that connect elsewhere",
+    ]
+    return rows(head, body)
+
+
+def regions(results: Results) -> str:
+    """Regions that lose each other for an hour."""
+    waits = plan.ISOLATION * plan.CHANGES_A_SECOND
+    lease = seconds(plan.LEASE)
+    body = [
+        [
+            "the regions that have a majority of the voters between them",
+            "everything",
+            f"changes wait once, up to {lease}, then go on",
+        ],
+        [
+            "a region cut off from that majority",
+            f"its routers refuse everything from {lease} on, at the latest, to the end",
+            "its routers take part in none; they adopt the newest policy at the end",
+        ],
+        [
+            "no region has a majority (each alone)",
+            f"every router refuses from {lease} on",
+            f"all wait: {waits:,.0f} in an hour, one at a time",
+        ],
+        [
+            "a lease of an hour instead",
+            "every router serves on",
+            f"each change waits for up to {seconds(plan.ISOLATION)} once anything is cut off or killed",
+        ],
+    ]
+    return rows(["who", "requests", "changes"], body)
+
+
+def data_plane(results: Results) -> str:
+    statement = results.slope("data.statement")
+    cost = None if statement is None else statement.value
+    cores = None if cost is None else cost * plan.STATEMENTS_A_ROUTER
+    most = None if cost is None else 1.0 / cost
+    body = [
+        ["one statement, processor time on sockets", shown(cost, Unit.SECONDS), How.REAL],
+        ["statements a second that one process takes at the most", shown(most, Unit.COUNT), How.RECKONED],
+        ["statements a second and router, planned", f"{plan.STATEMENTS_A_ROUTER:,.0f}", "plan"],
+        ["cores that a router needs for them", MISSING if cores is None else f"{cores:.2f}", How.RECKONED],
+        ["client connections a router", f"{plan.CLIENTS_A_ROUTER:,.0f}", "plan"],
+        ["changes to the list a second, at the most", f"{LIST_CHANGES:.2f}", "plan"],
+    ]
+    return rows(["data plane", "figure", "from"], body)
+
+
+def notes(results: Results) -> str:
+    return "\n".join(f"- {one}" for one in results.notes) or "Nothing was cut short."
+
+
+TABLES: dict[str, Callable[[Results], str]] = {
+    "machines": machines,
+    "plan": planned,
+    "budget": budget,
+    "slopes": slopes,
+    "before": before,
+    "rests": rests,
+    "real": real,
+    "changes": changes,
+    "deaths": deaths,
+    "aims": aims,
+    "way": way,
+    "primary": primary,
+    "day": day,
+    "zone": zone,
+    "regions": regions,
+    "data-plane": data_plane,
+    "notes": notes,
+}
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import math
+from pathlib import Path
 
 import pytest
 
+from banklift.rig import capacity_plan as plan
+from banklift.rig.capacity_needs import needs, percentile
+from banklift.rig.capacity_page import TABLES, UnknownTable, filled
+from banklift.rig.capacity_results import How, Results, fitted, read
 from banklift.rig.slopes import Form, Point, choose, fit, growth
 
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "CAPACITY.md"
+RESULTS = ROOT / "benchmarks" / "results" / "capacity.json"
 SIZES = (40, 200, 1000, 6200)
 
 
@@ -74,3 +82,48 @@
 def test_one_point_is_no_slope() -> None:
     with pytest.raises(ValueError, match="2 points"):
         choose([Point(1, 1.0)])
+
+
+def test_page_and_results_agree() -> None:
+    """`benchmarks/capacity.py --page` makes the tables; nothing in them is typed."""
+    page = PAGE.read_text()
+    assert filled(page, read(RESULTS)) == page
+
+
+def test_every_table_has_its_place_on_the_page() -> None:
+    page = PAGE.read_text()
+    for name in TABLES:
+        assert page.count(f"<!-- table: {name} -->") == 1, name
+
+
+def test_a_place_without_a_table_is_an_error() -> None:
+    with pytest.raises(UnknownTable, match="nothing-of-this"):
+        filled("<!-- table: nothing-of-this -->\n<!-- end of table -->", Results())
+
+
+def test_what_was_not_measured_is_said_to_be_so() -> None:
+    empty = Results()
+    for name, table in TABLES.items():
+        assert table(empty), name
+    assert "not measured" in TABLES["aims"](empty).lower()
+    assert all(one.need is not None or one.ratio is None for one in needs(empty))
+
+
+def test_the_worst_need_comes_first() -> None:
+    cost = fitted("members.delta", "router", "delta", "s", "members", How.ALONE, [(1, 1.0), (2, 1.0)], 2)
+    ratios = [one.ratio for one in needs(Results(slopes=(cost,))) if one.ratio is not None]
+    assert ratios == sorted(ratios, reverse=True)
+    assert ratios[0] > 1
+
+
+def test_the_planned_rates_follow_from_the_planned_counts() -> None:
+    assert pytest.approx(0.347, abs=0.001) == plan.CHANGES_A_SECOND
+    assert plan.MEMBER_CONNECTIONS == 52_080_000
+    assert pytest.approx(2097, abs=1) == plan.STATEMENTS_A_ROUTER
+    assert pytest.approx(3065, abs=1) == plan.CLIENTS_A_ROUTER
+
+
+def test_a_percentile_is_one_of_the_times() -> None:
+    times = [float(number) for number in range(1, 101)]
+    assert percentile(times, 0.99) == 100.0
+    assert percentile([2.0], 0.99) == 2.0
