--- a/banklift/cli/fleet_view.py
+++ b/banklift/cli/fleet_view.py
@@ -52,8 +52,7 @@
     trouble = [*shown.trouble]
     for row in rows:
         trouble += _aggregator_trouble(fleet, row, change)
-        if isinstance(answer := answers.get(row.name), NoAnswer):
-            trouble.append(Trouble(row.name, f"can't be asked for its routers: {answer.reason}"))
+        trouble += _told_trouble(row.name, answers.get(row.name))
     trouble += _earlier_processes(leases)
     for holder in direct:
         trouble += _router_trouble(fleet, holder, change)
@@ -101,6 +100,14 @@
     return [Trouble(row.name, what) for what in found]
 
 
+def _told_trouble(name: str, answer: Shown | NoAnswer | None) -> list[Trouble]:
+    """What an aggregator that was asked says itself, or that it can't be asked."""
+    if isinstance(answer, NoAnswer):
+        return [Trouble(name, f"can't be asked for its routers: {answer.reason}")]
+    told = [] if answer is None else answer.trouble
+    return [Trouble(name, one.what if one.who == name else f"{one.who}: {one.what}") for one in told]
+
+
 def _earlier_processes(leases: list[Holder]) -> list[Trouble]:
     """Aggregators that were restarted, and whose earlier process still has a lease."""
     newest = {one.name: one.incarnation for one in sorted(leases, key=lambda one: one.incarnation)}
--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -180,10 +180,15 @@
 
 def test_aggregators_that_were_asked() -> None:
     told = shown(aggregator("a0"), aggregator("a1"))
-    own = Shown(STATE, "a0", "aggregator", {}, (router("r1"), router("r2")), ())
+    trouble = (Trouble("v1", "no link"), Trouble("a0", "no lease of a majority of voters"))
+    own = Shown(STATE, "a0", "aggregator", {}, (router("r1"), router("r2")), trouble)
     seen = view(FLEET, told, {"a0": own, "a1": NoAnswer("no answer in time")})
     assert seen.aggregators[0].routers == own.holders and seen.aggregators[1].routers is None
-    assert complaints(seen) == ["a1: can't be asked for its routers: no answer in time"]
+    assert complaints(seen) == [
+        "a0: v1: no link",
+        "a0: no lease of a majority of voters",
+        "a1: can't be asked for its routers: no answer in time",
+    ]
 
 
 # ---- the command
