A router stops at once when a lease that it gave up was longer than what it got

Seen in virtual time (never mixed broken, found by random schedules and then on a link with 0.4 s of delay): while leases run out, a router gets a short lease that has ended when it comes. It counted it in place of its longer one and told its grantors so, but told its own machine nothing, as nothing held any more: the machine went on to the old end, beside the new policy. As old as the fleet; also without aggregators. Ruled out: the aggregator's containment.

Lines at fault: lease.py, _out, which told an end only where some epoch holds. Whatever may be served is told now, and before anything that tells a grantor what is given up.

Frames carry a CRC-32: a flipped bit made a lease of 2.7 s one of 682 s. Aggregators report for whom they wait every half second, so that policy set names the router.

--- a/banklift/fleet/aggregator.py
+++ b/banklift/fleet/aggregator.py
@@ -45,6 +45,7 @@
 from banklift.fleet.sub_lease_table import SubLeaseTable, Terms, answer
 
 REFUSAL_GRACE = 0.3  # seconds after the first refusal in which other routers may still answer
+REPORT_PAUSE = 0.5  # seconds between reports to voters while routers are waited for
 SUMMARY_AGE = 0.1  # seconds for which the counts for voters are good
 
 
@@ -71,6 +72,7 @@
         self.table = SubLeaseTable(sub_lease, drift)
         self.view = ChangeView()  # that was acted upon
         self.first_refusal = math.inf
+        self.report_at = math.inf  # when voters are told next for whom it waits
         self.closing = (
             False  # routers were told to renew, as their sub-leases reach beyond the newest windows
         )
@@ -143,6 +145,7 @@
             last = self.table.unanswered.latest()
             times.append(last if last > now else math.inf)
             times.append(self.first_refusal + REFUSAL_GRACE)
+            times.append(self.report_at)
         if self.closing:
             times += [end for epoch in self.table.by_epoch if (end := self.table.latest_end(epoch)) > now]
         return min(times)
@@ -169,6 +172,7 @@
             self.parent.verdict = ()  # a refusal that came too late undoes nothing
         if view.change and view.change != before.change:
             self.first_refusal = math.inf
+            self.report_at = now + REPORT_PAUSE
             self.actions.append(AnnounceRenewal(check=True))
 
     def _gather_verdict(self, now: float) -> None:
@@ -184,6 +188,9 @@
             self._tell_verdict(now, self._reasons(now))  # of a router that came once all others had accepted
         elif self.parent.verdict is None and self.table.seal(now):
             self._tell_verdict(now, ())
+        if self.parent.verdict is None and now >= self.report_at:
+            self.report_at = now + REPORT_PAUSE
+            self.actions += self.parent.request_all(now)
 
     def _reasons(self, now: float) -> tuple[str, ...]:
         return tuple(
--- a/banklift/fleet/driver.py
+++ b/banklift/fleet/driver.py
@@ -73,7 +73,9 @@
         found = [f"voter {name} has not answered" for name in self.voters if name not in self.answers]
         slowest = self._slowest()
         for name, holder in sorted(slowest.items()):
-            found += holder.summary.slowest if holder.summary is not None else ()
+            if holder.summary is not None and holder.summary.slowest:
+                found += [f"{line} (at {name})" for line in holder.summary.slowest]
+                continue
             silence, left = f"{holder.heard:.1f} s", f"{holder.left:.1f} s"
             found.append(f"{name} has not answered for {silence}; its lease ends in {left}")
         unnamed = max((one.waiting for one in self.answers.values()), default=0) - len(slowest)
--- a/banklift/fleet/lease.py
+++ b/banklift/fleet/lease.py
@@ -229,33 +229,45 @@
         return next(iter(good.items()), (0, -math.inf))
 
     def _out(self, now: float) -> list[Action]:
-        """What may be served now, and what is to be done about it."""
+        """What may be served now comes first, before anything that tells a grantor what is given up."""
+        told: list[Action] = []
         epoch, end = (0, -math.inf) if self.left else self._good(now)
         text = self.policies.texts.get(self.epochs.get(epoch, ""))
-        if epoch and text is not None:
-            self._serve(epoch, end, text)
-        elif not epoch and self.serving and now >= self.until and not self.fenced and not self.left:
-            self.fenced = True
-            troubles = {name: self.trouble(now, name) for name in self.grantors}
-            fields: dict[str, object] = {"epoch": self.serving, "grantors": troubles}
-            self.actions.append(LogLine("fenced: not enough leases", fields))
-        done, self.actions = self.actions, []
+        if epoch and text is not None and not self._refuses(epoch):
+            self._serve(epoch, end, text, told)
+        else:
+            self._stop(now, bool(epoch), told)
+        done, self.actions = [*told, *self.actions], []
         return done
 
-    def _serve(self, epoch: int, end: float, text: bytes) -> None:
+    def _refuses(self, epoch: int) -> bool:
+        """Whether this router's own check is against the policy in force."""
         reasons = self.policies.verdict(self.epochs[epoch])
-        if reasons:
-            if self.fenced is False or self.serving != 0:
-                fields: dict[str, object] = {"epoch": epoch, "reasons": list(reasons)}
-                self.actions.append(LogLine("policy in force is refused", fields))
-            self.serving, self.fenced, self.until = 0, True, -math.inf
-            return
+        if reasons and not (self.fenced and self.serving == 0):
+            fields: dict[str, object] = {"epoch": epoch, "reasons": list(reasons)}
+            self.actions.append(LogLine("policy in force is refused", fields))
+            self.serving, self.fenced = 0, True
+        return bool(reasons)
+
+    def _serve(self, epoch: int, end: float, text: bytes, told: list[Action]) -> None:
         if epoch != self.serving:
             self.serving = epoch
-            self.actions.append(EpochAdopted(epoch, text))
+            told.append(EpochAdopted(epoch, text))
         if end != self.until or self.fenced:
             self.until, self.fenced = end, False
-            self.actions.append(LeaseExtended(end, RETRY_PART * self.lease))
+            told.append(LeaseExtended(end, RETRY_PART * self.lease))
+
+    def _stop(self, now: float, refused: bool, told: list[Action]) -> None:
+        """Nothing may be served. The end that was told last may be later: a longer lease was given up for a
+        shorter one that had ended when it came."""
+        if self.until > now:
+            self.until = now
+            told.append(LeaseExtended(now, RETRY_PART * self.lease))
+        if self.serving and not self.fenced and not self.left and not refused:
+            self.fenced = True
+            troubles = {name: self.trouble(now, name) for name in self.grantors}
+            fields: dict[str, object] = {"epoch": self.serving, "grantors": troubles}
+            self.actions.append(LogLine("fenced: not enough leases", fields))
 
     def trouble(self, now: float, name: str) -> str:
         """Why this grantor gives no lease, in words; empty if it does."""
--- a/banklift/fleet/messages.py
+++ b/banklift/fleet/messages.py
@@ -9,13 +9,16 @@
 
 from enum import StrEnum
 from typing import Any
+from zlib import crc32
 
 import msgspec
 
 from banklift.fleet.state import Outcome, State
 
 VERSION = 2  # of these messages; another one ends the link
-LENGTH = 4  # bytes in front of each frame
+LENGTH = 4  # bytes in front of each frame, for the length of its body ...
+CHECKSUM = 4  # ... and for the CRC-32 of it: TCP's own sum lets one altered segment in 65,536 pass
+HEAD = LENGTH + CHECKSUM
 FRAME_LIMIT = 4 * 1024 * 1024  # bytes of one frame
 Ballot = tuple[int, str]  # round and voter, compared in that order
 NO_BALLOT: Ballot = (0, "")
@@ -285,7 +288,11 @@
 
 def encode(message: Message) -> bytes:
     body = _encoder.encode(message)
-    return len(body).to_bytes(LENGTH, "big") + body
+    return len(body).to_bytes(LENGTH, "big") + _checksum(body) + body
+
+
+def _checksum(body: bytes) -> bytes:
+    return crc32(body).to_bytes(CHECKSUM, "big")
 
 
 class Frames:
@@ -302,10 +309,12 @@
             length = int.from_bytes(self.buffer[:LENGTH], "big")
             if length > FRAME_LIMIT:
                 raise Garbage(f"a frame of {length} bytes")
-            if len(self.buffer) < LENGTH + length:
+            if len(self.buffer) < HEAD + length:
                 break
-            body = bytes(self.buffer[LENGTH : LENGTH + length])
-            del self.buffer[: LENGTH + length]
+            checksum, body = bytes(self.buffer[LENGTH:HEAD]), bytes(self.buffer[HEAD : HEAD + length])
+            del self.buffer[: HEAD + length]
+            if checksum != _checksum(body):
+                raise Garbage("a frame that was altered on its way")
             try:
                 found.append(_decoder.decode(body))
             except (msgspec.DecodeError, UnicodeDecodeError) as error:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -224,6 +224,32 @@
     assert len(driven.told) == 1
 
 
+def test_a_shorter_lease_that_has_ended_when_it_comes_stops_the_router_before_it_says_so() -> None:
+    driven = router()
+    served(driven)
+    driven.wake()
+    number = driven.requests("a0")[-1].number
+    sent, driven.now = driven.now, driven.now + 0.3
+    driven.told.clear()
+    actions = driven.member.data(driven.now, driven.links["a0"], encode(grant(number, ttl=0.2)))
+    assert sent + 0.2 < driven.now < 100.0 + SUB_LEASE * (1 - DRIFT)  # the longer one would hold yet
+    kinds = [type(one) for one in actions]
+    assert LeaseExtended(driven.now, SUB_LEASE / 20) in actions
+    assert kinds.index(LeaseExtended) < kinds.index(Write)
+
+
+@pytest.mark.parametrize("place", [0, 2, 3, 5, 9, 40])
+def test_a_frame_that_was_altered_ends_the_link(place: int) -> None:
+    driven = router()
+    served(driven)
+    driven.wake()
+    frame = bytearray(encode(grant(driven.requests("a0")[-1].number, ttl=1.0)))
+    frame[place] ^= 1 << 3
+    driven.carry(driven.member.data(driven.now, driven.links["a0"], bytes(frame) + bytes(2**16)))
+    assert driven.shut == [driven.links["a0"]]
+    assert all(one.time < 102.0 for one in driven.told if isinstance(one, LeaseExtended))
+
+
 def test_who_answers_has_to_be_who_was_called() -> None:
     driven = router()
     driven.greet("a0", Role.ROUTER)
