--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -9,9 +9,9 @@
 
 - alone: requests to a voter and to an aggregator, lists of members, policies, an operator's question, without sockets
 - real: `banklift router` processes at rest
-- rest: hollow fleets with aggregators at several sizes, at rest
+- rest: hollow fleets with aggregators at several sizes, at rest, but for those of the part aims
 - direct: hollow fleets whose routers lease from voters, at rest and with changes
-- aims: changes in a hollow fleet with aggregators, with deaths at drawn moments, at a rate, and as fast as they go
+- aims: rest and changes in hollow fleets with aggregators: with deaths at drawn moments, at a rate, as fast as they go
 - data: processor time of one statement of the router on the platform (benchmarks/service.py)
 """
 
@@ -30,6 +30,7 @@
 import anyio
 import msgspec
 
+from banklift.net.operator import Unreachable
 from banklift.rig import capacity_page
 from banklift.rig import capacity_plan as plan
 from banklift.rig.capacity_alone import (
@@ -80,7 +81,8 @@
     direct: tuple[int, ...] = (40, 100, 230, 1000)
     rest: float = 8.0  # seconds that a fleet at rest is watched
     undisturbed: int = 8  # changes of one series
-    deaths: int = 8  # changes of one series with something killed
+    deaths: int = 10  # changes of one series with something killed
+    series_time: float = 45.0  # seconds in which those of one series begin
     rate_time: float = 120.0  # seconds
     fastest_time: float = 20.0
     aggregators: int = plan.AGGREGATORS
@@ -102,6 +104,7 @@
     1.0,
     1,
     1,
+    30.0,
     4.0,
     3.0,
     2,
@@ -134,6 +137,7 @@
 
     def __init__(self, path: Path, scale: Scale, given: argparse.Namespace) -> None:
         self.path, self.scale, self.given = path, scale, given
+        self.end = time.monotonic() + 60.0 * given.minutes
         self.results = read(path) if path.exists() else Results()
 
     def _replace(self, **fields: object) -> None:
@@ -159,9 +163,16 @@
             )
 
     def add(self, field: str, one: Rest | Changes | Death | RealRouter) -> None:
-        self._replace(**{field: (*getattr(self.results, field), one)})
+        """Add it to the results; of one fleet at rest, the last that was measured stays."""
+        earlier = [old for old in getattr(self.results, field) if not self._same_rest(old, one)]
+        self._replace(**{field: (*earlier, one)})
         print(f"  {one}", flush=True)
 
+    def _same_rest(self, old: object, new: object) -> bool:
+        if not isinstance(old, Rest) or not isinstance(new, Rest):
+            return False
+        return (old.routers, old.voters, old.aggregators) == (new.routers, new.voters, new.aggregators)
+
     def forget(self, field: str, tiered: bool) -> None:
         """Drop what an earlier run found in fleets with aggregators, or without."""
         kept = tuple(one for one in getattr(self.results, field) if (one.aggregators > 0) is not tiered)
@@ -195,13 +206,9 @@
 
         anyio.run(measure)
         found = self.results.real
-        self.slopes(
-            [
-                rising("real.core", "router", "real router at rest", "core", How.REAL, points)
-                for points in [[(float(one.processes), one.core) for one in found]]
-                if len(points) > 1
-            ]
-        )
+        points = [(float(one.processes), one.core) for one in found]
+        if len(points) > 1:
+            self.slopes([rising("real.core", "router", "real router at rest", "core", How.REAL, points)])
 
     # ---- hollow fleets
 
@@ -222,19 +229,28 @@
     def played(self, part: str, shape: Shape, play: Callable[[HollowFleet, float], Awaitable[None]]) -> None:
         """Start a hollow fleet and play on it. What fails is noted, with what was found before kept."""
 
-        async def run() -> None:
-            with tempfile.TemporaryDirectory() as folder:
-                async with hollow_fleet(shape, Path(folder)) as fleet:
-                    await play(fleet, await fleet.start())
+        async def run() -> bool:
+            with anyio.move_on_at(anyio.current_time() + self.left()) as scope:
+                with tempfile.TemporaryDirectory() as folder:
+                    async with hollow_fleet(shape, Path(folder)) as fleet:
+                        await play(fleet, await fleet.start())
+            return scope.cancelled_caught
 
+        told = ""
         try:
-            anyio.run(run)
-        except* (Broken, TimeoutError, OSError) as group:
+            if anyio.run(run):
+                told = "the time of the run was over"
+        except* (Broken, Unreachable, TimeoutError, OSError) as group:
             told = "; ".join(f"{type(one).__name__} {one}".strip()[:200] for one in flat(group))
+        if told:
             note = f"{part}: {shape.routers} routers, {shape.aggregators} aggregators: cut short: {told}"
             self._replace(notes=(*self.results.notes, note))
             print(f"  {note}", flush=True)
 
+    def left(self) -> float:
+        """Seconds that this run may still take."""
+        return max(0.0, self.end - time.monotonic())
+
     def rest(self) -> None:
         self.forget("rests", True)
 
@@ -242,7 +258,8 @@
             self.add("rests", await rest(fleet, self.scale.rest, start))
 
         for routers in self.scale.fleets:
-            self.played("rest", self.shape(routers), watch)
+            if routers not in self.given.routers:  # these are watched before their changes
+                self.played("rest", self.shape(routers), watch)
         self.slopes(rest_slopes(self.results, True))
 
     def direct(self) -> None:
@@ -264,12 +281,15 @@
             self.forget(field, True)
         scale = self.scale
 
+        async def series(fleet: HollowFleet, victim: Victim, count: int) -> None:
+            self.add("changes", await changes(fleet, victim, count, 0.0, 2, scale.series_time))
+
         async def play(fleet: HollowFleet, start: float) -> None:
-            await anyio.sleep(1.3 * fleet.shape.lease)
-            self.add("changes", await changes(fleet, Victim.NOBODY, scale.undisturbed, 0.0, 1))
+            self.add("rests", await rest(fleet, scale.rest, start))
+            await series(fleet, Victim.NOBODY, scale.undisturbed)
             self.add("deaths", await death(fleet, scale.aggregator_deaths, 1))
             for victim in (Victim.ROUTER, Victim.ROUTERS, Victim.AGGREGATOR):
-                self.add("changes", await changes(fleet, victim, scale.deaths, 0.0, 2))
+                await series(fleet, victim, scale.deaths)
             if fleet.shape.routers == self.given.routers[-1]:
                 count = max(2, int(scale.rate_time * plan.CHANGES_A_SECOND))
                 rate = plan.CHANGES_A_SECOND
@@ -280,6 +300,7 @@
 
         for routers in self.given.routers:
             self.played("aims", self.shape(routers), play)
+        self.slopes(rest_slopes(self.results, True))
 
     # ---- the data plane
 
@@ -354,6 +375,7 @@
     parser.add_argument("--out", type=Path, default=RESULTS)
     parser.add_argument("--before", type=Path, help="costs of an older version, to stand beside these")
     parser.add_argument("--page", action="store_true", help="make the tables of docs/CAPACITY.md")
+    parser.add_argument("--minutes", type=float, default=60.0, help="after which hollow fleets are cut short")
     parser.add_argument("--lease", type=float, default=plan.LEASE)
     parser.add_argument("--sub-lease", type=float, default=plan.SUB_LEASE)
     parser.add_argument(
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -14,6 +14,8 @@
 import statistics
 from pathlib import Path
 
+from banklift.fleet.links import Write
+from banklift.fleet.member import Action
 from banklift.net import fleet as shell
 from banklift.rig.world import FleetWorld
 
@@ -27,9 +29,9 @@
         self.messages = self.bytes = 0
         real = shell.FleetHost.carry
 
-        def carry(host: shell.FleetHost, actions: list[shell.NodeAction]) -> None:
+        def carry(host: shell.FleetHost, actions: list[Action]) -> None:
             for action in actions:
-                if isinstance(action, shell.Write):
+                if isinstance(action, Write):
                     self.messages += 1
                     self.bytes += len(action.data)
             real(host, actions)
