--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -137,7 +137,7 @@
 
     def __init__(self, path: Path, scale: Scale, given: argparse.Namespace) -> None:
         self.path, self.scale, self.given = path, scale, given
-        self.end = time.monotonic() + 60.0 * given.minutes
+        self.end: float = time.monotonic() + 60.0 * given.minutes
         self.results = read(path) if path.exists() else Results()
 
     def _replace(self, **fields: object) -> None:
@@ -230,10 +230,9 @@
         """Start a hollow fleet and play on it. What fails is noted, with what was found before kept."""
 
         async def run() -> bool:
-            with anyio.move_on_at(anyio.current_time() + self.left()) as scope:
-                with tempfile.TemporaryDirectory() as folder:
-                    async with hollow_fleet(shape, Path(folder)) as fleet:
-                        await play(fleet, await fleet.start())
+            with anyio.move_on_after(self.left()) as scope, tempfile.TemporaryDirectory() as folder:
+                async with hollow_fleet(shape, Path(folder)) as fleet:
+                    await play(fleet, await fleet.start())
             return scope.cancelled_caught
 
         told = ""
@@ -336,7 +335,9 @@
 
 def rest_slopes(results: Results, tiered: bool) -> list[Slope]:
     """Of hollow fleets at rest: what a member of each kind uses against the number of routers."""
-    rests = [one for one in results.rests if (one.aggregators > 0) is tiered]
+    rests = sorted(
+        (one for one in results.rests if (one.aggregators > 0) is tiered), key=lambda one: one.routers
+    )
     if len(rests) < 2:
         return []
     tier = "tiered" if tiered else "direct"
