--- a/banklift/rig/exhaustive_history.py
+++ b/banklift/rig/exhaustive_history.py
@@ -146,7 +146,7 @@
 
 def told_and_lost(history: History) -> str:
     for told in history.told:
-        if CHANGES[told.proposer] not in told.state.policy:
+        if not told.read and CHANGES[told.proposer] not in told.state.policy:
             return f"{told.proposer} was told that {told.state.policy!r} is chosen, without its change"
         for other in history.chosen:
             if other.ballot > told.ballot and not derives(other.state, told.state):
--- a/banklift/rig/exhaustive_voter.py
+++ b/banklift/rig/exhaustive_voter.py
@@ -8,6 +8,7 @@
 | voting | `begin`, with a try left | voting, its proposal under a new ballot | `Prepare` to all |
 | voting | `Prepare`, `Accept`, `Rejoin` | voting, record written | the register's answer |
 | voting | `Promise`, `Accepted`, `Nack` | voting | `Accept` to all, once a majority has promised |
+| voting again, if it reads | - | voting, with a proposal that changes nothing | `Prepare` to all |
 | any | `crash` | rejoining, proposal forgotten, disk as drawn | `Rejoin` to the others |
 | rejoining | `Rejoin` | rejoining | the register's answer |
 | rejoining | `Rejoined` | voting, once enough is known | `Rejoin` to the others, if it was outlived |
@@ -17,7 +18,8 @@
 A record is written in the step that changes it, before the answer is in flight: a crash between both is a crash after
 the step with that answer never delivered. A message to itself is handled in place, as by `Voter._send`; its answer to
 itself, too, unless disks are slow: then that is in flight like others, and ends with a crash. A voter that is down is
-one that rejoins and to which nothing is delivered.
+one that rejoins and to which nothing is delivered. A read is tried under one ballot, and `begin` may come before it
+is done, where `Proposer` would wait for it.
 """
 
 from __future__ import annotations
@@ -58,9 +60,10 @@
 
 
 class ProposalState(msgspec.Struct, frozen=True):
-    """A `Proposal` as a value."""
+    """A `Proposal` as a value. `read`: it changes nothing."""
 
     ballot: Ballot
+    read: bool
     promises: dict[str, Promise]
     accepts: dict[str, Accepted]
     state: State | None
@@ -75,17 +78,28 @@
     answers: dict[str, Rejoined]
 
 
+class Habits(msgspec.Struct, frozen=True):
+    """What is the same for all voters of a world. `slow_disk`: a voter's answer to itself is in flight like others.
+    `reads`: a voter that votes again begins with a proposal that changes nothing, as `Voter` does."""
+
+    slow_disk: bool = False
+    reads: bool = False
+
+
+PLAIN = Habits()
+
+
 class VoterState(msgspec.Struct, frozen=True):
     """`disk`: all records that it has held, the newest last; kept only while a crash may come (`keeps_disk`).
     `tries`: ballots that its change may still be proposed under. `highest`: the highest ballot that its proposer
     knows. `told`: its change is known to be chosen. `trusted`: its disk has neither been lost nor rolled back, or it
-    votes again since. `slow_disk`: its answers to itself are in flight."""
+    votes again since."""
 
     record: Record
     disk: tuple[Record, ...]
     keeps_disk: bool
     tries: int
-    slow_disk: bool
+    habits: Habits
     highest: Ballot = NO_BALLOT
     told: bool = False
     trusted: bool = True
@@ -98,7 +112,7 @@
 
     @property
     def may_propose(self) -> bool:
-        """Whether it may ever begin another proposal, unless it crashes."""
+        """Whether it may propose its change once more, unless it crashes."""
         return self.tries > 0 and not self.told
 
 
@@ -112,9 +126,10 @@
 
 
 class Told(msgspec.Struct, frozen=True):
-    """Event: a proposer has been told that its state is chosen."""
+    """Event: a proposer has been told that its state is chosen. `read`: of a proposal that changes nothing."""
 
     proposer: str
+    read: bool
     ballot: Ballot
     state: State
 
@@ -154,13 +169,13 @@
     record: Record | None
 
 
-def first_state(name: str, tries: int, keeps_disk: bool, slow_disk: bool) -> VoterState:
+def first_state(name: str, tries: int, keeps_disk: bool, habits: Habits) -> VoterState:
     """A voter of a fleet that has begun: all have accepted the first state and vote."""
     incarnations = dict.fromkeys(VOTERS, 1)
     first = found(FLEET, b"")
     record = Record(FLEET, name, 1, FIRST_BALLOT, FIRST_BALLOT, first, incarnations, incarnations)
     tries = tries if name in CHANGES else 0
-    return VoterState(record, (record,) if keeps_disk else (), keeps_disk, tries, slow_disk, FIRST_BALLOT)
+    return VoterState(record, (record,) if keeps_disk else (), keeps_disk, tries, habits, FIRST_BALLOT)
 
 
 def append_change(name: str, state: State | None) -> State:
@@ -209,7 +224,7 @@
         held,
         voter.keeps_disk,
         voter.tries,
-        voter.slow_disk,
+        voter.habits,
         trusted=disk.fault is DiskFault.WHOLE and voter.trusted,
         rejoining=RejoiningState(record, not lost, lost, {}),
     )
@@ -230,7 +245,8 @@
     def __init__(self, voter: VoterState) -> None:
         self.name, self.tries, self.highest = voter.name, voter.tries, voter.highest
         self.record, self.disk, self.keeps_disk = voter.record, voter.disk, voter.keeps_disk
-        self.told, self.trusted, self.slow_disk = voter.told, voter.trusted, voter.slow_disk
+        self.told, self.trusted, self.habits = voter.told, voter.trusted, voter.habits
+        self.read = voter.proposal is not None and voter.proposal.read
         self.proposal = self._proposal_of(voter)
         self.rejoining = self._rejoining_of(voter)
         self.sent: list[Envelope] = []
@@ -244,7 +260,7 @@
             self.disk,
             self.keeps_disk,
             self.tries,
-            self.slow_disk,
+            self.habits,
             self.highest if may_propose else NO_BALLOT,  # read by `begin` alone
             self.told,
             self.trusted,
@@ -257,9 +273,7 @@
 
     def begin(self) -> None:
         self.tries -= 1
-        self.highest = (self.highest[0] + 1, self.name)
-        self.proposal = Proposal(self.highest, VOTERS, self._change)
-        self._all(Prepare(self.highest))
+        self._propose(read=False)
 
     def start(self) -> None:
         assert self.rejoining is not None
@@ -282,7 +296,7 @@
                 self._answered(sender, message)
 
     def send(self, receiver: str, message: RegisterMessage) -> None:
-        waits = self.slow_disk and isinstance(message, Promise | Accepted | Nack)
+        waits = self.habits.slow_disk and isinstance(message, Promise | Accepted | Nack)
         if receiver == self.name and not waits:
             self.receive(self.name, message)
         else:
@@ -290,6 +304,12 @@
 
     # ---- parts
 
+    def _propose(self, read: bool) -> None:
+        self.highest = (self.highest[0] + 1, self.name)
+        self.read = read
+        self.proposal = Proposal(self.highest, VOTERS, self._change)
+        self._all(Prepare(self.highest))
+
     def _all(self, message: Prepare | Accept) -> None:
         for voter in VOTERS:
             self.send(voter, message)
@@ -300,6 +320,8 @@
             self.disk = (*self.disk, record)
 
     def _change(self, state: State | None) -> State:
+        if self.read:
+            return state or found(FLEET, b"")
         return append_change(self.name, state)
 
     def _vote_on(self, sender: str, message: Prepare | Accept) -> None:
@@ -334,8 +356,8 @@
             case Accepted():
                 state = proposal.accepted(sender, message)
                 if state is not None:
-                    self.proposal, self.told = None, True
-                    self.events.append(Told(self.name, proposal.ballot, state))
+                    self.proposal, self.told = None, self.told or not self.read
+                    self.events.append(Told(self.name, self.read, proposal.ballot, state))
             case Nack():
                 if proposal.nack(message):
                     self.proposal = None
@@ -371,6 +393,8 @@
         self.record, self.rejoining, self.trusted = record, None, True
         self._write(record)
         self.highest = max(self.highest, record.promised)
+        if self.habits.reads:
+            self._propose(read=True)
 
     # ---- values and objects
 
@@ -400,7 +424,7 @@
                 known = register.merged(known, promise.incarnations)
             promises = {self.name: Promise(own.ballot, NO_BALLOT, None, known)}
         accepts = {name: own.accepts[name] for name in sorted(own.accepts)}
-        return ProposalState(own.ballot, promises, accepts, own.state)
+        return ProposalState(own.ballot, self.read, promises, accepts, own.state)
 
     def _rejoining_state(self) -> RejoiningState | None:
         own = self.rejoining
