A lease over on its arrival, in tests; schedules with slow and cut off members

Change: a test over sixteen delays, each way, with and without an aggregator; a planted bug for it. Schedules draw delays up to 0.8 s, sub-leases of three lengths, members that are slow or cut off as a whole.

--- a/banklift/rig/schedule.py
+++ b/banklift/rig/schedule.py
@@ -16,11 +16,14 @@
 from banklift.rig.world import FleetWorld, Router
 from banklift.rig.world_judge import REFUSED
 
+LEASE = 4.0  # seconds that voters grant
 SECONDS = 40.0  # of faults
 STARTING = 4.0  # seconds in which all come up
 RECOVERY = 30.0  # seconds after the last fault in which all is to be well again
 PAUSE_BETWEEN = 1.0  # seconds between two events, at the most
-FAULT_VALUES = {"delay": 0.3, "throttle": 2000.0}  # seconds, and bytes a second
+THROTTLE = 2000.0  # bytes a second
+LONGEST_DELAY = 0.8  # seconds of one way: twice the leases that are granted while a change takes hold
+SUB_LEASE_PARTS = (1 / 4, 2 / 3, 1.0)  # of a lease: what aggregators grant
 REASON = "not in this build"  # of a router that refuses
 
 
@@ -47,7 +50,9 @@
             (0.06, self._leave),
             (0.10, self._pause),
             (0.06, self._disk),
-            (0.38, self._link),
+            (0.24, self._link),
+            (0.07, self._cut_off),
+            (0.07, self._slow),
         )
 
     def _direct(self) -> FleetWorld:
@@ -60,6 +65,8 @@
             self.seed,
             self.random.randrange(5, 10),
             voters=3,
+            lease=LEASE,
+            sub_lease=LEASE * self.random.choice(SUB_LEASE_PARTS),
             aggregators=aggregators,
             direct=self.random.choice((0, 0, 1)),
             zones=2 if aggregators == 4 else 1,
@@ -149,10 +156,30 @@
     def _link(self) -> None:
         relay = self.random.choice(list(self.fleet.relays.values()))
         fault, way = self.random.choice(FAULTS), self.random.choice((THERE, BACK))
-        relay.fault(way, fault, FAULT_VALUES.get(fault, 1.0))
+        values = {"delay": self.random.uniform(0.0, LONGEST_DELAY), "throttle": THROTTLE}
+        relay.fault(way, fault, values.get(fault, 1.0))
         self.fleet.case(f"events: {fault}")
         self._later(8.0, lambda: relay.fault(way, fault, 0))
 
+    def _cut_off(self) -> None:
+        """All links of one member, or those with voters or with aggregators, one way or both."""
+        fleet, random = self.fleet, self.random
+        key = random.choice(list(fleet.members))
+        others = random.choice(((), fleet.voters, tuple(fleet.aggregators)))
+        way = random.choice((None, THERE, BACK))
+        fleet.cut_off(key, others, way)
+        fleet.case("events: cut off")
+        self._later(8.0, lambda: fleet.heal(key))
+
+    def _slow(self) -> None:
+        """All links of one member take long, one way."""
+        key, way = self.random.choice(list(self.fleet.members)), self.random.choice((THERE, BACK))
+        seconds = self.random.uniform(0.0, LONGEST_DELAY)
+        for relay in self.fleet.links(key):
+            relay.fault(way, "delay", seconds)
+        self.fleet.case("events: slow")
+        self._later(8.0, lambda: self.fleet.heal(key))
+
     def _running(self) -> str | None:
         """A member that is drawn, if it runs."""
         key = self.random.choice(list(self.fleet.members))
--- a/tests/test_aggregator_planted.py
+++ b/tests/test_aggregator_planted.py
@@ -12,10 +12,11 @@
 
 import pytest
 
-from banklift.fleet import parent_lease
+from banklift.fleet import holder, parent_lease
 from banklift.fleet.aggregator import Aggregator
 from banklift.fleet.holder import LeaseHolder
 from banklift.fleet.holder_table import Entry, HolderTable
+from banklift.fleet.lease import LeaseClient
 from banklift.fleet.messages import LeaseGrant, LeaseRequest
 from banklift.fleet.parent_lease import ParentLease, Window
 from banklift.fleet.state import Stage
@@ -140,6 +141,18 @@
     return complaints(fleet, fleet.change(b"second"))
 
 
+def a_router_on_a_slow_link() -> list[str]:
+    """While leases run out it gets one that is over on its arrival, in place of a longer one."""
+    found = []
+    for step in range(10):
+        fleet = up(15, ALONE)
+        for relay in fleet.links("r4", ("a0",)):
+            relay.fault("there", "delay", 0.3 + 0.02 * step)
+        fleet.run(LEASE)
+        found += complaints(fleet, fleet.change(b"second"))
+    return found
+
+
 def clocks() -> list[str]:
     """Clocks of voters are fast, of the aggregator slow, and of its routers fast or slow, as far as is stated."""
     found = []
@@ -246,6 +259,7 @@
     a_router_is_cut_off_before_the_switch,
     killed_and_started_beside_a_stray,
     slow_links,
+    a_router_on_a_slow_link,
     clocks,
     a_router_refuses,
     a_router_restarts_and_refuses,
@@ -332,6 +346,13 @@
     patch.setattr(LeaseHolder, "_count", count)
 
 
+def an_end_that_comes_sooner_is_not_told(patch: Patch) -> None:
+    def stop(self: LeaseClient, now: float, refused: bool, told: list[holder.Action]) -> None:
+        return
+
+    patch.setattr(LeaseClient, "_stop", stop)
+
+
 def drift_left_out(patch: Patch) -> None:
     real_table, real_holder = SubLeaseTable.__init__, LeaseHolder.__init__
 
@@ -401,6 +422,7 @@
         older_grants_given_up_while_longer_sub_leases_are_out, (a_router_is_cut_off_while_leases_run_out,)
     ),
     Planted(counted_from_receipt, (slow_links,)),
+    Planted(an_end_that_comes_sooner_is_not_told, (a_router_on_a_slow_link,)),
     Planted(drift_left_out, (clocks,)),
     Planted(a_lease_of_an_older_incarnation_is_forgotten, (killed_and_started_beside_a_stray,)),
     Planted(the_next_epoch_begins_at_once, (a_router_is_cut_off_before_the_switch,)),
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -143,6 +143,24 @@
     assert fleet.serving() == dict.fromkeys(fleet.names, 1) and not fleet.routers["r4"].ousted
 
 
+@pytest.mark.parametrize("way", ["there", "back"])
+@pytest.mark.parametrize("aggregators", [0, 1])
+def test_a_short_lease_that_has_ended_when_it_comes_ends_the_longer_one(aggregators: int, way: str) -> None:
+    """While leases run out, a router on a slow link gets a lease that is over on its arrival, and gives up the longer
+    one that it had: it has to stop at once."""
+    for step in range(16):
+        fleet = FleetWorld(1, 5, 3, aggregators=aggregators)
+        for key in fleet.members:
+            fleet.start(key)
+        fleet.run(6.0)
+        for relay in fleet.links("r4"):
+            relay.fault(way, "delay", 0.05 * (step + 1))
+        fleet.run(4.0)
+        assert fleet.change(b"second") == "in force"
+        fleet.run(3.0)
+        assert fleet.breaks == [], step
+
+
 @pytest.mark.parametrize("seeds", [range(place, place + 10) for place in range(0, 40, 10)])
 def test_faults_of_all_kinds_together(seeds: range) -> None:
     """More seeds: `python -m banklift.rig.seeds --direct --from 0 --count 200`."""
