--- a/banklift/rig/capacity_page.py
+++ b/banklift/rig/capacity_page.py
@@ -268,6 +268,7 @@
                 seconds(percentile(times, 0.99)) if times else MISSING,
                 f"{seconds(one.refusing_mean)}, {seconds(one.refusing_most)}",
                 _cores(one),
+                f"{one.machine_core:.1f}",
             ]
         )
     head = [
@@ -279,7 +280,8 @@
         "median",
         "most, or 99 of 100",
         "a router without a lease: mean of a change, most",
-        "a router, a voter, an aggregator",
+        "processor time: a router, a voter, an aggregator",
+        "cores, all processes",
     ]
     return rows(head, body)
 
--- a/banklift/rig/capacity_results.py
+++ b/banklift/rig/capacity_results.py
@@ -107,6 +107,7 @@
     router: Share
     voter: Share
     aggregator: Share | None
+    machine_core: float  # cores used by all of its processes
     refusing_most: float  # seconds that one router was without a lease, at the most
     refusing_mean: float  # seconds that a router was without a lease for one change
 
--- a/banklift/rig/capacity_trials.py
+++ b/banklift/rig/capacity_trials.py
@@ -47,7 +47,7 @@
         shares[Kind.ROUTERS],
         shares[Kind.VOTER],
         shares.get(Kind.AGGREGATOR),
-        sum((after[name].cpu - before[name].cpu) for name in after) / seconds,
+        sum(_cpu(name, before, after) for name in after) / seconds,
         start,
         sum(after[name].lapses - before[name].lapses for name in after),
     )
@@ -131,11 +131,19 @@
         shares[Kind.ROUTERS],
         shares[Kind.VOTER],
         shares.get(Kind.AGGREGATOR),
+        sum(_cpu(name, before, after) for name in after) / spent,
         max(one.longest for one in after.values()),
         lapsed / max(1, len(done)) / (shape.routers + shape.voters),
     )
 
 
+def _cpu(name: str, before: Mapping[str, Figures], after: Mapping[str, Figures]) -> float:
+    """Processor seconds between two reports; of a process that was started again, those since its start."""
+    used = after[name].cpu
+    earlier = before[name].cpu if name in before else 0.0
+    return used - earlier if used >= earlier else used
+
+
 async def _change(fleet: HollowFleet, victim: Victim, random: Random) -> ChangeTimes:
     """One change with one death at a drawn moment around it; what died is up again afterwards."""
     if victim is Victim.NOBODY:
