A restart is not ousted by late words of its own dead process

What the dead process had sent before came late, and counted as the word by which an older link of that name proves that it lives. One that is restarted three times at once was ousted as the third claimant.

Lines at fault: links.py, _message and _claim. The older link has to be up still when its time to prove is over; a third claimant is sent away without a clash, and may come again.

--- a/banklift/fleet/links.py
+++ b/banklift/fleet/links.py
@@ -11,8 +11,9 @@
 | greeting | `Hello` that does not fit, another message, or silence | gone | `Bye` |
 | greeted | a message | greeted | what its owner answers |
 | greeted | `Hello` of the same name on another link | claimed | `RenewNow`, to make it give a word |
-| claimed | a message | greeted; the other link is gone | `Bye` there |
-| claimed | no word within `PROVE` | gone; the other link is greeted | `Bye` |
+| claimed | lost | gone; the other link is greeted | `Hello` there |
+| claimed | `PROVE` is over, a word came | greeted; the other link is gone | `Bye` there, for good |
+| claimed | `PROVE` is over, no word came | gone; the other link is greeted | `Bye` |
 | any | lost | gone | - |
 
 Two of one name. A restart is often quicker than the end of its old link; two processes by one name are a
@@ -92,6 +93,7 @@
     prove_by: float = math.inf  # it has to give a word, as another one has come by its name
     claim: Hello | None = None  # ... and this is that other one's
     claimed_by: int = 0  # the link that waits for it
+    gave_word: bool = False  # since it was claimed
     frames: Frames = field(default_factory=Frames)
 
     @property
@@ -222,8 +224,8 @@
         self._gone(link)
 
     def useful(self, link: Link) -> None:
-        """A dialled link has brought an answer: should it break, it is made again soon. One that was merely greeted
-        says nothing of that, and who is overloaded would be called ever again."""
+        """A dialled link has brought an answer: should it break, it is made again soon. One that was merely
+        greeted says nothing of that, and who is overloaded would be called ever again."""
         if link.dialled:
             self.next_pause[link.dialled] = DIAL[0]
 
@@ -280,12 +282,7 @@
             self.owner.link_changed(link, False)
 
     def _message(self, link: Link, message: Message) -> None:
-        if link.claim is not None:  # it lives: the newcomer by its name has to go
-            newcomer = self.by_id.get(link.claimed_by)
-            link.claim, link.prove_by = None, math.inf
-            self.claimed.pop(link.id, None)
-            if newcomer is not None:
-                self.end(newcomer, f"name: a {link.role} {link.name!r} is here already", clash=True)
+        link.gave_word = True
         match message:
             case Bye(reason, clash):
                 self._turned_away(link, reason, clash)
@@ -318,21 +315,26 @@
 
     def _claim(self, older: Link, newcomer: Link, hello: Hello) -> None:
         """A newcomer has come by the name of an older link, which has to give a word."""
-        if older.claim is not None:
-            self.end(newcomer, f"name: {hello.name!r} is being claimed by two others", clash=True)
+        if older.claim is not None and older.claimed_by in self.by_id:
+            self.end(newcomer, f"name: {hello.name!r} is being claimed by another one")  # it may come again
             return
-        older.claim, older.claimed_by, older.prove_by = hello, newcomer.id, self.now + PROVE
+        older.claim, older.claimed_by = hello, newcomer.id
+        older.gave_word, older.prove_by = False, self.now + PROVE
+        self.claimed.pop(older.id, None)
         self.claimed[older.id] = older
         self.ungreeted.pop(newcomer.id, None)
         self.write(older, RenewNow())
 
     def _claim_is_due(self, link: Link) -> None:
-        """It gave no word: it goes, unless the newcomer has gone before."""
-        if link.claimed_by in self.by_id:
+        """The older link has had its time: it stays if it gave a word, or if the newcomer has gone before."""
+        newcomer = self.by_id.get(link.claimed_by)
+        if newcomer is not None and not link.gave_word:
             self.end(link, "another member has its name, and it gives no word")
             return
         link.claim, link.prove_by = None, math.inf
         self.claimed.pop(link.id, None)
+        if newcomer is not None:
+            self.end(newcomer, f"name: a {link.role} {link.name!r} is here already", clash=True)
 
     def _faults(self, link: Link, hello: Hello) -> list[str]:
         """Why both ends don't belong together; nothing if they do."""
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -267,9 +267,26 @@
     assert driven.shut == []
     twin = driven.accept(hello("x", Role.AGGREGATOR, incarnation=2))
     driven.hear(second, LeaseRelease(0))  # it gives a word
+    assert driven.shut == []  # which may have been on its way when its process died
+    while driven.now < 100.5:
+        driven.wake()
     assert driven.shut == [twin] and first != second
 
 
+def test_a_restart_is_greeted_when_late_words_of_the_old_process_are_followed_by_its_end() -> None:
+    plan = Plan("fleet", "v2", PLAN.voters, LEASE, DRIFT, (), SUB_LEASE)
+    driven = Driven(Node(plan, 1, 1, TEXT, lambda text: (), None, True))
+    driven.carry(driven.member.start(driven.now))
+    old = driven.accept(hello("x", Role.ROUTER))
+    new = driven.accept(hello("x", Role.ROUTER, incarnation=2))
+    third = driven.accept(hello("x", Role.ROUTER, incarnation=3))
+    driven.hear(old, LeaseRelease(0))
+    driven.carry(driven.member.lost(driven.now, old, "closed"))
+    assert any(link == new and isinstance(one, Hello) for link, one in driven.said)
+    byes = [one for link, one in driven.said if link == third and isinstance(one, Bye)]
+    assert [one.clash for one in byes] == [False]  # nothing is known of it yet: it may come again
+
+
 def test_a_link_is_stalled_by_its_oldest_request_without_an_answer() -> None:
     client = LeaseClient(("v0",), LEASE, 0.0, Random(1), lambda text: ())
     client.up(0.0, "v0")
