--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -276,9 +276,11 @@
         self.slopes(rest_slopes(self.results, False))
 
     def aims(self) -> None:
-        for field in ("changes", "deaths"):
-            self.forget(field, True)
-        scale = self.scale
+        scale, sizes = self.scale, self.given.routers
+        for field in ("changes", "deaths"):  # of these fleets; other sizes are of other runs
+            found = getattr(self.results, field)
+            kept = tuple(one for one in found if not one.aggregators or one.routers not in sizes)
+            self._replace(**{field: kept})
 
         async def series(fleet: HollowFleet, victim: Victim, count: int) -> None:
             self.add("changes", await changes(fleet, victim, count, 0.0, 2, scale.series_time))
@@ -289,7 +291,7 @@
             self.add("deaths", await death(fleet, scale.aggregator_deaths, 1))
             for victim in (Victim.ROUTER, Victim.ROUTERS, Victim.AGGREGATOR):
                 await series(fleet, victim, scale.deaths)
-            if fleet.shape.routers == self.given.routers[-1]:
+            if fleet.shape.routers == max(sizes) and not self.given.without_rate:
                 count = max(2, int(scale.rate_time * plan.CHANGES_A_SECOND))
                 rate = plan.CHANGES_A_SECOND
                 self.add(
@@ -382,6 +384,7 @@
     parser.add_argument(
         "--routers", type=int, nargs="+", default=(1000, plan.ROUTERS), help="of the part aims"
     )
+    parser.add_argument("--without-rate", action="store_true", help="no changes at a rate, of the part aims")
     parser.add_argument("--per-process", type=int, default=500, help="hollow routers in one process")
     given = parser.parse_args()
     grant_descriptors()
