--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -143,6 +143,48 @@
     assert fleet.serving() == dict.fromkeys(fleet.names, 1) and not fleet.routers["r4"].ousted
 
 
+@pytest.mark.parametrize("way", [None, "there", "back"])
+@pytest.mark.parametrize("member", ["r4", "a0"])
+def test_late_words_of_a_dead_process_oust_no_restart(member: str, way: str | None) -> None:
+    """It is killed and started while its links are stalled; what the dead process had sent comes with the new one's."""
+    for before in (0.3, 0.8, 1.5, 2.5):
+        for after in (0.05, 0.3, 1.0):
+            fleet = FleetWorld(1, 6, 3, aggregators=1 if member == "a0" else 0)
+            for key in fleet.members:
+                fleet.start(key)
+            fleet.run(6.0)
+            fleet.cut_off(member, way=way)
+            fleet.run(before)
+            fleet.kill(member)
+            fleet.start(member)
+            fleet.run(after)
+            fleet.heal()
+            fleet.run(6.0)
+            assert fleet.members[member].ousted == "", (before, after)
+            assert fleet.serving() == dict.fromkeys(fleet.names, 1), (before, after)
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.05, 0.1, 0.2, 0.4])
+@pytest.mark.parametrize("member", ["r4", "a0"])
+def test_one_that_restarts_again_and_again_is_no_double(member: str, pause: float) -> None:
+    for stalled in (False, True):
+        fleet = FleetWorld(1, 6, 3, aggregators=1 if member == "a0" else 0)
+        for key in fleet.members:
+            fleet.start(key)
+        fleet.run(6.0)
+        if stalled:
+            fleet.cut_off(member)
+        for _ in range(3):
+            fleet.run(pause)
+            fleet.kill(member)
+            fleet.start(member)
+        fleet.run(0.2)
+        fleet.heal()
+        fleet.run(8.0)
+        assert fleet.members[member].ousted == "", stalled
+        assert fleet.serving() == dict.fromkeys(fleet.names, 1), stalled
+
+
 @pytest.mark.parametrize("way", ["there", "back"])
 @pytest.mark.parametrize("aggregators", [0, 1])
 def test_a_short_lease_that_has_ended_when_it_comes_ends_the_longer_one(aggregators: int, way: str) -> None:
