Capacity: the number of aggregators and zones can be given

Need: one machine does not run 6,200 routers through a change in time; three aggregators with as many routers each as planned show what one of them bears.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -218,10 +218,10 @@
         return Shape(
             routers,
             scale.voters,
-            scale.aggregators,
+            given.aggregators or scale.aggregators,
             given.lease,
             given.sub_lease,
-            scale.zones,
+            given.zones or scale.zones,
             plan.POLICY_USUAL,
             given.per_process,
         )
@@ -384,6 +384,8 @@
     parser.add_argument(
         "--routers", type=int, nargs="+", default=(1000, plan.ROUTERS), help="of the part aims"
     )
+    parser.add_argument("--aggregators", type=int, help="in place of the planned number")
+    parser.add_argument("--zones", type=int, help="that share the aggregators evenly")
     parser.add_argument("--without-rate", action="store_true", help="no changes at a rate, of the part aims")
     parser.add_argument("--per-process", type=int, default=500, help="hollow routers in one process")
     given = parser.parse_args()
