Capacity: aims by fleet; what one machine limits is said so; routers that leave

Need: 6,200 hollow routers use 4.9 of the eight cores at rest, so a change there waits for a core; a smaller fleet with as many routers an aggregator shows what the mechanism itself takes.

--- a/banklift/rig/capacity_needs.py
+++ b/banklift/rig/capacity_needs.py
@@ -15,10 +15,11 @@
 from banklift.fleet.holder_table import MAX_HOLDERS
 from banklift.proxy.plan import Limits
 from banklift.rig import capacity_plan as plan
-from banklift.rig.capacity_results import Changes, How, Rest, Results, Share
+from banklift.rig.capacity_results import Changes, How, Rest, Results, Share, Victim
 
 HEADERS = 66.0  # bytes of Ethernet, IP and TCP with timestamps around each segment
 SEGMENTS_A_MESSAGE = 2.0  # the message's, and an acknowledgement
+BUSY_PART = 0.5  # of a machine's cores at rest, from which a change waits for a core
 ONE_CORE = 1.0  # a router is one process on one core
 LIST_CHANGES = (
     plan.CONFIGURATION_CHANGES + plan.EVENTS_A_DAY
@@ -96,11 +97,34 @@
     return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
 
 
-def with_deaths(results: Results) -> list[Changes]:
-    """The series of the largest fleet in which something was killed."""
-    runs = [one for one in results.changes if one.kill and one.aggregators]
-    largest = max((one.routers for one in runs), default=0)
-    return [one for one in runs if one.routers == largest]
+def tiered_fleets(results: Results) -> list[tuple[Changes, ...]]:
+    """Series of changes in fleets with aggregators, by fleet, the largest first."""
+    fleets: dict[tuple[int, int], list[Changes]] = {}
+    for one in results.changes:
+        if one.aggregators:
+            fleets.setdefault((one.routers, one.aggregators), []).append(one)
+    return [tuple(fleets[key]) for key in sorted(fleets, reverse=True)]
+
+
+def undisturbed(series: Sequence[Changes]) -> list[float]:
+    """Times of changes one after the other, with nothing killed."""
+    return [time for one in series if not one.kill and not one.rate for time in one.times]
+
+
+def with_deaths(series: Sequence[Changes]) -> list[float]:
+    """Times of changes with something killed at a drawn moment."""
+    return [time for one in series if one.kill and one.kill != Victim.LEAVING for time in one.times]
+
+
+def limited_by_machine(results: Results, routers: int, aggregators: int) -> str:
+    """Why the times of this fleet hold the wait for a core, in words; empty if most cores are free at rest."""
+    machine = results.machines.get("aims")
+    rest = next(
+        (one for one in results.rests if (one.routers, one.aggregators) == (routers, aggregators)), None
+    )
+    if machine is None or rest is None or rest.machine_core < BUSY_PART * machine.cores:
+        return ""
+    return f"limited by the one machine: at rest its processes use {rest.machine_core:.1f} of {machine.cores} cores"
 
 
 def _value(results: Results, key: str) -> float | None:
@@ -307,58 +331,55 @@
 
 
 def _changes(results: Results) -> list[Need]:
-    runs = with_deaths(results)
-    times = [time for one in runs for time in one.times]
-    undisturbed = [
-        one for one in results.changes if not one.kill and not one.rate and one.aggregators and one.times
-    ]
-    largest = max(undisturbed, key=lambda one: one.routers, default=None)
+    found: list[Need] = []
+    for series in tiered_fleets(results) or [()]:
+        fleet = f"{series[0].routers:,} routers" if series else "no fleet"
+        quiet, deadly = undisturbed(series), with_deaths(series)
+        limited = limited_by_machine(results, series[0].routers, series[0].aggregators) if series else ""
+        found += [
+            Need(
+                "change",
+                f"in force everywhere, median, nothing killed, {fleet}",
+                statistics.median(quiet) if quiet else None,
+                plan.CHANGE_MEDIAN,
+                Unit.SECONDS,
+                How.HOLLOW,
+                limited or "aggregators gather verdicts; short leases of a tenth",
+            ),
+            Need(
+                "change",
+                f"in force everywhere, median, with a death in each, {fleet}",
+                statistics.median(deadly) if deadly else None,
+                plan.CHANGE_MEDIAN,
+                Unit.SECONDS,
+                How.HOLLOW,
+                limited or "missing: to know that a killed process has ended before its lease does",
+            ),
+            Need(
+                "change",
+                f"in force everywhere, 99 of 100, with a death in each, {fleet}",
+                percentile(deadly, 0.99) if deadly else None,
+                plan.CHANGE_99,
+                Unit.SECONDS,
+                How.HOLLOW,
+                limited or "leases of a few seconds",
+            ),
+        ]
     fastest = fastest_run(results)
-    held = None
-    if fastest is not None and fastest.times:
-        held = len(fastest.times) / fastest.seconds
-    return [
-        Need(
-            "change",
-            f"in force everywhere, median, nothing killed, {_fleet(largest)}",
-            statistics.median(largest.times) if largest is not None else None,
-            plan.CHANGE_MEDIAN,
-            Unit.SECONDS,
-            How.HOLLOW,
-            "aggregators gather verdicts; short leases of a tenth",
-        ),
-        Need(
-            "change",
-            f"in force everywhere, median, with deaths, {_fleet(runs[0] if runs else None)}",
-            statistics.median(times) if times else None,
-            plan.CHANGE_MEDIAN,
-            Unit.SECONDS,
-            How.HOLLOW,
-            "missing: to know that a killed process has ended before its lease does",
-        ),
+    held = len(fastest.times) / fastest.seconds if fastest is not None and fastest.times else None
+    fleet = f"{fastest.routers:,} routers" if fastest is not None else "no fleet"
+    found.append(
         Need(
             "change",
-            f"in force everywhere, 99 of 100, with deaths, {_fleet(runs[0] if runs else None)}",
-            percentile(times, 0.99) if times else None,
-            plan.CHANGE_99,
-            Unit.SECONDS,
-            How.HOLLOW,
-            "leases of a few seconds",
-        ),
-        Need(
-            "change",
-            f"seconds between two of them at the planned rate, against those that one takes, {_fleet(fastest)}",
+            f"seconds that one takes, of those between two at the planned rate, {fleet}",
             None if held is None else 1.0 / held,
             1.0 / plan.CHANGES_A_SECOND,
             Unit.SECONDS,
             How.HOLLOW,
             "one change at a time; missing for more: several in one",
-        ),
-    ]
-
-
-def _fleet(one: Changes | None) -> str:
-    return "no fleet" if one is None else f"{one.routers:,} routers"
+        )
+    )
+    return found
 
 
 def _discovery(results: Results) -> list[Need]:
--- a/banklift/rig/capacity_page.py
+++ b/banklift/rig/capacity_page.py
@@ -17,13 +17,14 @@
     LIST_CHANGES,
     Need,
     Unit,
-    fastest_run,
     needs,
     percentile,
     rate_run,
+    tiered_fleets,
+    undisturbed,
     with_deaths,
 )
-from banklift.rig.capacity_results import Changes, How, Rest, Results, Slope
+from banklift.rig.capacity_results import Changes, How, Rest, Results, Slope, Victim
 
 MISSING = "not measured"
 NOTHING_KILLED = "nothing"
@@ -269,6 +270,7 @@
                 f"{seconds(one.refusing_mean)}, {seconds(one.refusing_most)}",
                 _cores(one),
                 f"{one.machine_core:.1f}",
+                _beyond_rest(results, one),
             ]
         )
     head = [
@@ -282,10 +284,21 @@
         "a router without a lease: mean of a change, most",
         "processor time: a router, a voter, an aggregator",
         "cores, all processes",
+        "processor time of a change beyond rest, all processes",
     ]
     return rows(head, body)
 
 
+def _beyond_rest(results: Results, one: Changes) -> str:
+    """Processor time that a change costs the whole fleet, beside what it uses at rest."""
+    shape = one.routers, one.voters, one.aggregators
+    rest = next((two for two in results.rests if (two.routers, two.voters, two.aggregators) == shape), None)
+    count = len(one.times) + one.failed
+    if rest is None or not count:
+        return MISSING
+    return seconds(max(0.0, (one.machine_core - rest.machine_core) * one.seconds / count))
+
+
 def _rate(one: Changes) -> str:
     if not one.rate:
         return "one after the other, with pauses for what was killed"
@@ -321,65 +334,66 @@
 
 
 def aims(results: Results) -> str:
-    """Each aim with what was measured of the largest fleet, and whether it holds."""
-    runs, rate, fastest = with_deaths(results), rate_run(results), fastest_run(results)
-    times = [time for one in runs for time in one.times]
-    failed = sum(one.failed for one in runs)
-    death = max(results.deaths, key=lambda one: one.routers, default=None)
-    body = []
+    """Each aim with what was measured, by fleet, and whether it holds there."""
+    fleets = tiered_fleets(results)
+    body = [row for series in fleets for row in _aims_of(results, series)]
+    return rows(["fleet", "aim", "limit", "measured, hollow", "of", "holds"], body)
 
-    def aim(what: str, whose: str, figure: float | None, limit: float, unit: Unit) -> None:
-        holds = MISSING if figure is None else ("yes" if figure <= limit else "**no**")
-        body.append([what, shown(limit, unit), shown(figure, unit), whose, holds])
-
-    whose = f"{runs[0].routers:,} routers, {len(times) + failed} changes" if runs else MISSING
-    middle = statistics.median(times) if times else None
-    late = percentile(times, 0.99) if times else None
-    aim("change with deaths, median", whose, middle, plan.CHANGE_MEDIAN, Unit.SECONDS)
-    aim("change with deaths, 99 of 100", whose, late, plan.CHANGE_99, Unit.SECONDS)
-    aim(
-        "changes with deaths that were not in force in time",
-        whose,
-        float(failed) if runs else None,
-        0.0,
-        Unit.COUNT,
-    )
-    at_rest = MISSING if death is None else f"{death.routers:,} routers, {death.trials} deaths"
-    lapses = None if death is None else float(death.refusing)
-    aim("routers without a lease where an aggregator dies", at_rest, lapses, 0.0, Unit.COUNT)
-    if rate is None:
-        body.append(
-            [f"{plan.CHANGES_A_SECOND:.2f} changes a second for two minutes", "", MISSING, "", MISSING]
-        )
-    else:
-        asked = len(rate.times) + rate.failed
-        held = len(rate.times) / rate.seconds
-        body.append(
-            [
-                f"{plan.CHANGES_A_SECOND:.2f} changes a second for two minutes",
-                f"{plan.CHANGES_A_SECOND:.2f}/s",
-                f"{held:.2f}/s, {len(rate.times)} of {asked} in force",
-                f"{rate.routers:,} routers, {rate.seconds:.0f} s",
-                "yes" if rate.failed == 0 and held >= RATE_HELD * plan.CHANGES_A_SECOND else "**no**",
-            ]
-        )
-        _role_aims(rate, aim)
-    if fastest is not None:
-        held = len(fastest.times) / fastest.seconds
-        whose = f"{fastest.routers:,} routers, {fastest.seconds:.0f} s"
-        body.append(["highest rate held", "", f"{held:.2f}/s", whose, ""])
-    return rows(["aim", "limit", "measured, hollow", "fleet", "holds"], body)
 
+def _aims_of(results: Results, series: Sequence[Changes]) -> list[list[str]]:
+    fleet_name = fleet(series[0])
+    body: list[list[str]] = []
 
-def _role_aims(rate: Changes, aim: Callable[[str, str, float | None, float, Unit], None]) -> None:
-    whose = f"{rate.routers:,} routers, at that rate"
-    aim("a voter's processor time", whose, rate.voter.core, plan.VOTER_CORE_SHARE, Unit.CORE)
-    if rate.aggregator is not None:
-        figure = rate.aggregator.core
-        aim("an aggregator's processor time", whose, figure, plan.AGGREGATOR_CORE_SHARE, Unit.CORE)
-    aim("a router's processor time", whose, rate.router.core, plan.ROUTER_CORE_SHARE, Unit.CORE)
-    traffic = rate.router.sent + rate.router.received
-    aim("a router's payload", whose, traffic, plan.ROUTER_BYTES, Unit.BYTES_A_SECOND)
+    def aim(what: str, limit: float, figure: float | None, unit: Unit, of: str) -> None:
+        holds = MISSING if figure is None else ("yes" if figure <= limit else "**no**")
+        body.append([fleet_name, what, shown(limit, unit), shown(figure, unit), of, holds])
+
+    quiet, deadly = undisturbed(series), with_deaths(series)
+    kinds = ", ".join(one.kill for one in series if one.kill and one.kill != Victim.LEAVING)
+    tried = f"{len(deadly)} changes: {kinds}" if deadly else MISSING
+    middle = statistics.median(quiet) if quiet else None
+    aim("change, nothing killed, median", plan.CHANGE_MEDIAN, middle, Unit.SECONDS, f"{len(quiet)} changes")
+    middle = statistics.median(deadly) if deadly else None
+    aim("change with a death, median", plan.CHANGE_MEDIAN, middle, Unit.SECONDS, tried)
+    late = percentile(deadly, 0.99) if deadly else None
+    aim("change with a death, 99 of 100", plan.CHANGE_99, late, Unit.SECONDS, tried)
+    failed = float(sum(one.failed for one in series)) if series else None
+    aim("changes that were not in force in time", 0.0, failed, Unit.COUNT, "all series")
+    for death in results.deaths:
+        if (death.routers, death.aggregators) == (series[0].routers, series[0].aggregators):
+            lapses = float(death.refusing)
+            of = f"{death.trials} deaths, {death.moved:,} routers that moved"
+            aim("routers without a lease as an aggregator dies", 0.0, lapses, Unit.COUNT, of)
+    rated = [one for one in series if one.rate]
+    if not rated:
+        body.append([fleet_name, *_rate_aim(), "", MISSING, "", MISSING])
+    for one in rated:
+        body += _rate_rows(fleet_name, one, aim)
+    return body
+
+
+def _rate_aim() -> list[str]:
+    return [f"{plan.CHANGES_A_SECOND:.2f} changes a second for two minutes"]
+
+
+def _rate_rows(
+    fleet_name: str, one: Changes, aim: Callable[[str, float, float | None, Unit, str], None]
+) -> list[list[str]]:
+    held, asked = len(one.times) / one.seconds, len(one.times) + one.failed
+    if one.rate > 2 * plan.CHANGES_A_SECOND:
+        return [[fleet_name, "highest rate held", "", f"{held:.2f}/s", f"{one.seconds:.0f} s", ""]]
+    holds = one.failed == 0 and held >= RATE_HELD * plan.CHANGES_A_SECOND
+    of = f"{len(one.times)} of {asked} in force, {one.seconds:.0f} s"
+    at_rate = "at that rate"
+    aim("a voter's processor time", plan.VOTER_CORE_SHARE, one.voter.core, Unit.CORE, at_rate)
+    if one.aggregator is not None:
+        figure = one.aggregator.core
+        aim("an aggregator's processor time", plan.AGGREGATOR_CORE_SHARE, figure, Unit.CORE, at_rate)
+    aim("a router's processor time", plan.ROUTER_CORE_SHARE, one.router.core, Unit.CORE, at_rate)
+    traffic = one.router.sent + one.router.received
+    aim("a router's payload", plan.ROUTER_BYTES, traffic, Unit.BYTES_A_SECOND, at_rate)
+    limit = f"{plan.CHANGES_A_SECOND:.2f}/s"
+    return [[fleet_name, *_rate_aim(), limit, f"{held:.2f}/s", of, "yes" if holds else "**no**"]]
 
 
 def way(results: Results) -> str:
@@ -392,8 +406,8 @@
     lost = [
         ("nothing", 0.0, NOTHING_KILLED),
         ("a router, killed", sub_lease, "a router"),
-        ("a router that ends by SIGTERM", 0.0, ""),
-        ("a rack of routers", sub_lease, "five routers"),
+        ("five routers that end by SIGTERM", 0.0, "five routers by SIGTERM"),
+        ("a rack of routers, killed", sub_lease, "five routers"),
         ("a control machine with an aggregator", lease, "an aggregator"),
         ("a control machine with a voter", 0.0, ""),
         ("a zone: routers, aggregators, a voter", lease, ""),
@@ -422,20 +436,13 @@
 
 def _measured(results: Results, kill: str) -> str:
     wanted = "" if kill == NOTHING_KILLED else kill
-    if not kill:
-        return MISSING
     found = [
-        one
-        for one in results.changes
-        if one.kill == wanted and one.aggregators and not one.rate and one.times
+        f"{seconds(statistics.median(one.times))}, {seconds(max(one.times))} ({one.routers:,} routers)"
+        for series in tiered_fleets(results)
+        for one in series
+        if kill and one.kill == wanted and not one.rate and one.times
     ]
-    largest = max(found, key=lambda one: one.routers, default=None)
-    if largest is None:
-        return MISSING
-    return (
-        f"{seconds(statistics.median(largest.times))}, {seconds(max(largest.times))} "
-        f"({largest.routers:,} routers)"
-    )
+    return "; ".join(found) or MISSING
 
 
 def primary(results: Results) -> str:
--- a/banklift/rig/capacity_results.py
+++ b/banklift/rig/capacity_results.py
@@ -27,6 +27,16 @@
     RECKONED = "reckoned"  # by arithmetic from measured figures and the plan
 
 
+class Victim(StrEnum):
+    """What is ended at a drawn moment; by SIGKILL unless said otherwise."""
+
+    NOBODY = ""
+    ROUTER = "a router"
+    ROUTERS = "five routers"
+    LEAVING = "five routers by SIGTERM"
+    AGGREGATOR = "an aggregator"
+
+
 class Machine(msgspec.Struct, frozen=True):
     """Where a part was measured, and how busy it was: load averages of one minute."""
 
--- a/banklift/rig/capacity_trials.py
+++ b/banklift/rig/capacity_trials.py
@@ -5,12 +5,11 @@
 import math
 import time
 from collections.abc import Awaitable, Callable, Mapping
-from enum import StrEnum
 from random import Random
 
 import anyio
 
-from banklift.rig.capacity_results import Changes, Death, Rest, Share
+from banklift.rig.capacity_results import Changes, Death, Rest, Share, Victim
 from banklift.rig.hollow_fleet import ChangeTimes, HollowFleet
 from banklift.rig.hollow_messages import Figures, Kind
 
@@ -20,15 +19,6 @@
 SEVERAL = 5  # routers
 
 
-class Victim(StrEnum):
-    """What is killed at a drawn moment."""
-
-    NOBODY = ""
-    ROUTER = "a router"
-    ROUTERS = "five routers"
-    AGGREGATOR = "an aggregator"
-
-
 async def rest(fleet: HollowFleet, seconds: float, start: float) -> Rest:
     """Watch a fleet in which nothing happens. `start`: seconds that its start took."""
     shape = fleet.shape
@@ -171,7 +161,9 @@
     if victim is Victim.AGGREGATOR:
         name = random.choice(list(fleet.aggregators))
         return lambda: fleet.kill_process(name), lambda: fleet.start_process(name)
-    names = random.sample(fleet.routers, SEVERAL if victim is Victim.ROUTERS else 1)
+    names = random.sample(fleet.routers, 1 if victim is Victim.ROUTER else SEVERAL)
+    if victim is Victim.LEAVING:
+        return lambda: fleet.leave_routers(names), lambda: fleet.start_routers(names)
     return lambda: fleet.kill_routers(names), lambda: fleet.start_routers(names)
 
 
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -50,13 +50,14 @@
     Rest,
     Results,
     Slope,
+    Victim,
     fitted,
     load_average,
     machine,
     read,
     write,
 )
-from banklift.rig.capacity_trials import Victim, changes, death, rest
+from banklift.rig.capacity_trials import changes, death, rest
 from banklift.rig.hollow import grant_descriptors
 from banklift.rig.hollow_fleet import Broken, HollowFleet, Shape, hollow_fleet
 
@@ -289,7 +290,7 @@
             self.add("rests", await rest(fleet, scale.rest, start))
             await series(fleet, Victim.NOBODY, scale.undisturbed)
             self.add("deaths", await death(fleet, scale.aggregator_deaths, 1))
-            for victim in (Victim.ROUTER, Victim.ROUTERS, Victim.AGGREGATOR):
+            for victim in (Victim.ROUTER, Victim.ROUTERS, Victim.AGGREGATOR, Victim.LEAVING):
                 await series(fleet, victim, scale.deaths)
             if fleet.shape.routers == max(sizes) and not self.given.without_rate:
                 count = max(2, int(scale.rate_time * plan.CHANGES_A_SECOND))
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -13,7 +13,8 @@
 import anyio
 
 from banklift.fleet.state import Result
-from banklift.rig.capacity_trials import Victim, changes, death, rest
+from banklift.rig.capacity_results import Victim
+from banklift.rig.capacity_trials import changes, death, rest
 from banklift.rig.hollow_fleet import HollowFleet, Shape, hollow_fleet
 
 PATIENCE = 60.0  # seconds that a change may take here, on a machine however busy
