--- a/banklift/rig/capacity_page.py
+++ b/banklift/rig/capacity_page.py
@@ -97,9 +97,11 @@
 def fleet(one: Rest | Changes) -> str:
     """Which hollow fleet it was."""
     tiers = f"{one.voters} voters"
+    leases = seconds(one.lease)
     if one.aggregators:
         tiers += f" + {one.aggregators} aggregators"
-    return f"{one.routers:,} routers, {tiers}"
+        leases += f" and {seconds(one.sub_lease)}"
+    return f"{one.routers:,} routers, {tiers}, leases of {leases}"
 
 
 # ---- tables
