Capacity: fleets at rest replace those of their own size alone

Cause: the part rest dropped what the part aims had measured at other sizes, and its slopes mixed fleets with different numbers of aggregators.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -174,9 +174,9 @@
             return False
         return (old.routers, old.voters, old.aggregators) == (new.routers, new.voters, new.aggregators)
 
-    def forget(self, field: str, tiered: bool) -> None:
-        """Drop what an earlier run found in fleets with aggregators, or without."""
-        kept = tuple(one for one in getattr(self.results, field) if (one.aggregators > 0) is not tiered)
+    def forget_direct(self, field: str) -> None:
+        """Drop what an earlier run found in fleets without aggregators."""
+        kept = tuple(one for one in getattr(self.results, field) if one.aggregators > 0)
         self._replace(**{field: kept})
 
     # ---- without sockets
@@ -252,8 +252,6 @@
         return max(0.0, self.end - time.monotonic())
 
     def rest(self) -> None:
-        self.forget("rests", True)
-
         async def watch(fleet: HollowFleet, start: float) -> None:
             self.add("rests", await rest(fleet, self.scale.rest, start))
 
@@ -263,8 +261,8 @@
         self.slopes(rest_slopes(self.results, True))
 
     def direct(self) -> None:
-        self.forget("rests", False)
-        self.forget("changes", False)
+        self.forget_direct("rests")
+        self.forget_direct("changes")
 
         async def watch(fleet: HollowFleet, start: float) -> None:
             self.add("rests", await rest(fleet, self.scale.rest, start))
@@ -337,10 +335,12 @@
 
 
 def rest_slopes(results: Results, tiered: bool) -> list[Slope]:
-    """Of hollow fleets at rest: what a member of each kind uses against the number of routers."""
+    """Of hollow fleets at rest: what a member of each kind uses against the number of routers. With aggregators, only
+    fleets with as many as the largest one count."""
     rests = sorted(
         (one for one in results.rests if (one.aggregators > 0) is tiered), key=lambda one: one.routers
     )
+    rests = [one for one in rests if one.aggregators == rests[-1].aggregators]
     if len(rests) < 2:
         return []
     tier = "tiered" if tiered else "direct"
