--- a/banklift/rig/capacity_page.py
+++ b/banklift/rig/capacity_page.py
@@ -311,7 +311,7 @@
 
 def _cores(one: Changes) -> str:
     shares = [one.router, one.voter, *([one.aggregator] if one.aggregator is not None else [])]
-    return ", ".join(core(share.core) for share in shares)
+    return ", ".join(core(share.core) if share.core else MISSING for share in shares)
 
 
 def deaths(results: Results) -> str:
