An aggregator with a refusal that came too late to tell does not spin

Line at fault: aggregator.py, due.

The grace counts only while the change may be refused; after that the end of the lease does. Test: test_a_refusal_that_was_not_told_before_the_change_was_agreed_keeps_nobody_busy, which fails without the mend.

--- a/banklift/fleet/aggregator.py
+++ b/banklift/fleet/aggregator.py
@@ -142,9 +142,10 @@
         """When `wake` has something to do."""
         times = [self.parent.due(now)]
         if self.view.change and self.parent.verdict is None:
-            last = self.table.unanswered.latest()
-            times.append(last if last > now else math.inf)
-            times.append(self.first_refusal + REFUSAL_GRACE)
+            ends = (self.table.unanswered.latest(), self.table.refused.latest())
+            times += [end for end in ends if end > now]
+            if self.table.checking:  # after that a refusal is told to nobody any more
+                times.append(self.first_refusal + REFUSAL_GRACE)
             times.append(self.report_at)
         if self.closing:
             times += [end for epoch in self.table.by_epoch if (end := self.table.latest_end(epoch)) > now]
--- a/tests/test_aggregator.py
+++ b/tests/test_aggregator.py
@@ -197,6 +197,25 @@
     assert all(not table.refused for table in tier.tables.values())
 
 
+def test_a_refusal_that_was_not_told_before_the_change_was_agreed_keeps_nobody_busy() -> None:
+    """Others have agreed while this aggregator waited for the rest of its routers: there is nothing to do about it
+    until a lease ends."""
+    tier = Tier()
+    for router in ("r0", "r1"):
+        tier.ask(0.0, router)
+    change = tier.propose(0.5)
+    tier.ask(0.5, "r1", change, ("no",))
+    assert tier.aggregator.parent.verdict is None
+    tier.choose(0.6, agree(tier.state, change))
+    tier.renew(0.6)
+    now, woken = 0.6, 0
+    while now < SUB_LEASE:
+        now = max(now, tier.aggregator.due(now))
+        tier.carry(now, tier.aggregator.wake(now))
+        woken += 1
+        assert woken < 100
+
+
 def test_longer_grants_go_on_to_be_counted_until_routers_have_given_theirs_up() -> None:
     tier = Tier()
     tier.ask(0.0)
