--- a/banklift/fleet/voter.py
+++ b/banklift/fleet/voter.py
@@ -182,7 +182,7 @@
         self.now = now
         if self.rejoining is not None:
             reason = f"this voter does not vote: {self.rejoining.waiting()}"
-            return LeaseTable(0.0, 0.0).refuse(request, reason), self._out()
+            return self.lease_table.refuse(request, reason), self._out()
         switch_at = self.lease_table.switch_at
         grant = self.lease_table.request(now, name, incarnation, request)
         if self.lease_table.switch_at != switch_at:
