A tool that asks a voter without the state goes on to one that has it

Cause: a fleet serves once a majority of voters has granted leases; the voter that the tool asks first may be the one that has not read the register yet, and ask_voters (net/operator.py) took the first answer. Ruled out: a fleet that did not serve (all had leases in that epoch). Not of the test alone: `banklift policy set`, `show` and `history` said "no policy yet" in the same moment.

Change: an answer without a state counts only once every voter was asked and none had one.

--- a/banklift/net/operator.py
+++ b/banklift/net/operator.py
@@ -107,18 +107,26 @@
     seconds: float,
     on_progress: OnProgress = lambda progress: None,
 ) -> Answer:
-    """The answer of the first voter that has one; they are asked one after another. Errors: `Unreachable` when the time
+    """The answer of the first voter that has one; they are asked one after another. A voter that has not read the
+    state yet, as it has just started, is passed over where another one shows it. Errors: `Unreachable` when the time
     is over: what became of a change is then not known, and it may be asked for again by its id."""
     end = time.monotonic() + seconds
     outcomes = dict.fromkeys(voters, "not tried")
+    stateless: Shown | None = None
     while True:
         for name, address in voters.items():
             if time.monotonic() >= end:
                 break
             try:
-                return await _ask_voter(address, fleet, message, end, on_progress)
+                answer = await _ask_voter(address, fleet, message, end, on_progress)
             except (*CONNECTION_ERRORS, DoesNotVote) as error:
                 outcomes[name] = _reason(error)
+                continue
+            if not isinstance(answer, Shown) or answer.state is not None:
+                return answer
+            stateless = answer
+        if stateless is not None:
+            return stateless
         if time.monotonic() >= end:
             raise Unreachable("; ".join(f"{name}: {reason}" for name, reason in outcomes.items()))
         await anyio.sleep(ROUND_PAUSE)
--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -335,6 +335,20 @@
         assert result.exit_code == 3 and result.stderr.startswith("no voter answers: v0: ")
 
 
+def test_a_voter_without_the_state_is_passed_over(tmp_path: Path) -> None:
+    with fake_members(v0=says(shown(state=None)), v1=says(shown())) as members:
+        path = write(tmp_path, {name: member.address for name, member in members.items()})
+        result = run("policy", "show", "--config", str(path))
+    assert result.exit_code == 0 and json.loads(result.stdout)["epoch"] == STATE.epoch
+
+
+def test_no_voter_has_the_state_yet(tmp_path: Path) -> None:
+    with fake_members(v0=says(shown(state=None)), v1=says(shown(state=None))) as members:
+        path = write(tmp_path, {name: member.address for name, member in members.items()})
+        result = run("policy", "show", "--config", str(path))
+    assert (result.exit_code, result.stderr) == (3, "this fleet has no policy yet\n")
+
+
 def test_a_voter_that_turns_the_tool_away_says_why(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(fleet_client, "SHOW_TIME", 0.5)
     member = FakeMember("v0", says(), greeting=Bye("version 2 of the fleet's messages, here it is 1", True))
