A burst of renewals at a change no longer makes more of itself

Seen: with 6,200 hollow routers a change took 7.4 s, and a router sent 16 requests for it where 3 do with 1,240. At most of these changes one aggregator's lease was waited for that it gave up long before. Trials with the operator's progress, the count of fences and a sampling profiler; ruled out: voters (4% of a core), the check (agreed after 0.4 s), the machine's cores alone (6.5 of 8 in use).

Causes, in holder.py and lease_table.py: an unanswered request was sent again after a twentieth of a lease (0.13 s), on a link that loses nothing, and the link was given up after a quarter (0.65 s), while answers took as long; leases of a tenth (0.4 s) ran out before their renewal was answered; after 0.4 s the others got leases of half of what was left (1.6 s), which had to run out even if what was waited for was given up a moment later.

Change: a request is sent again once before its link counts as stalled; that takes a second at least, within 0.4 of a lease; short leases hold 0.6 s at least, within a quarter of a lease, and are renewed after half; a longer one holds no longer than the change has waited. The moment between two epochs is no longer logged as a loss of leases, which each router did at each change.

--- a/banklift/fleet/holder.py
+++ b/banklift/fleet/holder.py
@@ -9,9 +9,9 @@
 | --- | --- | --- | --- |
 | no link | link up | waiting for an answer | a request |
 | answered | `due`, or `RenewNow` | waiting for an answer | a request |
-| waiting | the answer | answered, due after a third of what it gave | - |
+| waiting | the answer | answered, due after a third of what it gave, or after half if that is short | - |
 | waiting | `due` without an answer | waiting | another request, after pauses that double |
-| waiting | no answer for a quarter of a lease, then for twice as long | no link | `Stalled`: the link is made anew |
+| waiting | no answer for `stall_time`, then for twice as long | no link | `Stalled`: the link is made anew |
 | any | link down | no link; what it granted goes on | - |
 
 An answer that is late, doubled, or of an earlier link belongs to no request that is open, and is dropped.
@@ -27,9 +27,18 @@
 from banklift.fleet.messages import LeaseGrant, LeaseRelease, LeaseRequest, RenewNow
 
 RENEW_PART = 1 / 3  # of what a grant gave: when the next one is asked for
+SHORT_RENEW_PART = (
+    1 / 2
+)  # ... of a short one, which all holders get at one moment, so that renewals are a burst
+SHORT_PART = 1 / 2  # of a lease: a grant that gives less is short
 RENEW_FLOOR = 1 / 50  # of a lease: the least that is waited for, as what is left of a lease gets shorter
-RETRY_PART = 1 / 20  # of a lease: how long an answer is waited for before asking again
-STALLED_PART = 1 / 4  # ... and until the link counts as stalled
+RETRY_PART = 1 / 20  # of a lease: how long to wait after a refusal before asking again
+STALLED_PART = 1 / 4  # of a lease: without an answer for that long the link counts as stalled, but ...
+STALLED_FLOOR = (
+    1.0  # seconds: ... an answer may take so long where thousands of holders ask at one moment, and ...
+)
+MAX_STALLED_PART = 0.4  # of a lease: ... with RENEW_PART it leaves time for another grantor to answer
+RESEND_PART = 1 / 2  # of the time until a link counts as stalled: until an unanswered request is sent again
 MAX_DOUBLINGS = 3  # of the pause before a retry
 MAX_STALL_DOUBLINGS = (
     2  # of the time until a link counts as stalled: new links are more work for who is overloaded
@@ -126,6 +135,7 @@
     def __init__(self, grantors: tuple[str, ...], lease: float, drift: float, random: Random) -> None:
         self.grantors = {name: Grantor() for name in grantors}
         self.lease, self.drift, self.random = lease, drift, random
+        self.stall_time = min(max(STALLED_PART * lease, STALLED_FLOOR), MAX_STALLED_PART * lease)
         self.numbers = 0
         self.actions: list[Action] = []
 
@@ -217,7 +227,7 @@
 
     def _stalls_at(self, grantor: Grantor) -> float:
         oldest = next(iter(grantor.pending.values()), math.inf)
-        patience: float = STALLED_PART * self.lease * 2 ** min(grantor.stalls, MAX_STALL_DOUBLINGS)
+        patience: float = self.stall_time * 2 ** min(grantor.stalls, MAX_STALL_DOUBLINGS)
         return oldest + patience
 
     def _send_request(self, now: float, name: str) -> None:
@@ -226,7 +236,7 @@
             return
         self.numbers += 1
         grantor.pending[self.numbers] = now
-        pause = RETRY_PART * self.lease * 2 ** min(grantor.retries, MAX_DOUBLINGS)
+        pause = RESEND_PART * self.stall_time * 2 ** min(grantor.retries, MAX_DOUBLINGS)
         grantor.due = now + pause * self.random.uniform(0.8, 1.2)
         self.actions.append(SendToGrantor(name, self._request(self.numbers, grantor)))
 
@@ -256,9 +266,9 @@
         if grant.reason:
             wait = RETRY_PART * self.lease * 2 ** min(grantor.refusals - 1, MAX_DOUBLINGS)
         elif grant.ttl > 0 or grant.next_epoch:
-            wait = max(
-                RENEW_PART * (grant.next_ttl if grant.next_epoch else grant.ttl), RENEW_FLOOR * self.lease
-            )
+            given = grant.next_ttl if grant.next_epoch else grant.ttl
+            part = RENEW_PART if given > SHORT_PART * self.lease else SHORT_RENEW_PART
+            wait = max(part * given, RENEW_FLOOR * self.lease)
         else:
             wait = RENEW_PART * self.lease  # it waits for the verdict on a change, which is on its way
         renew_at = now + wait * self.random.uniform(0.8, 1.0)
--- a/banklift/fleet/lease.py
+++ b/banklift/fleet/lease.py
@@ -9,6 +9,7 @@
 | nothing | enough grant e, and it accepts its policy | serving e | `EpochAdopted(e)`, `LeaseExtended` |
 | serving e | renewed | serving e, longer | `LeaseExtended` |
 | serving e | e ends, and e + 1 has begun at enough | serving e + 1 | `EpochAdopted(e + 1)`, `LeaseExtended` |
+| serving e | e ends, e + 1 is about to begin | nothing, for a moment | the end was told before |
 | serving e | e ends, nothing has begun | nothing: fenced | a log line; the end was told before |
 | any | a policy that it refuses is granted | as before; never serving that | a log line, and its verdict |
 | any | `leave` | nothing, for good | the end, then a `LeaseRelease` to each |
@@ -263,12 +264,21 @@
         if self.until > now:
             self.until = now
             told.append(LeaseExtended(now, RETRY_PART * self.lease))
-        if self.serving and not self.fenced and not self.left and not refused:
+        if self.serving and not self.fenced and not self.left and not refused and not self._next_begins(now):
             self.fenced = True
             troubles = {name: self.trouble(now, name) for name in self.grantors}
             fields: dict[str, object] = {"epoch": self.serving, "grantors": troubles}
             self.actions.append(LogLine("fenced: not enough leases", fields))
 
+    def _next_begins(self, now: float) -> bool:
+        """Whether leases on a next epoch are about to begin: what is between is a moment of each change."""
+        about_to = (
+            now < one.newest.begin < now + self.lease
+            for one in self.grantors.values()
+            if one.newest.next_epoch
+        )
+        return sum(about_to) >= self.quorum
+
     def trouble(self, now: float, name: str) -> str:
         """Why this grantor gives no lease, in words; empty if it does."""
         grantor = self.grantors[name]
--- a/banklift/fleet/lease_table.py
+++ b/banklift/fleet/lease_table.py
@@ -9,8 +9,9 @@
 A holder is a router or an aggregator (aggregator.py), which hands on parts of its lease. The table treats both
 alike.
 
-Short leases are those of `closing_lease`. While one that nobody gives up is waited for, the others get half of what is
-left of it, which delays nothing and spares the voter and its holders thousands of renewals.
+Short leases are those of `closing_lease`. While one that nobody gives up is waited for, the others get up to half of
+what is left of it, which delays nothing and spares the voter and its holders thousands of renewals. It may be given up
+late, too, so they get no more than the time that was waited already: then the change takes at most about twice as long.
 
 | stage | event | next | requests are granted |
 | --- | --- | --- | --- |
@@ -41,7 +42,18 @@
 from banklift.fleet.state import Change, Stage, State, digest
 
 CLOSING_PART = 0.1  # of a lease: how long one is while a change takes hold; what a change takes at the least
-EXTEND_PART = 0.5  # of the time that a change has to wait for others anyway: how long leases are meanwhile
+CLOSING_FLOOR = (
+    0.6  # seconds: ... but no shorter, or thousands of routers can't renew theirs in time, and ...
+)
+MAX_CLOSING_PART = 0.25  # of a lease: ... no longer
+EXTEND_PART = (
+    0.5  # of the time that a change has to wait for others anyway: how long leases are meanwhile, at most
+)
+
+
+def closing_lease(lease: float) -> float:
+    """Seconds that a lease holds while a change takes hold; `lease`: those of one at rest."""
+    return max(CLOSING_PART * lease, min(CLOSING_FLOOR, MAX_CLOSING_PART * lease))
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +73,7 @@
     def __init__(self, lease: float, drift: float) -> None:
         super().__init__()
         self.lease, self.drift = lease, drift
-        self.closing_lease = CLOSING_PART * lease
+        self.closing_lease = closing_lease(lease)
         self.state: State | None = None
         self.digests = ("", "")  # of the policy in force, and of the one to come
         self.granting = 0  # the epoch
@@ -188,12 +200,14 @@
 
     def _closing_ttl(self, now: float, entry: Entry) -> float:
         """A short lease; longer where the change has to wait for somebody else's lease to end anyway, or all holders
-        would renew short leases all that time. Nobody's first lease is longer, as it may be the one waited for."""
+        would renew short leases all that time. Nobody's first lease is longer, as it may be the one waited for; nor is
+        any longer than the change has waited, as that one may still be given up."""
         first, entry.closing_epoch = entry.closing_epoch != self.granting, self.granting
-        if first or now < self.closing_since + self.closing_lease:
+        if first:
             return self.closing_lease
         wait = (self.ends.latest() - now) / (1 + self.drift)
-        return max(self.closing_lease, EXTEND_PART * wait)
+        waited = now - self.closing_since
+        return max(self.closing_lease, min(EXTEND_PART * wait, waited))
 
     def refuse(self, request: LeaseRequest, reason: str) -> LeaseGrant:
         """No new lease. What it holds goes on."""
--- a/banklift/rig/capacity_page.py
+++ b/banklift/rig/capacity_page.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Sequence
 
 from banklift.discovery.client import CALL_TIMEOUT, LONG_POLL
-from banklift.fleet.lease_table import CLOSING_PART
+from banklift.fleet.lease_table import closing_lease
 from banklift.rig import capacity_plan as plan
 from banklift.rig.capacity_needs import (
     LIST_CHANGES,
@@ -404,7 +404,7 @@
     series = [one for one in results.changes if one.aggregators and not one.rate]
     if series:
         lease, sub_lease = series[0].lease, series[0].sub_lease
-    closing = CLOSING_PART * lease
+    closing = closing_lease(lease)
     lost = [
         ("nothing", 0.0, NOTHING_KILLED),
         ("a router, killed", sub_lease, "a router"),
