Capacity: both fleets with aggregators in one run; leases of 3.5 and 2.3 s

Need: the results on the page were of several runs, part by part, as a run had one number of aggregators for all of its fleets; changes at the planned rate were asked of the larger fleet alone and never reached there.

Change: the part aims has its fleets with their aggregators and zones (1,240 routers before 3, 6,200 before 15), each with every series and rate; series are longer; `--fresh` keeps nothing of earlier runs but costs of an older version. The options for the number of aggregators and zones and to leave the rates out are gone. Leases are 3.5 and 2.3 s in place of 4.0 and 2.6: a killed aggregator is waited for half a second less, and that holds 5 s since renewals at a change no longer make more of themselves.

--- a/banklift/rig/capacity_plan.py
+++ b/banklift/rig/capacity_plan.py
@@ -51,4 +51,4 @@
 SAVES_A_CHANGE = 6  # writes to disk by one voter: a promise and an acceptance for each of its three steps
 POLICY_USUAL = 4 * 1024  # bytes of a policy in the fleets that are measured
 
-LEASE, SUB_LEASE = 4.0, 2.6  # seconds, chosen for the planned fleet: docs/CAPACITY.md says why
+LEASE, SUB_LEASE = 3.5, 2.3  # seconds, chosen for the planned fleet: docs/CAPACITY.md says why
--- a/banklift/rig/capacity_real.py
+++ b/banklift/rig/capacity_real.py
@@ -23,16 +23,16 @@
 
 from banklift.emulator.stand import Stand
 from banklift.net.sockets import SocketEnv
+from banklift.rig import capacity_plan as plan
 from banklift.rig import site
 from banklift.rig.capacity_results import RealRouter
 from banklift.rig.hollow_fleet import free_ports
 
 FLEET, ZONE = "real", "zone"
 VOTERS, AGGREGATORS = 3, 2
-LEASE, SUB_LEASE = 4.0, 2.6
 UP_TIME = 90.0  # seconds in which the processes listen
 AT_ONCE = 16  # processes that start side by side
-SETTLE = 1.5 * LEASE  # seconds until leases are held and renewals spread
+SETTLE = 1.5 * plan.LEASE  # seconds until leases are held and renewals spread
 TICKS = os.sysconf("SC_CLK_TCK")
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
@@ -67,8 +67,8 @@
         table: dict[str, Any] = {
             "name": FLEET,
             "voters": self.voters,
-            "lease": LEASE,
-            "sub_lease": SUB_LEASE,
+            "lease": plan.LEASE,
+            "sub_lease": plan.SUB_LEASE,
             "folder": f"{name}.state",
             "zone": ZONE,
             "aggregators": {
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,11 +1,12 @@
 """What each role of a fleet costs against its size, measured; and the page that is made of it.
 
-    .venv/bin/python benchmarks/capacity.py [--parts alone real rest direct aims data] [--small] [--page]
+    .venv/bin/python benchmarks/capacity.py [--fresh] [--parts alone real rest direct aims data] [--small] [--page]
 
 Parts are measured one after the other and written into benchmarks/results/capacity.json, each over what an earlier run
-has left there; with `--page` the tables in docs/CAPACITY.md are made from that file, and without parts nothing is
-measured. Processor time is that of the process (the least of some rounds where code is measured alone), so a busy
-machine disturbs it little; elapsed times of changes need a quiet machine. `--small` takes seconds, for tests.
+has left there, or with `--fresh` in place of all of it; with `--page` the tables in docs/CAPACITY.md are made from that
+file, and without parts nothing is measured. Processor time is that of the process (the least of some rounds where code
+is measured alone), so a busy machine disturbs it little; elapsed times of changes need a quiet machine. `--small` takes
+a few minutes.
 
 - alone: requests to a voter and to an aggregator, lists of members, policies, an operator's question, without sockets
 - real: `banklift router` processes at rest
@@ -69,6 +70,19 @@
 REAL_MEMORY = 45 * 1024 * 1024  # bytes that one takes, about; how many are started depends on it
 
 
+@dataclass(frozen=True, slots=True)
+class TriedFleet:
+    """A hollow fleet with aggregators on which changes and deaths are tried."""
+
+    routers: int
+    aggregators: int
+    zones: int  # that share the aggregators evenly
+
+
+# as many routers an aggregator as planned, and the planned fleet
+TRIED = TriedFleet(1_240, 3, 1), TriedFleet(plan.ROUTERS, plan.AGGREGATORS, 5)
+
+
 @dataclass(frozen=True, slots=True)
 class Scale:
     """How much is measured."""
@@ -82,38 +96,36 @@
     direct: tuple[int, ...] = (40, 100, 230, 400)
     rest: float = 8.0  # seconds that a fleet at rest is watched
     undisturbed: int = 8  # changes of one series
-    deaths: int = 10  # changes of one series with something killed
-    series_time: float = 30.0  # seconds in which those of one series begin
+    deaths: int = 16  # changes of one series with something killed
+    series_time: float = 60.0  # seconds in which those of one series begin
     rate_time: float = 120.0  # seconds
     fastest_time: float = 20.0
-    aggregators: int = plan.AGGREGATORS
+    tried: tuple[TriedFleet, ...] = TRIED
     voters: int = plan.VOTERS
-    zones: int = 5
     direct_changes: int = 5
     aggregator_deaths: int = 3
     data_seconds: float = 12.0
 
 
 SMALL = Scale(
-    (8, 16, 32, 64),
-    (30, 60, 120, 240),
-    40,
-    (4096, 8192, 16384, 32768),
-    (1, 2, 3, 4),
-    (8, 12, 16, 20),
-    (4, 6, 8, 10),
-    1.0,
-    1,
-    1,
-    30.0,
-    4.0,
-    3.0,
-    2,
-    3,
-    1,
-    1,
-    1,
-    4.0,
+    holders=(8, 16, 32, 64),
+    members=(30, 60, 120, 240),
+    requests=40,
+    policies=(4096, 8192, 16384, 32768),
+    real=(1, 2, 3, 4),
+    fleets=(8, 12, 16, 20),
+    direct=(4, 6, 8, 10),
+    rest=1.0,
+    undisturbed=1,
+    deaths=1,
+    series_time=30.0,
+    rate_time=4.0,
+    fastest_time=3.0,
+    tried=(TriedFleet(20, 2, 1),),
+    voters=3,
+    direct_changes=1,
+    aggregator_deaths=1,
+    data_seconds=4.0,
 )
 
 
@@ -140,6 +152,8 @@
         self.path, self.scale, self.given = path, scale, given
         self.end: float = time.monotonic() + 60.0 * given.minutes
         self.results = read(path) if path.exists() else Results()
+        if given.fresh:
+            self.results = Results(before=self.results.before)
 
     def _replace(self, **fields: object) -> None:
         self.results = msgspec.structs.replace(self.results, **fields)
@@ -213,20 +227,24 @@
 
     # ---- hollow fleets
 
-    def shape(self, routers: int) -> Shape:
-        """With aggregators."""
-        given, scale = self.given, self.scale
+    def shape(self, fleet: TriedFleet) -> Shape:
+        given = self.given
         return Shape(
-            routers,
-            scale.voters,
-            given.aggregators or scale.aggregators,
+            fleet.routers,
+            self.scale.voters,
+            fleet.aggregators,
             given.lease,
             given.sub_lease,
-            given.zones or scale.zones,
+            fleet.zones,
             plan.POLICY_USUAL,
             given.per_process,
         )
 
+    def tried(self) -> list[TriedFleet]:
+        """The fleets of the part aims that were asked for."""
+        sizes = self.given.routers
+        return [one for one in self.scale.tried if not sizes or one.routers in sizes]
+
     def played(self, part: str, shape: Shape, play: Callable[[HollowFleet, float], Awaitable[None]]) -> None:
         """Start a hollow fleet and play on it. What fails is noted, with what was found before kept."""
 
@@ -255,9 +273,10 @@
         async def watch(fleet: HollowFleet, start: float) -> None:
             self.add("rests", await rest(fleet, self.scale.rest, start))
 
+        largest = self.scale.tried[-1]
         for routers in self.scale.fleets:
-            if routers not in self.given.routers:  # these are watched before their changes
-                self.played("rest", self.shape(routers), watch)
+            if routers != largest.routers:  # it is watched before its changes
+                self.played("rest", self.shape(replace(largest, routers=routers)), watch)
         self.slopes(rest_slopes(self.results, True))
 
     def direct(self) -> None:
@@ -270,12 +289,12 @@
                 self.add("changes", await changes(fleet, victim, self.scale.direct_changes, 0.0, 1))
 
         for routers in self.scale.direct:
-            shape = replace(self.shape(routers), aggregators=0, sub_lease=0.0)
+            shape = replace(self.shape(TriedFleet(routers, 0, 1)), sub_lease=0.0)
             self.played("direct", shape, watch)
         self.slopes(rest_slopes(self.results, False))
 
     def aims(self) -> None:
-        scale, sizes = self.scale, self.given.routers
+        scale, sizes = self.scale, [one.routers for one in self.tried()]
         for field in ("changes", "deaths"):  # of these fleets; other sizes are of other runs
             found = getattr(self.results, field)
             kept = tuple(one for one in found if not one.aggregators or one.routers not in sizes)
@@ -290,16 +309,12 @@
             self.add("deaths", await death(fleet, scale.aggregator_deaths, 1))
             for victim in (Victim.ROUTER, Victim.ROUTERS, Victim.AGGREGATOR, Victim.LEAVING):
                 await series(fleet, victim, scale.deaths)
-            if fleet.shape.routers == max(sizes) and not self.given.without_rate:
-                count = max(2, int(scale.rate_time * plan.CHANGES_A_SECOND))
-                rate = plan.CHANGES_A_SECOND
-                self.add(
-                    "changes", await changes(fleet, Victim.NOBODY, count, rate, 3, 1.5 * scale.rate_time)
-                )
-                self.add("changes", await changes(fleet, Victim.NOBODY, 1000, FASTEST, 4, scale.fastest_time))
+            count, rate = max(2, int(scale.rate_time * plan.CHANGES_A_SECOND)), plan.CHANGES_A_SECOND
+            self.add("changes", await changes(fleet, Victim.NOBODY, count, rate, 3, 1.5 * scale.rate_time))
+            self.add("changes", await changes(fleet, Victim.NOBODY, 1000, FASTEST, 4, scale.fastest_time))
 
-        for routers in self.given.routers:
-            self.played("aims", self.shape(routers), play)
+        for one in self.tried():
+            self.played("aims", self.shape(one), play)
         self.slopes(rest_slopes(self.results, True))
 
     # ---- the data plane
@@ -376,18 +391,14 @@
     )
     parser.add_argument("--parts", nargs="*", choices=PARTS, default=())
     parser.add_argument("--small", action="store_true", help="sizes that take seconds")
+    parser.add_argument("--fresh", action="store_true", help="keep nothing but costs of an older version")
     parser.add_argument("--out", type=Path, default=RESULTS)
     parser.add_argument("--before", type=Path, help="costs of an older version, to stand beside these")
     parser.add_argument("--page", action="store_true", help="make the tables of docs/CAPACITY.md")
     parser.add_argument("--minutes", type=float, default=60.0, help="after which hollow fleets are cut short")
     parser.add_argument("--lease", type=float, default=plan.LEASE)
     parser.add_argument("--sub-lease", type=float, default=plan.SUB_LEASE)
-    parser.add_argument(
-        "--routers", type=int, nargs="+", default=(1000, plan.ROUTERS), help="of the part aims"
-    )
-    parser.add_argument("--aggregators", type=int, help="in place of the planned number")
-    parser.add_argument("--zones", type=int, help="that share the aggregators evenly")
-    parser.add_argument("--without-rate", action="store_true", help="no changes at a rate, of the part aims")
+    parser.add_argument("--routers", type=int, nargs="+", help="only these fleets of the part aims, by size")
     parser.add_argument("--per-process", type=int, default=500, help="hollow routers in one process")
     given = parser.parse_args()
     grant_descriptors()
