A voter that starts anew waits for the longest lease that it may have granted

Seen on reading again: a lease on the next epoch begins after a short lease and holds a whole one from then on. Since short leases follow the check they may hold a quarter of a lease, and a restarted voter counted its table as complete after a lease and a tenth. In that gap it could say of a later change that all holders accept, and switch, while a lease of its earlier life was still outstanding on the epoch before. The drift of the wait was counted once where it counts twice.

Change: the wait is that of the longest short lease, then a lease, each with drift. Measured: the new test fails without it.

--- a/banklift/fleet/lease_table.py
+++ b/banklift/fleet/lease_table.py
@@ -60,6 +60,11 @@
     return max(CLOSING_PART * lease, min(least, MAX_CLOSING_PART * lease))
 
 
+def longest_closing_lease(lease: float) -> float:
+    """Seconds that `closing_lease` is at the most, whatever the answer time."""
+    return max(CLOSING_PART, MAX_CLOSING_PART) * lease
+
+
 @dataclass(frozen=True, slots=True)
 class Answers:
     """How far the holders are with the change under way."""
@@ -91,7 +96,10 @@
 
     def restarted(self, now: float, state: State | None) -> None:
         """This voter has started; `state` is the newest that it knows, or none."""
-        self.complete_at = now + self.lease * (1 + self.drift) + self.closing_lease * (1 + self.drift)
+        begins = longest_closing_lease(self.lease) * (
+            1 + self.drift
+        )  # a lease on a next epoch, at the latest
+        self.complete_at = now + (begins + self.lease) * (1 + self.drift)
         if state is None:
             return
         self.apply_state(now, state)
--- a/tests/test_lease_table.py
+++ b/tests/test_lease_table.py
@@ -182,6 +182,23 @@
     assert holders.ask(8.0, "r0", change=change).ttl == pytest.approx(1.4)
 
 
+def test_a_voter_that_starts_anew_waits_for_the_longest_lease_that_it_may_have_granted() -> None:
+    """One on the next epoch, which begins after a short lease that is as long as they get."""
+    holders = Holders(1)
+    holders.ask(1.0, "r0")
+    change = holders.propose(2.0)
+    holders.ask(10.0, "r0", change=change)  # eight seconds to answer
+    holders.choose(10.0, agree(holders.state, change))
+    held = holders.numbers["r0"]
+    holders.ask(10.1, "r0", change=change)
+    holders.table.release(10.1, "r0", 1, LeaseRelease(held))
+    grant = holders.ask(10.1, "r0", change=change)
+    assert grant.next_epoch == 2 and grant.begin > 2 * SHORT
+    restarted = LeaseTable(LEASE, DRIFT)
+    restarted.restarted(10.1, settle(holders.state, change))
+    assert restarted.complete_at >= 10.1 + grant.next_ttl * (1 + DRIFT)
+
+
 def test_leases_given_back_delay_no_change() -> None:
     holders = Holders(2)
     for name in holders.names:
