One place for the rig's play and for the settings of a site without sockets

Change: tests/rig_play.py and banklift/rig/platform_settings.py; no change of behaviour. Settings of sites on sockets still stand in benchmarks/service.py and tests/platform_site.py, which differ by a class.

--- a/banklift/rig/capacity_members.py
+++ b/banklift/rig/capacity_members.py
@@ -15,15 +15,14 @@
 
 import h11
 
-from banklift import interface as io
 from banklift.discovery.client import Client, Send, Tell
-from banklift.interface import Effect, Need
 from banklift.pg import frames
 from banklift.pg.front import PgFront
 from banklift.pg.wire import USAGE, PgWire
 from banklift.proxy import events as ev
 from banklift.proxy.machine import Machine
 from banklift.proxy.plan import Limits
+from banklift.rig.platform_settings import SETTINGS
 
 MODULE = "*/banklift/balance.py"
 GROUP = 3  # members of a group
@@ -34,28 +33,6 @@
 AROUND = 0.03  # seconds in which a member answers
 IDLE_TIMEOUT = 2.0
 
-SETTINGS = io.Settings(
-    classes=(
-        io.RequestClass("view", Effect.SAFE, Need.BOUNDED, 0.5, 2.0, 1.0, bound=0.8),
-        io.RequestClass("own", Effect.SAFE, Need.SESSION, 0.5, 1.2, 3.0),
-        io.RequestClass("save", Effect.UNSAFE, Need.WRITE, 1.0, 2.0, 6.0, 0.3),
-    ),
-    max_attempts=6,
-    may_cancel=True,
-    may_probe=True,
-    max_retry_after=1.0,
-    must_ask=True,
-    ask_within=6.0,
-    lists_roles=True,
-    answers_carry_position=True,
-    client_tokens=True,
-    drain_grace=2.0,
-    cold_share=0.3,
-    cold_time=10.0,
-    fall_multiple=3.0,
-    fall_time=3.0,
-)
-
 
 def targets(members: int) -> list[dict[str, object]]:
     """The list's entries, as the catalogue has them."""
--- a/tests/test_rig_aggregator.py
+++ b/tests/test_rig_aggregator.py
@@ -7,20 +7,18 @@
 
 from __future__ import annotations
 
-import time
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
 
 import anyio
 
 from banklift.fleet.state import Stage
-from banklift.net.sockets import SocketEnv
-from banklift.rig.judge import Verdict, judge
+from banklift.rig.judge import Verdict
 from banklift.rig.processes import Rig
+from tests import rig_play
+from tests.rig_play import Act
 
 LEASE = 4.0  # seconds
-TIMES = 10.0  # of the usual deadlines: no machine is too slow for them
 ATTEMPTS = 6  # to hit a stage of a change
 VOTERS = ["r0", "r1", "r2"]
 LEAVES = ["r3", "r4", "r5"]  # lease from aggregators
@@ -28,33 +26,11 @@
 BYSTANDERS = ("r4", "r5")
 AGGREGATORS = ["a0", "a1"]
 CHECKED = "policy checked"  # in a router's log, once for each change
-Act = Callable[[Rig], Awaitable[None]]
 
 
 def play(folder: Path, act: Act) -> Verdict:
-    """Start everything, let clients ask all routers, act, and judge what was seen."""
-
-    async def main() -> Verdict:
-        async with anyio.create_task_group() as tasks:
-            env = SocketEnv(tasks, time.monotonic)
-            rig = Rig(env, folder, ROUTERS, len(VOTERS), LEASE, times=TIMES, aggregators=AGGREGATORS)
-            try:
-                async with anyio.create_task_group() as starts:
-                    for name in (*VOTERS, *AGGREGATORS, *LEAVES):
-                        starts.start_soon(rig.start, name)
-                rig.ask()
-                await rig.serves(*ROUTERS)
-                await act(rig)
-                await rig.quiet()
-                rig.trace.write(folder / "trace.jsonl")
-                return judge(rig.trace.entries)
-            finally:
-                with anyio.CancelScope(shield=True):
-                    await rig.close()
-                tasks.cancel_scope.cancel()
-        raise AssertionError("the day has not ended")
-
-    return anyio.run(main, backend_options={"use_uvloop": True})
+    """Start the fleet of these tests, let clients ask all routers, act, and judge what was seen."""
+    return rig_play.play(folder, ROUTERS, len(VOTERS), act, LEASE, AGGREGATORS)
 
 
 @dataclass(slots=True)
--- a/tests/test_rig_fleet.py
+++ b/tests/test_rig_fleet.py
@@ -2,46 +2,13 @@
 
 from __future__ import annotations
 
-import time
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import anyio
 
-from banklift.net.sockets import SocketEnv
-from banklift.rig.judge import Verdict, judge
 from banklift.rig.processes import Refused, Rig
-
-LEASE = 3.0  # seconds
-TIMES = 10.0  # of the usual deadlines: no machine is too slow for them
-
-
-def play(
-    folder: Path, names: list[str], voters: int, act: Callable[[Rig], Awaitable[None]], lease: float = LEASE
-) -> Verdict:
-    """Start the voters and then the others, let clients ask all of them, act, and judge what was seen."""
-
-    async def main() -> Verdict:
-        async with anyio.create_task_group() as tasks:
-            rig = Rig(SocketEnv(tasks, time.monotonic), folder, names, voters, lease, times=TIMES)
-            try:
-                async with anyio.create_task_group() as starts:
-                    for name in names:
-                        starts.start_soon(rig.start, name)
-                rig.ask()
-                await rig.serves(*names)
-                await act(rig)
-                await rig.quiet()
-                rig.trace.write(folder / "trace.jsonl")
-                return judge(rig.trace.entries)
-            finally:
-                with anyio.CancelScope(shield=True):
-                    await rig.close()
-                tasks.cancel_scope.cancel()
-        raise AssertionError("the day has not ended")
-
-    return anyio.run(main, backend_options={"use_uvloop": True})
+from tests.rig_play import play
 
 
 def test_a_change_takes_hold_everywhere_or_nowhere(tmp_path: Path) -> None:
