Real processes: kills at named steps, faulty disks and clocks, splits, flapping links

Need: these hard cases of the policy issue passed in virtual time where they were there at all, as a fault within a real process needs a hook by test configuration.

Change: rig/faulty_process.py runs `banklift` unchanged above the calls that write a voter's state and above its clock, which it replaces as a file of the rig says (process_faults.py). Tests: a voter, driving or not, killed between promise and answer, between promise and acceptance, in the middle of the write and between acceptance and answer; two of three voters with EIO, a full disk or a sync that hangs; a disk that keeps nothing; clocks of other rates, jumps past all leases, a wall clock that goes back over a restart; two of five voters set back; the minority of a split; thirty flaps; 40 routers and a slow voter.

--- a/banklift/rig/processes.py
+++ b/banklift/rig/processes.py
@@ -30,6 +30,7 @@
 from banklift.rig import site
 from banklift.rig.clients import Client
 from banklift.rig.operator import Operator
+from banklift.rig.process_faults import ProcessFaults, write_faults
 from banklift.rig.relay import BACK, THERE, Relay
 from banklift.rig.trace import Entry, Trace
 
@@ -147,14 +148,21 @@
         """The folder of a voter's state."""
         return self.folder / f"{name}.state"
 
-    async def start(self, name: str, descriptors: int | None = None, **changes: Any) -> None:
-        """Start one and wait until it listens. `descriptors`: the most it may hold. Errors: `Refused`."""
+    async def start(
+        self, name: str, descriptors: int | None = None, faults: ProcessFaults | None = None, **changes: Any
+    ) -> None:
+        """Start one and wait until it listens. `descriptors`: the most it may hold. `faults`: within the process, which
+        `fail` can change later. Errors: `Refused`."""
         path, log = self.file(name, **changes), self.folder / f"{name}.log"
         command = "aggregator" if name in self.aggregators else "router"
+        program = ["banklift"]
+        if faults is not None:
+            self.fail(name, faults)
+            program = ["banklift.rig.faulty_process", str(self._faults_file(name))]
 
         with log.open("ab") as errors:
             process = await anyio.open_process(
-                [sys.executable, "-m", "banklift", command, "--config", str(path)],
+                [sys.executable, "-m", *program, command, "--config", str(path)],
                 stderr=errors,
                 stdout=subprocess.PIPE,
             )
@@ -173,6 +181,26 @@
             self.addresses[name] = str(json.loads(line)["listening"])
         self._note_process("up", name, "start")
 
+    def _faults_file(self, name: str) -> Path:
+        return self.folder / f"{name}.faults"
+
+    def fail(self, name: str, faults: ProcessFaults) -> None:
+        """Faults within a process that was started with some; in place of earlier ones."""
+        self.note("fault", router=name, what=str(faults))
+        write_faults(self._faults_file(name), faults)
+
+    async def died(self, name: str) -> None:
+        """Wait until a process was killed at its step."""
+        with anyio.fail_after(START):
+            code = await self.processes[name].wait()
+        assert code == -signal.SIGKILL, f"{name} ended with {code}: {self.log(name)[-500:]}"
+        self._note_process("down", name, "kill")
+
+    def jump(self, name: str) -> None:
+        """The clock of a process that was started with a jump makes it."""
+        self.note("fault", router=name, what="clock jumps")
+        os.kill(self.processes[name].pid, signal.SIGUSR1)
+
     async def kill(self, name: str) -> None:
         """SIGKILL."""
         self.processes[name].kill()
@@ -297,16 +325,23 @@
                     return change.id
                 await anyio.sleep(0.002)
 
-    async def set(self, parity: int, *more: str, by: str = "", **policy: Any) -> dict[str, Any]:
-        """`banklift policy set`; what it printed as JSON, with its exit `code`."""
+    async def set(
+        self, parity: int, *more: str, by: str = "", until_known: bool = False, **policy: Any
+    ) -> dict[str, Any]:
+        """`banklift policy set`; what it printed as JSON, with its exit `code`. `until_known`: ask again by the same id
+        while the outcome is unknown."""
         path = self.folder / f"policy-{time.monotonic_ns()}.json"
         path.write_text(site.text(parity, self.times, **policy))
-        config = self.file(by or self.names[-1])
+        arguments = ["policy", "set", str(path), "--config", str(self.file(by or self.names[-1])), "--json"]
         self.note("set", parity=parity)
-        code, out, errors = await self.banklift(
-            "policy", "set", str(path), "--config", str(config), "--json", *more
-        )
+        code, out, errors = await self.banklift(*arguments, *more)
         answer = json.loads(out) if out.strip() else {}
+        while until_known and answer.get("result", "unknown") == "unknown":
+            same = (
+                ("--id", answer["id"]) if "id" in answer else ()
+            )  # without one no voter had told its version
+            code, out, errors = await self.banklift(*arguments, *more, *same)
+            answer = json.loads(out) if out.strip() else {}
         self.note("told", answer=answer.get("result", "unknown"), parity=parity)
         return {**answer, "code": code, "errors": errors}
 
