--- a/banklift/fleet/holder_table.py
+++ b/banklift/fleet/holder_table.py
@@ -87,9 +87,7 @@
         self.checking = False  # whether that change may still be refused
         self.begun = -math.inf  # when that change was heard of
         self.half_waiting = 0  # so many holders have yet to answer until half of those that were asked have
-        self.answer_time = (
-            0.0  # seconds in which half of them answered the last change; 0: none was asked yet
-        )
+        self.answer_time = 0.0  # seconds in which half of them answered the last change; 0: none yet
 
     # ---- the change under way
 
--- a/banklift/fleet/lease_table.py
+++ b/banklift/fleet/lease_table.py
@@ -45,12 +45,10 @@
 CLOSING_PART = 0.1  # of a lease: how long one is while a change takes hold; what a change takes at the least
 CLOSING_FLOOR = 0.5  # seconds: ... but no shorter, and ...
 CLOSING_ROUNDS = (
-    2.0  # times in which holders answered the check: ... no shorter either, or they can't renew in time ...
+    2.0  # times in which holders answered the check: ... no shorter either, or they renew too late
 )
 MAX_CLOSING_PART = 0.25  # of a lease: ... but no longer
-EXTEND_PART = (
-    0.5  # of the time that a change has to wait for others anyway: how long leases are meanwhile, at most
-)
+EXTEND_PART = 0.5  # of the time that a change waits for somebody anyway: how long other leases are, at most
 
 
 def closing_lease(lease: float, answer_time: float = 0.0) -> float:
@@ -96,10 +94,8 @@
 
     def restarted(self, now: float, state: State | None) -> None:
         """This voter has started; `state` is the newest that it knows, or none."""
-        begins = longest_closing_lease(self.lease) * (
-            1 + self.drift
-        )  # a lease on a next epoch, at the latest
-        self.complete_at = now + (begins + self.lease) * (1 + self.drift)
+        next_epoch_in = longest_closing_lease(self.lease) * (1 + self.drift)
+        self.complete_at = now + (next_epoch_in + self.lease) * (1 + self.drift)
         if state is None:
             return
         self.apply_state(now, state)
