The rig holds the ports of its members until the relays have theirs

Cause, in rig/processes.py: each port was asked of the kernel and freed before the next one, so two members, or a relay, could get the same. Change: all are held until the relays listen.

--- a/banklift/rig/processes.py
+++ b/banklift/rig/processes.py
@@ -10,6 +10,7 @@
 import os
 import resource
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -69,7 +70,9 @@
         self.stand = Stand(site.site(times), env, seed, self._tap)
         self.roles = {entry["member"]: entry["role"] for entry in self.stand.describe()}
         self.aggregators = list(aggregators)
-        self.ports = {name: _free_port() for name in (*self.voters, *aggregators)}
+        listeners = (*self.voters, *aggregators)
+        held = [_bound_socket() for _ in listeners]  # until the relays have ports of their own
+        self.ports = {name: int(one.getsockname()[1]) for name, one in zip(listeners, held, strict=True)}
         self.addresses: dict[str, str] = {}  # where clients reach routers
         self.processes: dict[str, Process] = {}
         self.clients: dict[str, Client] = {}
@@ -82,6 +85,8 @@
         for name in names[voters:]:
             for aggregator in aggregators:
                 self._relay(name, aggregator)
+        for one in held:
+            one.close()
 
     def _relay(self, one: str, other: str) -> None:
         target = f"127.0.0.1:{self.ports[other]}"
@@ -366,10 +371,8 @@
             relay.close()
 
 
-def _free_port() -> int:
-    """Of the kernel's choice; free at this moment."""
-    import socket
-
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        return int(free.getsockname()[1])
+def _bound_socket() -> socket.socket:
+    """On a port of the kernel's choice, which nobody else gets until it is closed."""
+    bound = socket.socket()
+    bound.bind(("127.0.0.1", 0))
+    return bound
