--- a/review/2/case.py
+++ b/review/2/case.py
@@ -79,14 +79,13 @@
     await catalogue.start()
     router = standins.Router(record, standins.settings(), catalogue)
     counts: dict[str, int] = {}
-    await router.start()
-    end = time.time() + BEFORE_SECONDS + BAD_SECONDS + AFTER_SECONDS
 
     def count(what: str) -> None:
         counts[what] = counts.get(what, 0) + 1
 
     async def client(number: int) -> None:
         connection = await standins.Client.connect(router.port)
+        end = time.time() + BEFORE_SECONDS + BAD_SECONDS + AFTER_SECONDS
         while time.time() < end:
             text = standins.read(f"c{number}", "alert-check", D_MS)
             for is_new_connection in (False, True):
@@ -124,6 +123,7 @@
             await asyncio.sleep(THINK_SECONDS)
 
     try:
+        await router.start()
         tasks = [asyncio.create_task(client(number)) for number in range(CLIENTS)]
         await asyncio.sleep(BEFORE_SECONDS)
         record("before", counts=counts)
--- a/review/standins.py
+++ b/review/standins.py
@@ -273,6 +273,7 @@
         self, record: Record, settings: dict[str, Any], catalogue: Catalogue | Addresses, memory_mb: int = 192
     ) -> None:
         self.record = record
+        self.process: asyncio.subprocess.Process | None = None
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
@@ -324,12 +325,13 @@
         return (self.folder / "router.log").read_text(errors="replace")
 
     async def end(self) -> None:
-        if self.process.returncode is None:
+        if self.process is not None and self.process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(signal.SIGCONT)
                 self.process.kill()
             await self.process.wait()
-        self.log.close()
+        if self.process is not None:
+            self.log.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
