Log why sockets are served late: turns, batches, timers and waits

Change: net/loop_load.py keeps the longest turn, batch, run of timers and wait of a ready socket; the service logs `sockets served late` for each second in which one of them reaches 0.1 s. Nothing else changes.

--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -43,6 +43,7 @@
 from banklift.discovery import catalogue, client
 from banklift.interface import ListKind, Settings
 from banklift.net.env import Env, Handle, Peer
+from banklift.net.loop_load import report_regularly
 from banklift.net.router import Log, RouterHost
 from banklift.net.sockets import MAX_LINGERING_CONNECTIONS, SocketEnv
 from banklift.pg.front import PgFront
@@ -420,6 +421,7 @@
     async with anyio.create_task_group() as tasks:
         env = SocketEnv(tasks, signals.clock, exclusive_loop=True)
         service = Service(env, config, environment, log)
+        report_regularly(env, log)
         gc.collect()  # objects of the start live as long as the process, and requests leave no cycles behind
         gc.freeze()
         gc.set_threshold(2_000, 5, 5)  # few objects are not frozen, so even a full collection is cheap
--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -45,6 +45,7 @@
 from anyio.abc import TaskGroup
 
 from banklift.net.env import Listener, Peer
+from banklift.net.loop_load import LoopLoad
 
 # most bytes of one read, and of one write of bytes that the kernel did not take at first
 IO_CHUNK_BYTES = 64 * 1024
@@ -412,6 +413,7 @@
         self.lingering: dict[
             SocketHandle, float
         ] = {}  # when each finished connection is closed; oldest first
+        self.load = LoopLoad()
         self.stopping = False
         self._to_flush: list[SocketHandle] = []
         self.queued_bytes = 0  # bytes that all connections have queued since the last flush
@@ -484,7 +486,8 @@
         A descriptor may be closed and reused by another connection during the batch. So an event is handled only if
         its descriptor still belongs to the handler that had it when the batch was polled.
         """
-        by_fd = self.by_fd
+        by_fd, load, clock = self.by_fd, self.load, self.now
+        load.batch_began(clock())
         found = [(fd, events, by_fd.get(fd)) for fd, events in ready]
         half_closed = [one for one in found if one[1] & HALF_CLOSED]
         others = [one for one in found if not one[1] & HALF_CLOSED]
@@ -493,6 +496,8 @@
                 handler.handle_events(events)
                 if self.queued_bytes > HIGH_WATER_BYTES:
                     self._flush(True)
+            load.turn_ended(fd, clock())
+        load.batch_ended(clock(), (fd for fd, _, _ in others[MAX_SOCKETS_PER_BATCH:]))
 
     def _close(self) -> None:
         """Close all listeners, then all connections and the epoll object, when the serving task ends."""
@@ -564,6 +569,7 @@
             if self.queued_bytes > HIGH_WATER_BYTES:
                 self._flush(True)
         self._flush()
+        self.load.timers_ended(now, self.now())
 
     async def _run_timers(self) -> None:
         """Run due timers, then sleep until the next one or until `at` adds an earlier one.
