Commands that are answered at once are handled in turns: sixteen of a client, then others

Cause: PgFront._read_commands and RespFront._read_commands bounded a client only by its commands that wait for an answer.

Change: a front handles COMMANDS_PER_TURN (16) commands of a client. If more are buffered, the client is not read, and the rest is handled after the other connections had their turn: DeferClient, Env.defer, ClientTurn. SocketEnv makes four such calls between two polls. Who awaits a turn is not idle, so it is neither closed for others nor when the router leaves; its commands are dated from when they were read.

--- a/banklift/emulator/world.py
+++ b/banklift/emulator/world.py
@@ -139,6 +139,10 @@
         self.events_created += 1
         heapq.heappush(self.queue, (max(when, self.clock), self.events_created, callback))
 
+    def defer(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after the events that are due now."""
+        self.at(self.clock, callback)
+
     def latency(self) -> float:
         """Draw the seconds that one delivery takes."""
         return self.one_way * self.random.uniform(1.0, MAX_LATENCY_FACTOR)
--- a/banklift/net/env.py
+++ b/banklift/net/env.py
@@ -82,6 +82,9 @@
     def at(self, when: float, callback: Callable[[], None]) -> None:
         """Call `callback` at `when`, in seconds on this clock, or soon if that has passed."""
 
+    def defer(self, callback: Callable[[], None]) -> None:
+        """Call `callback` soon, in turns with the connections that have events."""
+
     def listen(self, address: str, accept: Callable[[], Peer]) -> Listener:
         """Listen at `address`; `accept` returns the peer of each new connection. Errors: `OSError` if the address can't
         be bound."""
--- a/banklift/net/router.py
+++ b/banklift/net/router.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable
+from functools import partial
 
 from banklift.net.env import DeadlineTimer, Env, Handle, Peer
 from banklift.proxy import events as ev
@@ -91,6 +92,8 @@
                 case ev.ResumeClient(client):
                     if client in clients:
                         clients[client].resume()
+                case ev.DeferClient(client, sent_at_earliest):
+                    self.env.defer(partial(self.handle_event, ev.ClientTurn(client, sent_at_earliest)))
                 case ev.RequestRoster(watch):
                     self.request_roster(watch)
                 case ev.LogEvent(text, fields):
--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -11,6 +11,9 @@
 timer is due, and yields to the event loop, which handles signals, only every `EVENT_LOOP_INTERVAL_SECONDS`. System
 calls are the largest cost here, and a wait that goes through the event loop takes five of them.
 
+The turn of a socket is one read, and its peer may leave a part of the work for later (`defer`). A batch does only a few
+such calls, so work that arrives in bulk doesn't hold up the sockets.
+
 When the other end of an accepted connection has closed its side, or is gone, the peer is told in each batch before all
 other events, even if reading is paused and before data that is still unread. No request may be started for a client
 that has left, however much other work there is and however long this process was stopped.
@@ -38,6 +41,7 @@
 import select
 import socket
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -52,6 +56,7 @@
 HIGH_WATER_BYTES = 1024 * 1024  # unsent bytes of a connection above which the other end is a slow reader
 LISTEN_BACKLOG = 1024  # connections that the kernel holds until they are accepted
 MAX_SOCKETS_PER_BATCH = 16  # sockets whose events are handled before the queued answers are written
+MAX_DEFERRED_CALLS_PER_BATCH = 4  # deferred calls that are made between two polls
 MAX_POLLED_SOCKETS = 512  # sockets that one poll may report, among which closed ones are handled first
 # longest poll for the next event before the task returns to the event loop, which costs a fifth of this time
 BUSY_POLL_SECONDS = 0.0005
@@ -415,6 +420,7 @@
         ] = {}  # when each finished connection is closed; oldest first
         self.load = LoopLoad()
         self.stopping = False
+        self._deferred: deque[Callable[[], None]] = deque()
         self._to_flush: list[SocketHandle] = []
         self.queued_bytes = 0  # bytes that all connections have queued since the last flush
         self._flush_scheduled = False  # whether the end of a batch or a timer will flush
@@ -437,15 +443,19 @@
         """
         try:
             while True:
-                await anyio.wait_readable(self.epoll)
+                if self._deferred:
+                    await anyio.lowlevel.checkpoint()
+                else:
+                    await anyio.wait_readable(self.epoll)
                 end = self.now() + TIME_SLICE_SECONDS
-                wait = self.busy_poll
-                while ready := self.epoll.poll(wait, MAX_POLLED_SOCKETS):
-                    # with several sockets ready, more are likely to be by the next poll, so it need not wait
-                    wait = self.busy_poll if len(ready) == 1 else 0.0
+                wait = 0.0 if self._deferred else self.busy_poll
+                while (ready := self.epoll.poll(wait, MAX_POLLED_SOCKETS)) or self._deferred:
                     self._flush_scheduled = True
                     self._serve_batch(ready)
+                    self._call_deferred()
                     self._flush()
+                    # with several sockets ready, more are likely to be by the next poll, so it need not wait
+                    wait = self.busy_poll if len(ready) <= 1 and not self._deferred else 0.0
                     now = self.now()
                     if self._timers and self._timers[0][0] <= now:
                         self._run_due_timers(now)
@@ -469,9 +479,11 @@
                     await anyio.lowlevel.checkpoint()
                     now = self.now()
                     end = now + EVENT_LOOP_INTERVAL_SECONDS
-                wait = min(end, timers[0][0] if timers else end) - now
+                wait = max(TIMER_RESOLUTION_SECONDS, min(end, timers[0][0] if timers else end) - now)
+                ready = self.epoll.poll(0.0 if self._deferred else wait, MAX_POLLED_SOCKETS)
                 self._flush_scheduled = True
-                self._serve_batch(self.epoll.poll(max(TIMER_RESOLUTION_SECONDS, wait), MAX_POLLED_SOCKETS))
+                self._serve_batch(ready)
+                self._call_deferred()
                 self._flush()
                 now = self.now()
                 if timers and timers[0][0] <= now:
@@ -499,6 +511,16 @@
             load.turn_ended(fd, clock())
         load.batch_ended(clock(), (fd for fd, _, _ in others[MAX_SOCKETS_PER_BATCH:]))
 
+    def defer(self, callback: Callable[[], None]) -> None:
+        """Call `callback` soon, in turns with the sockets that are ready."""
+        self._deferred.append(callback)
+        self._schedule_flush()
+
+    def _call_deferred(self) -> None:
+        """Make up to `MAX_DEFERRED_CALLS_PER_BATCH` of the calls that were deferred, oldest first."""
+        for _ in range(min(MAX_DEFERRED_CALLS_PER_BATCH, len(self._deferred))):
+            self._deferred.popleft()()
+
     def _close(self) -> None:
         """Close all listeners, then all connections and the epoll object, when the serving task ends."""
         for listener in [one for one in self.by_fd.values() if isinstance(one, SocketListener)]:
@@ -537,6 +559,10 @@
     def queue_flush(self, handle: SocketHandle) -> None:
         """Flush `handle` at the end of the current batch, or at once from a timer if none is running."""
         self._to_flush.append(handle)
+        self._schedule_flush()
+
+    def _schedule_flush(self) -> None:
+        """Wake the task that runs timers, unless a batch or timers are running already."""
         if not self._flush_scheduled:
             self._flush_scheduled = True
             self.at(0.0, self._flush)
@@ -580,7 +606,11 @@
         timers = self._timers
         while True:
             self._run_due_timers(self.now())
-            self._sleeping_until = timers[0][0] if timers else math.inf
+            if self._deferred:
+                self._flush_scheduled = True
+                self._call_deferred()
+                self._flush()
+            self._sleeping_until = self.now() if self._deferred else timers[0][0] if timers else math.inf
             self._earlier_timer_added = anyio.Event()
             with anyio.move_on_after(max(TIMER_RESOLUTION_SECONDS, self._sleeping_until - self.now())):
                 await self._earlier_timer_added.wait()
--- a/banklift/pg/front.py
+++ b/banklift/pg/front.py
@@ -3,6 +3,8 @@
 A client sends a startup message, then simple queries. Each command is appended to the client's queue. A command that is
 a request is submitted to the core at once, so requests of one client run concurrently; answers are sent in the order of
 the commands. With `limits.pipeline` commands pending, a client is no longer read until at most half of them are left.
+After `COMMANDS_PER_TURN` commands of a client all other connections have their turn first. Meanwhile the client is not
+read, and does not count as idle.
 
 Client faults are answered with an error and never reach a member:
 
@@ -42,7 +44,7 @@
 from banklift.proxy import events as ev
 from banklift.proxy.machine import Machine
 from banklift.proxy.plan import Limits
-from banklift.proxy.wire import ClientRequest, Failed, Final, Refused, Served
+from banklift.proxy.wire import COMMANDS_PER_TURN, ClientRequest, Failed, Final, Refused, Served
 
 READ_TIMEOUT_SECONDS = 2.0  # time for a startup, for the first query and for the rest of a started message
 # Share of the allowed clients from which on `BUSY_IDLE_TIMEOUT_SECONDS` replaces the usual idle timeout.
@@ -92,6 +94,7 @@
     has_queried: bool = False
     bad_statements: int = 0
     paused: bool = False  # the connection is not read
+    awaits_turn: bool = False  # buffered commands are handled after other connections have had their turn
     send_buffer_full: bool = False  # the client doesn't read its answers; no new command is begun
     closing: bool = False  # nothing more is read; the connection is closed once the queue is empty
     discards_input: bool = False  # after a fatal protocol fault: whatever else it sends is ignored
@@ -162,6 +165,13 @@
             if not len(client.reader) and not client.queue:
                 client.waiting_since = self.core.now
             client.reader.feed(data)
+            if not client.awaits_turn:
+                self._read_commands(client)
+
+    def take_turn(self, client_id: int) -> None:
+        """The other connections have had their turn: more of the client's buffered commands are handled."""
+        client = self.clients.get(client_id)
+        if client is not None:
             self._read_commands(client)
 
     def eof(self, client_id: int) -> None:
@@ -228,7 +238,11 @@
     # ---- the queue of pending commands
 
     def _read_commands(self, client: Client) -> None:
-        """Handle buffered messages up to the limit of pending commands, then send the answers that are due."""
+        """Handle the buffered messages of one turn, up to the limit of pending commands, then send the due answers.
+
+        `awaits_turn` keeps its value meanwhile, so that answers which are known at once don't begin another turn.
+        """
+        commands_left, awaits_turn = COMMANDS_PER_TURN, False
         try:
             while not client.closing:
                 if len(client.queue) >= self.limits.pipeline:
@@ -236,12 +250,20 @@
                 if len(client.queue) >= self.limits.pipeline or client.send_buffer_full:
                     self._pause(client)
                     break
+                if not commands_left and len(client.reader):
+                    awaits_turn = True
+                    break
                 message = client.reader.next()
                 if message is None:
                     break
+                commands_left -= 1
                 self._handle_message(client, *message)
         except FrameError as error:
             self._fail_connection(client, "08P01", str(error))
+        client.awaits_turn = awaits_turn
+        if awaits_turn:
+            self._pause(client)
+            self.core.defer(client.id)
         self._flush(client)
 
     def _pause(self, client: Client) -> None:
@@ -267,9 +289,9 @@
                 ev.SendToClient(client.id, answers[0] if len(answers) == 1 else b"".join(answers))
             )
             client.waiting_since = self.core.now
-        if queue:
+        if queue or client.awaits_turn:
             self.idle_clients.pop(client.id, None)
-        elif answers:
+        elif answers or client.id not in self.idle_clients:
             self.idle_clients[client.id] = client
             self.idle_clients.move_to_end(client.id)
 
@@ -294,7 +316,12 @@
             and not len(client.reader)
         ):
             self._close(client)
-        elif client.paused and not client.send_buffer_full and len(client.queue) <= self.limits.pipeline // 2:
+        elif (
+            client.paused
+            and not client.awaits_turn
+            and not client.send_buffer_full
+            and len(client.queue) <= self.limits.pipeline // 2
+        ):
             client.paused = False
             self.core.actions.append(ev.ResumeClient(client.id))
             self._read_commands(client)
--- a/banklift/proxy/events.py
+++ b/banklift/proxy/events.py
@@ -30,6 +30,13 @@
     sent_at_earliest: float | None = None  # the earliest time at which they may have been sent; None: now
 
 
+class ClientTurn(msgspec.Struct, frozen=True, gc=False):
+    """The other connections have had their turn since `DeferClient`."""
+
+    client: int
+    sent_at_earliest: float  # as in `DeferClient`
+
+
 class ClientHalfClosed(msgspec.Struct, frozen=True, gc=False):
     """A client that is paused has shut its sending side; bytes that it sent before may be unread."""
 
@@ -130,6 +137,7 @@
 Event = (
     ClientOpened
     | ClientData
+    | ClientTurn
     | ClientHalfClosed
     | ClientEof
     | ClientLost
@@ -173,6 +181,13 @@
     client: int
 
 
+class DeferClient(msgspec.Struct, frozen=True, gc=False):
+    """Report `ClientTurn` once the other connections have had their turn: more commands of a client are buffered."""
+
+    client: int
+    sent_at_earliest: float  # the earliest time at which these commands may have been sent
+
+
 class OpenLink(msgspec.Struct, frozen=True, gc=False):
     """Connect a new link; `LinkUp` or `LinkLost` follows."""
 
@@ -211,6 +226,7 @@
     | CloseClient
     | PauseClient
     | ResumeClient
+    | DeferClient
     | OpenLink
     | SendToLink
     | CloseLink
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -190,6 +190,10 @@
                 self.input_sent_at = now if sent_at_earliest is None else sent_at_earliest
                 self.front.data(client, data)
                 self.input_sent_at = None
+            case ev.ClientTurn(client, sent_at_earliest):
+                self.input_sent_at = sent_at_earliest
+                self.front.take_turn(client)
+                self.input_sent_at = None
             case ev.LinkData(link, data):
                 if link in self.links:
                     self._link_data(self.links[link], data)
@@ -310,6 +314,11 @@
                 if not attempt.ended and attempt.link is None:
                     self._end_attempt(attempt, Status.MOOT)
 
+    def defer(self, client: int) -> None:
+        """Call `front.take_turn` for a client with buffered commands once the other connections have had their turn."""
+        sent_at = self.now if self.input_sent_at is None else self.input_sent_at
+        self.actions.append(ev.DeferClient(client, sent_at))
+
     def probe_group(self, group: int) -> None:
         """Probe each ready member of a group that has no unanswered probe."""
         for member in self.members.values():
--- a/banklift/proxy/wire.py
+++ b/banklift/proxy/wire.py
@@ -22,6 +22,11 @@
     from banklift.proxy.machine import Attempt, Machine, MemberRecord
 
 
+# A front handles at most this many commands of one client before other connections have their turn. Otherwise a client
+# whose commands are answered at once, such as refused ones, would hold up all others for as long as its input lasts.
+COMMANDS_PER_TURN = 16
+
+
 class Reader(Protocol):
     """Splits what a member sends into frames."""
 
@@ -253,6 +258,9 @@
     def data(self, client: int, data: bytes) -> None:
         """Bytes have arrived from a client."""
 
+    def take_turn(self, client: int) -> None:
+        """The turn has come that the front asked for by `Machine.defer`; the client may be gone."""
+
     def eof(self, client: int) -> None:
         """A client has shut its sending side, and everything that it sent was read."""
 
--- a/banklift/resp/frames.py
+++ b/banklift/resp/frames.py
@@ -211,6 +211,10 @@
         self._size = 0  # bytes of its arguments so far
         self._start = 0  # where it begins in the buffer
 
+    def __len__(self) -> int:
+        """The number of bytes that are not read yet."""
+        return len(self.buffer) - self.pos
+
     def feed(self, data: bytes) -> None:
         """Adds bytes of the client."""
         if self.pos < len(self.buffer):
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -3,7 +3,8 @@
 Theory of operation:
 
 - Every command of a connection has an entry in the connection's pipeline. Replies may become known in any order; they
-  are sent only from the head of the pipeline. A connection whose pipeline is full is no longer read.
+  are sent only from the head of the pipeline. A connection whose pipeline is full is no longer read. After
+  `COMMANDS_PER_TURN` commands of a connection all others have their turn first.
 - Commands of one connection to one group keep their order towards members as far as a client can observe it: a write
   waits for all commands before it, a session or fresh read for the writes before it, and any other read for neither.
   But no command overtakes one that still waits in the same group.
@@ -37,7 +38,7 @@
 from banklift.proxy import events as ev
 from banklift.proxy.machine import Machine
 from banklift.proxy.plan import Config
-from banklift.proxy.wire import ClientRequest, Failed, Final, Refused, Served
+from banklift.proxy.wire import COMMANDS_PER_TURN, ClientRequest, Failed, Final, Refused, Served
 from banklift.resp.commands import COMMANDS, Command, CommandKind, find_command
 from banklift.resp.frames import CommandReader, Error, ProtocolError, Simple, command, encode
 from banklift.resp.proofs import RespProofs
@@ -129,6 +130,7 @@
     queues: dict[int, GroupQueue] = field(default_factory=dict)  # by group
     sent_token: bool = False  # the client hands over its marks (BANKLIFT.SEEN) when it changes router
     paused: bool = False  # the connection is not being read
+    awaits_turn: bool = False  # buffered commands are run after other connections have had their turn
     output_full: bool = False  # the client does not read its replies
     closing: bool = False  # nothing more is read; the connection is closed once the pipeline is empty
     # the latest deadline of a request in the pipeline, in seconds of the router's clock
@@ -156,6 +158,7 @@
         # by user; if there are none, no login is needed
         self.passwords = {user.name: user.password for user in config.users}
         self.group_names = [group.name for group in config.groups]
+        self.leaving = False
 
     # ---- events of the core
 
@@ -172,7 +175,17 @@
         state = self.clients.get(client)
         if state is not None and not state.closing:
             state.reader.feed(data)
-            self._read_commands(state)
+            if not state.awaits_turn:
+                self._read_commands(state)
+
+    def take_turn(self, client: int) -> None:
+        """The other connections have had their turn: runs more of the connection's buffered commands."""
+        state = self.clients.get(client)
+        if state is None:
+            return
+        self._read_commands(state)
+        if self.leaving and not state.awaits_turn:
+            self._close_when_answered(state)
 
     def eof(self, client: int) -> None:
         """The client closed its sending side: refuses what waits, and closes once the rest is answered."""
@@ -254,18 +267,18 @@
         self.passwords = {user.name: user.password for user in plan.users}
         for state in list(self.clients.values()):
             if state.user is not None and self.passwords.get(state.user) != old_passwords.get(state.user):
-                state.closing = True
-                self._flush(state)
+                self._close_when_answered(state)
 
     def drain(self) -> None:
         """Does nothing: commands are taken until `leave`, and the core ends them in time."""
         return
 
     def leave(self) -> None:
-        """Closes every connection once its commands are answered."""
+        """Closes every connection once its commands are answered, also those that await their turn."""
+        self.leaving = True
         for state in list(self.clients.values()):
-            state.closing = True
-            self._flush(state)
+            if not state.awaits_turn:
+                self._close_when_answered(state)
 
     # ---- the pipeline
 
@@ -301,22 +314,39 @@
         self._flush(state)
 
     def _read_commands(self, state: ClientConnection) -> None:
-        """Runs the commands that are complete, until the pipeline is full; then sends the replies that are ready."""
+        """Runs the complete commands of one turn, until the pipeline is full; then sends the replies that are ready.
+
+        `awaits_turn` keeps its value meanwhile, so that replies which are known at once don't begin another turn.
+        """
         limit = self.config.limits.pipeline
+        commands_left, awaits_turn = COMMANDS_PER_TURN, False
         try:
             while not state.closing:
                 if len(state.pipeline) >= limit or state.output_full:
                     self._pause(state)
                     break
+                if not commands_left and len(state.reader):
+                    awaits_turn = True
+                    break
                 args = state.reader.next()
                 if args is None:
                     break
+                commands_left -= 1
                 entry = PipelineEntry()
                 state.pipeline.append(entry)
                 self._dispatch(state, entry, args)
         except ProtocolError as error:
             state.pipeline.append(PipelineEntry(encode(Error(f"ERR Protocol error: {error}"))))
             state.closing = True
+        state.awaits_turn = awaits_turn
+        if awaits_turn:
+            self._pause(state)
+            self.core.defer(state.id)
+        self._flush(state)
+
+    def _close_when_answered(self, state: ClientConnection) -> None:
+        """Runs nothing more of a connection, and closes it once its commands are answered."""
+        state.closing = True
         self._flush(state)
 
     def _pause(self, state: ClientConnection) -> None:
@@ -348,7 +378,12 @@
         elif sum(map(len, out)) > FLUSH_PAUSE_BYTES:  # the core's next turn knows whether the client is slow
             self._pause(state)
             self.core.call_at(self.core.now, lambda: self._flush(state))
-        elif state.paused and not state.output_full and len(line) <= self.config.limits.pipeline // 2:
+        elif (
+            state.paused
+            and not state.awaits_turn
+            and not state.output_full
+            and len(line) <= self.config.limits.pipeline // 2
+        ):
             state.paused = False
             self.core.actions.append(ev.ResumeClient(state.id))
             self._read_commands(state)
--- a/banklift/rig/counting_env.py
+++ b/banklift/rig/counting_env.py
@@ -23,6 +23,7 @@
         self.traffic = Traffic()
         self.now = env.now
         self.at = env.at
+        self.defer = env.defer
 
     def listen(self, address: str, accept: Callable[[], Peer]) -> Listener:
         """Listen as `Env.listen` does, and count what the accepted connections carry."""
--- a/banklift/rig/node_env.py
+++ b/banklift/rig/node_env.py
@@ -48,6 +48,10 @@
         due = max(self.world.now(), self.true_time(when) + CLOCK_ROUNDING)
         self.world.at(due, lambda: self.deliver(callback, timer=True))
 
+    def defer(self, callback: Callable[[], None]) -> None:
+        """Call back after the events that are due now, or once the process runs again."""
+        self.world.defer(lambda: self.deliver(callback, timer=True))
+
     # ---- the process
 
     def deliver(self, callback: Callable[[], None], timer: bool = False) -> None:
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -135,6 +135,9 @@
     def at(self, when: float, callback: Callable[[], None]) -> None:
         return
 
+    def defer(self, callback: Callable[[], None]) -> None:
+        return
+
     def listen(self, address: str, accept: Callable[[], Peer]) -> Listener:
         raise AssertionError
 
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -74,6 +74,7 @@
         """Pass an event to the machine and record its actions; probes are answered at once."""
         asked: list[int] = []
         opened: list[int] = []
+        turns: list[ev.ClientTurn] = []
         for action in self.machine.handle(self.now, event):
             match action:
                 case ev.SendToClient(client, data):
@@ -95,6 +96,10 @@
                     self.closed.append(link)
                 case ev.CloseClient(client):
                     self.closed_clients.append(client)
+                case ev.DeferClient(client, sent_at_earliest):
+                    turns.append(ev.ClientTurn(client, sent_at_earliest))
+        for turn in turns:
+            self.handle(turn)
         for link in opened:
             self.handle(ev.LinkUp(link))
         for link in asked:
