Input after a stall is handled as it arrives, not kept back and handled in one piece

The router was not stopped; it was busy.

Cause: net/router.py, _ClientPeer.data and _deliver_delayed_data. After a check that was over 0.3 s late the input of every client was kept for 10 ms, to learn who had left. Meanwhile nothing paused its reading, and a timer then handed all of it to the machine in one piece for each client: 294 to 1,142 ms in timers, outside of all turns, so the next check was late again. A router that was once held up by its own work stayed so for as long as the flood lasted.

Change: input is passed on as it arrives, dated before the stall as until now. The delay is not needed since closes are told before all input of a batch (EPOLLRDHUP); input of a client that is known to have left is dropped after a stall, as before. World.hold_up lets virtual time pass in which nothing runs.

--- a/banklift/emulator/world.py
+++ b/banklift/emulator/world.py
@@ -143,6 +143,10 @@
         """Call `callback` after the events that are due now."""
         self.at(self.clock, callback)
 
+    def hold_up(self, seconds: float) -> None:
+        """Let `seconds` pass in which nothing runs, as while a process is held up: what is due meanwhile runs late."""
+        self.clock += seconds
+
     def latency(self) -> float:
         """Draw the seconds that one delivery takes."""
         return self.one_way * self.random.uniform(1.0, MAX_LATENCY_FACTOR)
@@ -198,6 +202,7 @@
     def run(self, until: float) -> None:
         """Run all events up to the time `until`, and set the clock to it."""
         while self.queue and self.queue[0][0] <= until:
-            self.clock, _, callback = heapq.heappop(self.queue)
+            when, _, callback = heapq.heappop(self.queue)
+            self.clock = max(self.clock, when)
             callback()
         self.clock = max(self.clock, until)
--- a/banklift/net/router.py
+++ b/banklift/net/router.py
@@ -13,8 +13,6 @@
 Log = Callable[[str, dict[str, object]], None]
 STALL_CHECK_INTERVAL_SECONDS = 0.1  # interval of the checks whether this process was stopped
 STALL_THRESHOLD_SECONDS = 0.3  # time between two checks above which the process counts as having been stopped
-# Requests that arrived during a stall are started this long after it, as closes by their clients are known by then.
-STALL_SETTLE_SECONDS = 0.01
 
 
 class RouterHost:
@@ -154,14 +152,19 @@
 
 
 class _ClientPeer(Peer):
-    """A client's connection. Passes its events to the machine; after a stall, data only when closes are known."""
+    """A client's connection. Passes its events to the machine.
 
-    __slots__ = ("delayed_data", "host", "id")
+    After a stall, input of a client that is known to have left is dropped, as it may have been sent long ago. All other
+    input is passed on as it arrives: if it were kept until later, reading would not be paused, and handling all of it
+    at once would be the next stall.
+    """
+
+    __slots__ = ("has_left", "host", "id")
 
     def __init__(self, host: RouterHost) -> None:
         self.host = host
         self.id = 0
-        self.delayed_data: list[bytes] | None = None  # data that arrived during a stall; None if none did
+        self.has_left = False  # the client has closed its side; data that it sent before may be unread
 
     def connected(self, handle: Handle) -> None:
         self.host.last_client_id += 1
@@ -174,32 +177,21 @@
         if host.deferred_calls is not None:
             host.deferred_calls.append(lambda: self.data(data))
             return
-        if self.delayed_data is not None:
-            self.delayed_data.append(data)
-            return
         sent_at_earliest = host.earliest_send_time()
-        if sent_at_earliest is None:
-            host.handle_event(ev.ClientData(self.id, data))
-            return
-        self.delayed_data = [data]
-        host.env.at(
-            host.env.now() + STALL_SETTLE_SECONDS, lambda: self._deliver_delayed_data(sent_at_earliest)
-        )
-
-    def _deliver_delayed_data(self, sent_at_earliest: float) -> None:
-        delayed_data, self.delayed_data = self.delayed_data, None
-        if delayed_data:
-            self.host.handle_event(ev.ClientData(self.id, b"".join(delayed_data), sent_at_earliest))
+        if self.has_left and sent_at_earliest is not None:
+            self.lost("closed")
+        else:
+            host.handle_event(ev.ClientData(self.id, data, sent_at_earliest))
 
     def eof(self) -> None:
         if self.host.deferred_calls is not None:
+            self.has_left = True
             self.host.deferred_calls.append(self.eof)
-        elif self.delayed_data is not None:  # the client left during the stall, so its request is dropped
-            self.lost("closed")
         else:
             self.host.handle_event(ev.ClientEof(self.id))
 
     def half_closed(self) -> None:
+        self.has_left = True
         self.host.handle_event(ev.ClientHalfClosed(self.id))
 
     def write_paused(self) -> None:
@@ -210,9 +202,9 @@
 
     def lost(self, reason: str) -> None:
         if self.host.deferred_calls is not None:
+            self.has_left = True
             self.host.deferred_calls.append(lambda: self.lost(reason))
             return
-        self.delayed_data = None
         if (handle := self.host.clients.pop(self.id, None)) is not None:
             handle.close()
             self.host.handle_event(ev.ClientLost(self.id))
