Each ready socket gets its turn before any other gets a second one

Callers may see: sockets behind sixteen others that always have input are never served, whatever they carry: usual clients, answers of members, the listener, the catalogue.

Cause: SocketEnv._serve_batch handled the first MAX_SOCKETS_PER_BATCH sockets of each poll, and epoll reports those that stay ready in the same order again.

Change: sockets that a batch has no room for come first in the next one, the longest waiting first. No scan beyond what the poll has reported.

Guard: tests/test_turns.py, test_sockets_that_always_have_input_leave_turns_to_the_others (both kinds of loop): 24 busy sockets and a quiet one. Without the mend the quiet one got no turn in over 200 turns of the others; with it, it has its turn before any other has a third.

--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -11,8 +11,10 @@
 timer is due, and yields to the event loop, which handles signals, only every `EVENT_LOOP_INTERVAL_SECONDS`. System
 calls are the largest cost here, and a wait that goes through the event loop takes five of them.
 
-The turn of a socket is one read, and its peer may leave a part of the work for later (`defer`). A batch does only a few
-such calls, so work that arrives in bulk doesn't hold up the sockets.
+Every socket that is ready gets its turn before any other gets a second one: sockets that a batch has no room for come
+first in the next batch. epoll alone doesn't ensure that, as it reports sockets that stay ready in the same order again.
+A turn is one read, and its peer may leave a part of the work for later (`defer`). A batch does only a few such calls,
+so work that arrives in bulk doesn't hold up the sockets.
 
 When the other end of an accepted connection has closed its side, or is gone, the peer is told in each batch before all
 other events, even if reading is paused and before data that is still unread. No request may be started for a client
@@ -84,6 +86,9 @@
         """Handle `events`, a mask of epoll events."""
 
 
+ReadySocket = tuple[int, int, EventHandler | None]  # descriptor, epoll events, and who handles them
+
+
 class SocketHandle:
     """One TCP connection, accepted or outgoing. Implements `Handle`."""
 
@@ -420,6 +425,8 @@
         ] = {}  # when each finished connection is closed; oldest first
         self.load = LoopLoad()
         self.stopping = False
+        # descriptors that were ready and got no turn yet, the longest waiting first
+        self._postponed: list[int] = []
         self._deferred: deque[Callable[[], None]] = deque()
         self._to_flush: list[SocketHandle] = []
         self.queued_bytes = 0  # bytes that all connections have queued since the last flush
@@ -492,8 +499,8 @@
             self._close()
 
     def _serve_batch(self, ready: list[tuple[int, int]]) -> None:
-        """Handle all closes by other ends, then up to `MAX_SOCKETS_PER_BATCH` other sockets. The rest stays ready and
-        is reported by the next poll.
+        """Handle all closes by other ends, then up to `MAX_SOCKETS_PER_BATCH` other sockets. The rest stays ready, is
+        reported by the next poll, and comes first then.
 
         A descriptor may be closed and reused by another connection during the batch. So an event is handled only if
         its descriptor still belongs to the handler that had it when the batch was polled.
@@ -502,14 +509,23 @@
         load.batch_began(clock())
         found = [(fd, events, by_fd.get(fd)) for fd, events in ready]
         half_closed = [one for one in found if one[1] & HALF_CLOSED]
-        others = [one for one in found if not one[1] & HALF_CLOSED]
+        others = self._by_waiting_time([one for one in found if not one[1] & HALF_CLOSED])
         for fd, events, handler in half_closed + others[:MAX_SOCKETS_PER_BATCH]:
             if handler is not None and by_fd.get(fd) is handler:
                 handler.handle_events(events)
                 if self.queued_bytes > HIGH_WATER_BYTES:
                     self._flush(True)
             load.turn_ended(fd, clock())
-        load.batch_ended(clock(), (fd for fd, _, _ in others[MAX_SOCKETS_PER_BATCH:]))
+        self._postponed = [fd for fd, _, _ in others[MAX_SOCKETS_PER_BATCH:]]
+        load.batch_ended(clock(), self._postponed)
+
+    def _by_waiting_time(self, ready: list[ReadySocket]) -> list[ReadySocket]:
+        """Order ready sockets: first those that got no turn in earlier batches, the longest waiting one first."""
+        if not self._postponed:
+            return ready
+        found = {one[0]: one for one in ready}
+        waited = [found.pop(fd) for fd in self._postponed if fd in found]
+        return waited + list(found.values())
 
     def defer(self, callback: Callable[[], None]) -> None:
         """Call `callback` soon, in turns with the sockets that are ready."""
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,4 +1,4 @@
-"""Connections take turns: one whose commands are answered at once doesn't starve the others.
+"""Connections take turns: one that always has input, or whose commands are answered at once, doesn't starve the others.
 
 Found by review/2: clients that sent each command again as soon as it was turned away were the only ones served.
 """
@@ -8,6 +8,7 @@
 import contextlib
 import socket
 from collections.abc import Callable
+from functools import partial
 
 import pytest
 
@@ -15,7 +16,7 @@
 from banklift.net.env import Handle, Peer
 from banklift.net.router import RouterHost
 from banklift.net.service import StartConfig, build_machine
-from banklift.net.sockets import SocketEnv
+from banklift.net.sockets import IO_CHUNK_BYTES, MAX_SOCKETS_PER_BATCH, SocketEnv
 from banklift.pg import frames
 from banklift.proxy import events as ev
 from banklift.proxy.wire import COMMANDS_PER_TURN
@@ -24,6 +25,7 @@
 from tests.surroundings import open_connections, run_until
 from tests.test_machine import Rig
 
+MAX_TEST_TURNS = 200  # turns of one connection after which a test gives up
 EMPTY_QUERY = frames.query(b"")
 PIPELINED_COMMANDS = 600  # commands of one read that are answered at once
 
@@ -62,6 +64,31 @@
 # ---- sockets
 
 
+@pytest.mark.parametrize("exclusive_loop", [True, False])
+def test_sockets_that_always_have_input_leave_turns_to_the_others(exclusive_loop: bool) -> None:
+    """More sockets than a batch has room for always have input. epoll reports them in the same order at each poll, so
+    a socket behind them would never be served if each batch took the first ones of its poll."""
+    busy = [TurnCounter() for _ in range(MAX_SOCKETS_PER_BATCH + 8)]
+    turns_before: list[int] = []
+    callers: list[socket.socket] = []
+    quiet = TurnCounter(lambda: turns_before.extend(peer.turns for peer in busy))
+
+    def act(env: SocketEnv) -> Callable[[], bool]:
+        callers.extend(open_connections(env, [*busy, quiet], len(busy) + 1))
+        for peer, caller in zip(busy, callers, strict=False):
+            # each turn reads one chunk and leaves at least one more
+            write_all_that_fits(caller, b"x" * (2 * IO_CHUNK_BYTES))
+            peer.on_turn = partial(write_all_that_fits, caller, b"x" * IO_CHUNK_BYTES)
+        callers[-1].sendall(b"question")
+        return lambda: quiet.turns > 0 or max(peer.turns for peer in busy) > MAX_TEST_TURNS
+
+    run_until(act, exclusive_loop)
+    for caller in callers:
+        caller.close()
+    assert quiet.turns == 1
+    assert max(turns_before) <= 2  # nobody gets a third turn before each has had one
+
+
 @pytest.mark.parametrize("exclusive_loop", [True, False])
 def test_deferred_calls_and_sockets_take_turns(exclusive_loop: bool) -> None:
     """A call that defers itself for ever neither keeps sockets from being served nor waits for one to have input."""
