net/sockets.py is split: connections and listeners are in net/connections.py

Change: SocketHandle, FailedHandle, SocketListener and their constants move to net/connections.py, as they were. A generated test of pipelines that are cut anywhere joins tests/test_turns.py. No change of behaviour.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -15,14 +15,9 @@
 import anyio.from_thread
 import pytest
 
+from banklift.net.connections import DISCARD_LIMIT_BYTES, HIGH_WATER_BYTES
 from banklift.net.env import Handle, Peer
-from banklift.net.sockets import (
-    DISCARD_LIMIT_BYTES,
-    HIGH_WATER_BYTES,
-    MAX_LINGERING_CONNECTIONS,
-    MAX_SOCKETS_PER_BATCH,
-    SocketEnv,
-)
+from banklift.net.sockets import MAX_LINGERING_CONNECTIONS, MAX_SOCKETS_PER_BATCH, SocketEnv
 from tests.surroundings import open_connections, run_until
 
 ANSWER = b"answered"
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -11,12 +11,15 @@
 from functools import partial
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from banklift.adapter import parse_settings
+from banklift.net.connections import IO_CHUNK_BYTES
 from banklift.net.env import Handle, Peer
 from banklift.net.router import RouterHost
 from banklift.net.service import StartConfig, build_machine
-from banklift.net.sockets import IO_CHUNK_BYTES, MAX_SOCKETS_PER_BATCH, SocketEnv
+from banklift.net.sockets import MAX_SOCKETS_PER_BATCH, SocketEnv
 from banklift.pg import frames
 from banklift.proxy import events as ev
 from banklift.proxy.wire import COMMANDS_PER_TURN
@@ -274,6 +277,39 @@
     site.assert_no_leftovers()
 
 
+# what a client may pipeline, and the types of the messages that answer it
+KINDS_OF_COMMANDS: dict[str, tuple[Callable[[Site], bytes], list[str]]] = {
+    "empty": (lambda site: EMPTY_QUERY, ["I", "Z"]),
+    "no time left": (lambda site: turned_away_reads(site, 1), ["E", "Z"]),
+    "unknown group": (lambda site: unknown_group_reads(site, 1), ["E", "Z"]),
+    "read": (lambda site: frames.query(site.read("any").encode()), ["T", "D", "C", "Z"]),
+    "write": (lambda site: frames.query(site.write().encode()), ["T", "D", "C", "Z"]),
+}
+
+
+@given(
+    pipelines=st.lists(
+        st.lists(st.sampled_from(sorted(KINDS_OF_COMMANDS)), min_size=1, max_size=70), min_size=1, max_size=4
+    ),
+    chunk=st.integers(50, 5_000),
+)
+@settings(max_examples=60)
+def test_each_pipelined_command_gets_its_answer_in_order(pipelines: list[list[str]], chunk: int) -> None:
+    """Several clients pipeline commands that are answered at once and others that members answer, cut anywhere."""
+    site = Site(delay=0.001)
+    callers = [SiteClient(site) for _ in pipelines]
+    streams = [b"".join(KINDS_OF_COMMANDS[kind][0](site) for kind in pipeline) for pipeline in pipelines]
+    for start in range(0, max(map(len, streams)), chunk):
+        for caller, stream in zip(callers, streams, strict=True):
+            caller.handle.send(stream[start : start + chunk])
+        site.run(0.0005)
+    site.run(1.0)
+    for caller, pipeline in zip(callers, pipelines, strict=True):
+        expected = [message for kind in pipeline for message in KINDS_OF_COMMANDS[kind][1]]
+        assert [message for message, _ in caller.received_messages()] == expected
+    site.assert_no_leftovers()
+
+
 # ---- clients with Redis's protocol
 
 
