The figures on late sockets cost next to nothing where sockets are served in time

Change: a poll that finds nothing ready is not measured, and waits are kept only where a socket was passed over.

--- a/banklift/net/loop_load.py
+++ b/banklift/net/loop_load.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 REPORT_INTERVAL_SECONDS = 1.0
@@ -43,16 +43,19 @@
 
     def turn_ended(self, fd: int, now: float) -> None:
         """The events of a descriptor were handled; the next turn begins at once."""
-        self.longest_turn = max(self.longest_turn, now - self._turn_began)
-        if (since := self._waiting_since.pop(fd, None)) is not None:
+        if now - self._turn_began > self.longest_turn:
+            self.longest_turn = now - self._turn_began
+        if self._waiting_since and (since := self._waiting_since.pop(fd, None)) is not None:
             self.longest_wait = max(self.longest_wait, self._turn_began - since)
         self._turn_began = now
 
-    def batch_ended(self, now: float, postponed: Iterable[int]) -> None:
+    def batch_ended(self, now: float, postponed: Sequence[int]) -> None:
         """All turns of a batch are over. `postponed`: descriptors that were found ready and got no turn."""
-        self.longest_batch = max(self.longest_batch, now - self._batch_began)
-        before = self._waiting_since
-        self._waiting_since = {fd: before.get(fd, self._batch_began) for fd in postponed}
+        if now - self._batch_began > self.longest_batch:
+            self.longest_batch = now - self._batch_began
+        if postponed or self._waiting_since:
+            before = self._waiting_since
+            self._waiting_since = {fd: before.get(fd, self._batch_began) for fd in postponed}
 
     def timers_ended(self, began: float, now: float) -> None:
         """All timers that were due at `began` were called."""
--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -178,6 +178,8 @@
         A descriptor may be closed and reused by another connection during the batch. So an event is handled only if
         its descriptor still belongs to the handler that had it when the batch was polled.
         """
+        if not ready and not self._postponed:
+            return
         by_fd, load, clock = self.by_fd, self.load, self.now
         load.batch_began(clock())
         found = [(fd, events, by_fd.get(fd)) for fd, events in ready]
