The stand-in for a PostgreSQL member survives bytes of another protocol

The thread of the stand-ins had ended with FrameError "invalid frontend message type 0".

Cause: _PgPeer.data (emulator/platform.py) let the error out of the loop. The bytes came from outside of the test, whose only router had ended with exit code 2; message type 0 behind a startup is what a client of a length-prefixed protocol sends. That it was a client of another worker's test, whose port had been given out anew, is likely and not traced further.

Change: such a connection is closed, as a server does.

Guard: tests/test_service.py, test_a_stand_in_member_survives_bytes_of_another_protocol: three kinds of bytes, each with the same error before (3 failed, 3 errors at teardown).

--- a/banklift/emulator/platform.py
+++ b/banklift/emulator/platform.py
@@ -130,6 +130,17 @@
 
     def data(self, data: bytes) -> None:
         self.reader.feed(data)
+        try:
+            self.answer_messages()
+        except (
+            frames.FrameError
+        ):  # as a server does; on loopback it may be a client of whoever had this port before
+            self.lost("protocol violation")
+            if self.handle is not None:
+                self.handle.close()
+
+    def answer_messages(self) -> None:
+        """Answer the messages that are complete. Errors: `frames.FrameError`."""
         while (message := self.reader.next()) is not None:
             kind, body = message
             if kind == b"":  # the startup message
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -210,6 +210,24 @@
         assert save(platform, connection, "k", "03") == b"\x03"
 
 
+@pytest.mark.parametrize(
+    "data", [b"\0\0\0\x0c" * 6, b"\0\0\0\x08\0\x03\0\0\0\0\0\x05Hello", b"*1\r\n$4\r\nPING\r\n"]
+)
+def test_a_stand_in_member_survives_bytes_of_another_protocol(platform: Platform, data: bytes) -> None:
+    """A port of the stand-in may have belonged to another test's process, whose clients still connect to it.
+
+    The stand-in's thread ended with a FrameError, and the teardown of whatever test ran then failed.
+    """
+    host, _, port = platform.members[0].address.partition(":")
+    with socket.create_connection((host, int(port)), timeout=20) as stranger:
+        stranger.sendall(data)
+        while stranger.recv(1024):  # the stand-in closes the connection
+            pass
+    platform.start()
+    with platform.connect() as connection:
+        assert save(platform, connection, "k", "01") == b"\x01"
+
+
 def change(*path: str, to: object) -> Callable[[dict[str, Any]], None]:
     """A change of one value of a configuration; None removes it."""
 
