Answers of deferred calls are written before too many bytes are queued

Seen on reading again: a batch makes up to four deferred calls, and what they queue was looked at only after all of them, so a slow reader was known four turns of answers late. Sockets and timers write as soon as `HIGH_WATER_BYTES` are queued.

Cause: net/sockets.py, `_call_deferred` had no such check. Change: it stands in `_flush_if_many_bytes` for all three; deferred calls count in the figures of a batch (net/loop_load.py).

--- a/banklift/net/loop_load.py
+++ b/banklift/net/loop_load.py
@@ -1,9 +1,9 @@
 """How promptly the task that serves all sockets gets to each of them, and a log line when it is late.
 
 Four figures tell the causes of a late socket apart. A long turn means that one socket's events took long. A long batch
-of short turns means that too many sockets are handled between two polls. Long timers mean that work was done outside of
-all turns. A long wait while the others are short means that a ready socket was passed over while others got several
-turns.
+of short turns means that too many sockets, or long deferred calls, are handled between two polls. Long timers mean that
+work was done outside of all batches. A long wait while the others are short means that a ready socket was passed over
+while others got several turns.
 """
 
 from __future__ import annotations
@@ -31,7 +31,7 @@
 
     def __init__(self) -> None:
         self.longest_turn = 0.0  # handling of one socket's events
-        self.longest_batch = 0.0  # handling of all sockets between two polls
+        self.longest_batch = 0.0  # handling of all sockets and deferred calls between two polls
         self.longest_timers = 0.0  # calls of all timers that were due at one time
         self.longest_wait = 0.0  # from the poll that found a socket ready until its turn
         self._batch_began = self._turn_began = 0.0
@@ -59,7 +59,8 @@
 
     def timers_ended(self, began: float, now: float) -> None:
         """All timers that were due at `began` were called."""
-        self.longest_timers = max(self.longest_timers, now - began)
+        if now - began > self.longest_timers:
+            self.longest_timers = now - began
 
     def take_report(self, now: float) -> dict[str, object] | None:
         """Return the fields of a log line if a figure reached `REPORT_THRESHOLD_SECONDS`, and begin anew."""
--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -130,10 +130,7 @@
                 end = self.now() + TIME_SLICE_SECONDS
                 wait = 0.0 if self._deferred else self.busy_poll
                 while (ready := self.epoll.poll(wait, MAX_POLLED_SOCKETS)) or self._deferred:
-                    self._flush_scheduled = True
-                    self._serve_batch(ready)
-                    self._call_deferred()
-                    self._flush()
+                    self._run_batch(ready)
                     # with several sockets ready, more are likely to be by the next poll, so it need not wait
                     wait = self.busy_poll if len(ready) <= 1 and not self._deferred else 0.0
                     now = self.now()
@@ -161,38 +158,40 @@
                     end = now + EVENT_LOOP_INTERVAL_SECONDS
                 wait = max(TIMER_RESOLUTION_SECONDS, min(end, timers[0][0] if timers else end) - now)
                 ready = self.epoll.poll(0.0 if self._deferred else wait, MAX_POLLED_SOCKETS)
-                self._flush_scheduled = True
-                self._serve_batch(ready)
-                self._call_deferred()
-                self._flush()
+                self._run_batch(ready)
                 now = self.now()
                 if timers and timers[0][0] <= now:
                     self._run_due_timers(now)
         finally:
             self._close()
 
-    def _serve_batch(self, ready: list[tuple[int, int]]) -> None:
+    def _run_batch(self, ready: list[tuple[int, int]]) -> None:
+        """Serve sockets, make calls that were deferred, then write what all of them sent."""
+        self._flush_scheduled = True
+        if ready or self._deferred or self._postponed:
+            self.load.batch_began(self.now())
+            self._serve_sockets(ready)
+            self._call_deferred()
+            self.load.batch_ended(self.now(), self._postponed)
+        self._flush()
+
+    def _serve_sockets(self, ready: list[tuple[int, int]]) -> None:
         """Handle all closes by other ends, then up to `MAX_SOCKETS_PER_BATCH` other sockets. The rest stays ready, is
         reported by the next poll, and comes first then.
 
         A descriptor may be closed and reused by another connection during the batch. So an event is handled only if
         its descriptor still belongs to the handler that had it when the batch was polled.
         """
-        if not ready and not self._postponed:
-            return
         by_fd, load, clock = self.by_fd, self.load, self.now
-        load.batch_began(clock())
         found = [(fd, events, by_fd.get(fd)) for fd, events in ready]
         half_closed = [one for one in found if one[1] & HALF_CLOSED]
         others = self._by_waiting_time([one for one in found if not one[1] & HALF_CLOSED])
         for fd, events, handler in half_closed + others[:MAX_SOCKETS_PER_BATCH]:
             if handler is not None and by_fd.get(fd) is handler:
                 handler.handle_events(events)
-                if self.queued_bytes > HIGH_WATER_BYTES:
-                    self._flush(True)
+                self._flush_if_many_bytes()
             load.turn_ended(fd, clock())
         self._postponed = [fd for fd, _, _ in others[MAX_SOCKETS_PER_BATCH:]]
-        load.batch_ended(clock(), self._postponed)
 
     def _by_waiting_time(self, ready: list[ReadySocket]) -> list[ReadySocket]:
         """Order ready sockets: first those that got no turn in earlier batches, the longest waiting one first."""
@@ -211,6 +210,7 @@
         """Make up to `MAX_DEFERRED_CALLS_PER_BATCH` of the calls that were deferred, oldest first."""
         for _ in range(min(MAX_DEFERRED_CALLS_PER_BATCH, len(self._deferred))):
             self._deferred.popleft()()
+            self._flush_if_many_bytes()
 
     def _close(self) -> None:
         """Close all listeners, then all connections and the epoll object, when the serving task ends."""
@@ -267,6 +267,11 @@
                 handle.flush()
         self._flush_scheduled = batch_continues
 
+    def _flush_if_many_bytes(self) -> None:
+        """Write what is queued before the next event is handled, if that is over `HIGH_WATER_BYTES`."""
+        if self.queued_bytes > HIGH_WATER_BYTES:
+            self._flush(batch_continues=True)
+
     def at(self, when: float, callback: Callable[[], None]) -> None:
         """Call `callback` at `when`, seconds on `now`'s clock, or soon if that has passed. Not cancellable."""
         self._timer_count += 1
@@ -283,8 +288,7 @@
         timers, self._flush_scheduled = self._timers, True
         while timers and timers[0][0] <= now:
             heapq.heappop(timers)[2]()
-            if self.queued_bytes > HIGH_WATER_BYTES:
-                self._flush(True)
+            self._flush_if_many_bytes()
         self._flush()
         self.load.timers_ended(now, self.now())
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -15,11 +15,11 @@
 from hypothesis import strategies as st
 
 from banklift.adapter import parse_settings
-from banklift.net.connections import IO_CHUNK_BYTES
+from banklift.net.connections import HIGH_WATER_BYTES, IO_CHUNK_BYTES
 from banklift.net.env import Handle, Peer
 from banklift.net.router import RouterHost
 from banklift.net.service import StartConfig, build_machine
-from banklift.net.sockets import MAX_SOCKETS_PER_BATCH, SocketEnv
+from banklift.net.sockets import MAX_DEFERRED_CALLS_PER_BATCH, MAX_SOCKETS_PER_BATCH, SocketEnv
 from banklift.pg import frames
 from banklift.proxy import events as ev
 from banklift.proxy.wire import COMMANDS_PER_TURN
@@ -116,6 +116,29 @@
     assert peer.turns == 1 and 50 <= calls < 100_000
 
 
+@pytest.mark.parametrize("exclusive_loop", [True, False])
+def test_answers_of_deferred_calls_are_written_before_too_many_are_queued(exclusive_loop: bool) -> None:
+    """Otherwise a slow reader would be known only after all deferred calls of a batch have made their answers."""
+    queued: list[int] = []
+    peer = TurnCounter()
+    callers: list[socket.socket] = []
+
+    def act(env: SocketEnv) -> Callable[[], bool]:
+        callers.extend(open_connections(env, [peer], 1))
+
+        def answer() -> None:
+            queued.append(env.queued_bytes)
+            peer.handle.send(b"x" * (HIGH_WATER_BYTES + 1))
+
+        for _ in range(MAX_DEFERRED_CALLS_PER_BATCH):
+            env.defer(answer)
+        return lambda: len(queued) == MAX_DEFERRED_CALLS_PER_BATCH
+
+    run_until(act, exclusive_loop)
+    callers[0].close()
+    assert queued == [0] * MAX_DEFERRED_CALLS_PER_BATCH
+
+
 @pytest.mark.parametrize("exclusive_loop", [True, False])
 def test_a_usual_client_is_answered_between_the_turns_of_flooding_ones(
     exclusive_loop: bool, monkeypatch: pytest.MonkeyPatch
