A call that a socket defers waits for the sockets of the next batch

Seen on reading again: a call deferred in a batch was made in the same batch, so a client had two turns in a row before a socket that became ready meanwhile had one.

Cause: net/sockets.py, `_run_batch` counted the calls after it had served the sockets. Change: it counts them before.

Guard: tests/test_turns.py, test_a_call_that_a_socket_defers_is_made_after_the_sockets_of_the_next_batch; failed before.

--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -14,7 +14,7 @@
 Every socket that is ready gets its turn before any other gets a second one: sockets that a batch has no room for come
 first in the next batch. epoll alone doesn't ensure that, as it reports sockets that stay ready in the same order again.
 A turn is one read, and its peer may leave a part of the work for later (`defer`). A batch does only a few such calls,
-so work that arrives in bulk doesn't hold up the sockets.
+each deferred in an earlier batch, so work that arrives in bulk doesn't hold up the sockets.
 
 When the other end of an accepted connection has closed its side, or is gone, the peer is told in each batch before all
 other events, even if reading is paused and before data that is still unread. No request may be started for a client
@@ -166,12 +166,14 @@
             self._close()
 
     def _run_batch(self, ready: list[tuple[int, int]]) -> None:
-        """Serve sockets, make calls that were deferred, then write what all of them sent."""
+        """Serve sockets, make the calls that were deferred in earlier batches, then write what all of them sent."""
         self._flush_scheduled = True
-        if ready or self._deferred or self._postponed:
+        # a call that is deferred in this batch waits for the next one, so the sockets that are ready then come first
+        due_calls = len(self._deferred)
+        if ready or due_calls or self._postponed:
             self.load.batch_began(self.now())
             self._serve_sockets(ready)
-            self._call_deferred()
+            self._call_deferred(due_calls)
             self.load.batch_ended(self.now(), self._postponed)
         self._flush()
 
@@ -206,9 +208,9 @@
         self._deferred.append(callback)
         self._schedule_flush()
 
-    def _call_deferred(self) -> None:
-        """Make up to `MAX_DEFERRED_CALLS_PER_BATCH` of the calls that were deferred, oldest first."""
-        for _ in range(min(MAX_DEFERRED_CALLS_PER_BATCH, len(self._deferred))):
+    def _call_deferred(self, due_calls: int) -> None:
+        """Make the oldest `due_calls` deferred calls, at most `MAX_DEFERRED_CALLS_PER_BATCH`."""
+        for _ in range(min(MAX_DEFERRED_CALLS_PER_BATCH, due_calls)):
             self._deferred.popleft()()
             self._flush_if_many_bytes()
 
@@ -303,7 +305,7 @@
             self._run_due_timers(self.now())
             if self._deferred:
                 self._flush_scheduled = True
-                self._call_deferred()
+                self._call_deferred(len(self._deferred))
                 self._flush()
             self._sleeping_until = self.now() if self._deferred else timers[0][0] if timers else math.inf
             self._earlier_timer_added = anyio.Event()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -139,6 +139,28 @@
     assert queued == [0] * MAX_DEFERRED_CALLS_PER_BATCH
 
 
+def test_a_call_that_a_socket_defers_is_made_after_the_sockets_of_the_next_batch() -> None:
+    """A client would else have two turns in a row, the second one before sockets that became ready in the first."""
+    order: list[str] = []
+    callers: list[socket.socket] = []
+
+    def act(env: SocketEnv) -> Callable[[], bool]:
+        def defer_and_wake_the_other() -> None:
+            order.append("first turn")
+            callers[1].sendall(b"question")
+            env.defer(lambda: order.append("deferred"))
+
+        bulk, other = TurnCounter(defer_and_wake_the_other), TurnCounter(lambda: order.append("other"))
+        callers.extend(open_connections(env, [bulk, other], 2))
+        callers[0].sendall(b"question")
+        return lambda: len(order) == 3
+
+    run_until(act)
+    for caller in callers:
+        caller.close()
+    assert order == ["first turn", "other", "deferred"]
+
+
 @pytest.mark.parametrize("exclusive_loop", [True, False])
 def test_a_usual_client_is_answered_between_the_turns_of_flooding_ones(
     exclusive_loop: bool, monkeypatch: pytest.MonkeyPatch
