--- a/banklift/emulator/platform.py
+++ b/banklift/emulator/platform.py
@@ -132,9 +132,8 @@
         self.reader.feed(data)
         try:
             self.answer_messages()
-        except (
-            frames.FrameError
-        ):  # as a server does; on loopback it may be a client of whoever had this port before
+        except frames.FrameError:
+            # a server closes such a connection; on loopback it may be a client of whoever had this port before
             self.lost("protocol violation")
             if self.handle is not None:
                 self.handle.close()
--- a/banklift/pg/front.py
+++ b/banklift/pg/front.py
@@ -3,7 +3,7 @@
 A client sends a startup message, then simple queries. Each command is appended to the client's queue. A command that is
 a request is submitted to the core at once, so requests of one client run concurrently; answers are sent in the order of
 the commands. With `limits.pipeline` commands pending, a client is no longer read until at most half of them are left.
-After `COMMANDS_PER_TURN` commands of a client all other connections have their turn first. Meanwhile the client is not
+After `COMMANDS_PER_TURN` commands a client takes turns with the other connections. While it awaits its turn it is not
 read, and does not count as idle.
 
 Client faults are answered with an error and never reach a member:
@@ -169,7 +169,7 @@
                 self._read_commands(client)
 
     def take_turn(self, client_id: int) -> None:
-        """The other connections have had their turn: more of the client's buffered commands are handled."""
+        """Handle more of the client's buffered commands."""
         client = self.clients.get(client_id)
         if client is not None:
             self._read_commands(client)
--- a/banklift/proxy/events.py
+++ b/banklift/proxy/events.py
@@ -31,7 +31,7 @@
 
 
 class ClientTurn(msgspec.Struct, frozen=True, gc=False):
-    """The other connections have had their turn since `DeferClient`."""
+    """The turn that `DeferClient` asked for."""
 
     client: int
     sent_at_earliest: float  # as in `DeferClient`
@@ -182,7 +182,7 @@
 
 
 class DeferClient(msgspec.Struct, frozen=True, gc=False):
-    """Report `ClientTurn` once the other connections have had their turn: more commands of a client are buffered."""
+    """Report `ClientTurn` soon, in turns with other connections: more commands of a client are buffered."""
 
     client: int
     sent_at_earliest: float  # the earliest time at which these commands may have been sent
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -315,7 +315,7 @@
                     self._end_attempt(attempt, Status.MOOT)
 
     def defer(self, client: int) -> None:
-        """Call `front.take_turn` for a client with buffered commands once the other connections have had their turn."""
+        """Call `front.take_turn` soon for a client with buffered commands, in turns with other connections."""
         sent_at = self.now if self.input_sent_at is None else self.input_sent_at
         self.actions.append(ev.DeferClient(client, sent_at))
 
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -4,7 +4,7 @@
 
 - Every command of a connection has an entry in the connection's pipeline. Replies may become known in any order; they
   are sent only from the head of the pipeline. A connection whose pipeline is full is no longer read. After
-  `COMMANDS_PER_TURN` commands of a connection all others have their turn first.
+  `COMMANDS_PER_TURN` commands a connection takes turns with the others.
 - Commands of one connection to one group keep their order towards members as far as a client can observe it: a write
   waits for all commands before it, a session or fresh read for the writes before it, and any other read for neither.
   But no command overtakes one that still waits in the same group.
@@ -179,7 +179,7 @@
                 self._read_commands(state)
 
     def take_turn(self, client: int) -> None:
-        """The other connections have had their turn: runs more of the connection's buffered commands."""
+        """Runs more of the connection's buffered commands."""
         state = self.clients.get(client)
         if state is None:
             return
