--- a/banklift/pg/statement.py
+++ b/banklift/pg/statement.py
@@ -30,7 +30,7 @@
 )
 _INSERT = re.compile(
     rb"INSERT INTO kv \(name, content\) VALUES \('([^'\\\0-\x1f]{1,256})', "
-    rb"'\\x((?:[0-9a-fA-F]{2})*)'\) RETURNING content /\* ([!-)+-~]{1,1024}) \*/"
+    rb"'\\x([0-9a-fA-F]*)'\) RETURNING content /\* ([!-)+-~]{1,1024}) \*/"
 )
 _PAIR = re.compile(rb"([a-z][a-z0-9_]{0,15})=([0-9A-Za-z_.:-]{1,128})|(c|t)=([!-)+-~]{1,128})")
 _NUMBER = re.compile(rb"[0-9]{1,15}")
@@ -72,7 +72,10 @@
     match = (_INSERT if writes else _SELECT).fullmatch(text)
     if match is None:
         raise BadStatement("42601", "neither of the two statements that this router carries")
-    if writes and len(match[2]) > 2 * VALUE_LIMIT:
+    digits = match.end(2) - match.start(2) if writes else 0
+    if digits % 2:
+        raise BadStatement("42601", "a value that is not whole bytes")
+    if digits > 2 * VALUE_LIMIT:
         raise BadStatement("22001", f"a value of more than {VALUE_LIMIT} bytes")
     pairs: dict[bytes, bytes] = {}
     for part in match[match.re.groups].split(b","):
