A waiting client's buffer no longer keeps the commands that were handled

Cause: pg/frames.py, `ClientReader`: what `next` returned stayed in front of the buffer until the next bytes came, and a client whose pipeline is full gets none. So such a client held up to a command and a read more than it had sent and not been handled.

Change: the front compacts the buffer at the end of each turn.

Guard: tests/test_client_reader.py: 100,000 bytes of a returned message are freed. The method is new, so the test was run against an empty one, as the code was before: 1 failed.

--- a/banklift/pg/frames.py
+++ b/banklift/pg/frames.py
@@ -120,10 +120,14 @@
 
     def feed(self, data: bytes) -> None:
         """Append bytes that came from the client."""
+        self.compact()
+        self.buffer += data
+
+    def compact(self) -> None:
+        """Give the memory of returned messages back."""
         if self.pos:
             del self.buffer[: self.pos]
             self.pos = 0
-        self.buffer += data
 
     def __len__(self) -> int:
         """Buffered bytes that were not returned yet."""
--- a/banklift/pg/front.py
+++ b/banklift/pg/front.py
@@ -261,6 +261,7 @@
         except FrameError as error:
             self._fail_connection(client, "08P01", str(error))
         client.awaits_turn = awaits_turn
+        client.reader.compact()
         if awaits_turn:
             self._pause(client)
             self.core.defer(client.id)
