The service gives large blocks back to the system as soon as they are freed

Cause: glibc raises the size from which it maps blocks by themselves with the first such block that is freed. From then on commands of 132 KiB lie in the heap, between small objects that outlive them, and their gaps stay resident.

Change: net/process_memory.py fixes that size at glibc's own start value by mallopt; main of net/service.py calls it. Weighed against an environment variable in the deploy file's `run`, which others who start it would lack.

--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -44,6 +44,7 @@
 from banklift.interface import ListKind, Settings
 from banklift.net.env import Env, Handle, Peer
 from banklift.net.loop_load import report_regularly
+from banklift.net.process_memory import return_large_blocks
 from banklift.net.router import Log, RouterHost
 from banklift.net.sockets import MAX_LINGERING_CONNECTIONS, SocketEnv
 from banklift.pg.front import PgFront
@@ -432,6 +433,7 @@
     """Run the service; returns the exit code, 2 for an invalid configuration or an address that can't be bound."""
     # importing structlog would take half of all the time until the router listens
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    return_large_blocks()
     clock_offset = time.time() - time.monotonic()
     signals = Signals(lambda: time.monotonic() + clock_offset)
     environment = dict(os.environ)
