What a router holds for clients and members is bounded in bytes by limits.memory_mb

Cause: no bound counted bytes, and limits.memory_mb was not read. PgFront took 16 commands of each client, of up to 132 KiB, and kept each until its last attempt had ended; buffers of input, answers in order and unsent bytes were bounded for each connection alone.

Change: proxy/memory.py, one ledger for connections, members, input, requests, answers and unsent bytes. The service makes the limit from memory_mb less the process at rest, measured at the start. While it is short, the length of a command is looked at before it is read: room is taken for all of it, or its client waits for its own open commands, or it is discarded as it comes and refused (53300). Answers without room become what the request would have got without one. A start with too little memory ends with the figure needed.

Weighed: waiting in place of refusals for clients that have nothing open (no bound on the wait); closing slow readers (their requests would be lost); resident memory as the measure (what was freed stays resident, so refusals would last).

The virtual network reads accepted connections in pieces now, as sockets do; otherwise a flood would arrive in one read of any size.

--- a/banklift/emulator/stand.py
+++ b/banklift/emulator/stand.py
@@ -23,7 +23,7 @@
 from banklift.config import build
 from banklift.emulator.node import RespMember
 from banklift.emulator.shell import MemberHost, Tap
-from banklift.net.env import Env
+from banklift.net.env import RouterEnv
 from banklift.net.router import RouterHost
 from banklift.proxy.machine import Machine
 from banklift.proxy.plan import Config, Group
@@ -46,7 +46,7 @@
     def __init__(
         self,
         config: Config,
-        env: Env,
+        env: RouterEnv,
         seed: int = 1,
         tap: Tap | None = None,
         command_seconds: float = 0.0005,
--- a/banklift/emulator/world.py
+++ b/banklift/emulator/world.py
@@ -18,6 +18,7 @@
 from banklift.net.env import Handle, Peer
 
 MAX_LATENCY_FACTOR = 1.5
+READ_BYTES = 64 * 1024  # most bytes of one read of an accepted connection, unless a router sets another size
 LAST_FIXED_PORT = 10_000  # a listener with port 0 gets a port above this one
 
 
@@ -35,7 +36,8 @@
         self.closed = False
         self.closed_by_other_end = False
         self.paused = False
-        self.unread: list[bytes] = []  # data that arrived while it was paused
+        self.unread = bytearray()  # data that arrived and was not passed to the peer
+        self.is_accepted = False
         self.last_delivery_at = 0.0  # when the newest delivery to the other end is due
 
     def send(self, data: bytes) -> None:
@@ -73,7 +75,7 @@
 
     def _data_arrived(self, data: bytes) -> None:
         if not self.closed:
-            self.unread.append(data)
+            self.unread += data
             self._notify_peer()
 
     def _end_arrived(self) -> None:
@@ -82,7 +84,10 @@
             self._notify_peer()
 
     def _notify_peer(self) -> None:
-        """Pass unread data to the peer, then the close of the other end; while paused, only the half-close."""
+        """Pass unread data to the peer, then the close of the other end; while paused, only the half-close.
+
+        An accepted connection is read in pieces of `World.accepted_read_bytes`, all of them at the same time.
+        """
         if self.closed:
             return
         if self.paused:
@@ -90,10 +95,13 @@
                 self.peer.half_closed()
             return
         if self.unread:
-            data = b"".join(self.unread)
-            self.unread.clear()
+            size = self.world.accepted_read_bytes if self.is_accepted else len(self.unread)
+            data = bytes(self.unread[:size])
+            del self.unread[:size]
+            if self.unread:
+                self.world.at(self.world.now(), self._notify_peer)
             self.peer.data(data)
-        if self.closed_by_other_end and not self.paused and not self.closed:
+        if self.closed_by_other_end and not self.unread and not self.paused and not self.closed:
             self.closed = True
             self.peer.lost("closed by the other end")
 
@@ -129,6 +137,8 @@
         self.queue: list[tuple[float, int, Callable[[], None]]] = []  # heap: time, number, callback
         self.events_created = 0  # numbers the events, so that those of one time run in order
         self.last_free_port = LAST_FIXED_PORT
+        self.unsent_bytes = 0  # always: a connection takes all that is sent
+        self.accepted_read_bytes = READ_BYTES
 
     def now(self) -> float:
         """The virtual clock, in seconds."""
@@ -187,6 +197,7 @@
             return
         accepted = WorldHandle(self, listener.accept(), source)
         accepted.other_end = handle
+        accepted.is_accepted = True
         handle.other_end = accepted
         accepted.last_delivery_at = self.clock + self.latency()
         self.at(
--- a/banklift/judge/day.py
+++ b/banklift/judge/day.py
@@ -26,7 +26,7 @@
 from banklift.judge import forms
 from banklift.judge.load import ClientBehaviour, Clients, RequestTemplate
 from banklift.judge.trace import Entry, Head, Writer
-from banklift.net.env import Env
+from banklift.net.env import RouterEnv
 from banklift.net.sockets import SocketEnv
 from banklift.proxy.machine import Machine
 from banklift.proxy.plan import Config, Group, Positive, Seconds, Strict
@@ -193,7 +193,7 @@
 
     def __init__(
         self,
-        env: Env,
+        env: RouterEnv,
         day: Day,
         config: Config,
         routers: int,
--- a/banklift/net/connections.py
+++ b/banklift/net/connections.py
@@ -4,7 +4,7 @@
 paused, and before data that is still unread. No request may be started for a client that has left, however much other
 work there is and however long this process was stopped.
 
-A peer is told when its unsent bytes exceed `HIGH_WATER_BYTES`, and again when they have gone down.
+A peer is told when its unsent bytes exceed `SocketEnv.slow_reader_bytes`, and again when they have gone down.
 
 A connection that is finished ends by a lingering close. The unsent bytes go out, the sending side is shut down, and the
 socket is closed when the other end has closed as well, or after `LINGERING_CLOSE_SECONDS`. The reason is that the
@@ -30,7 +30,8 @@
 
 # most bytes of one read, and of one write of bytes that the kernel did not take at first
 IO_CHUNK_BYTES = 64 * 1024
-HIGH_WATER_BYTES = 1024 * 1024  # unsent bytes of a connection above which the other end is a slow reader
+# queued bytes of all connections above which they are written at once; as `slow_reader_bytes`, for one connection
+HIGH_WATER_BYTES = 1024 * 1024
 LISTEN_BACKLOG = 1024  # connections that the kernel holds until they are accepted
 MAX_ACCEPTS_PER_TURN = 16  # connections that a listener accepts before other sockets have their turn
 LINGERING_CLOSE_SECONDS = 0.5  # time for the other end to close a finished connection on which all was sent
@@ -146,7 +147,12 @@
             data = data[sent:]
             self.request_events(self._events | WRITABLE)
         self._unsent += data
-        if len(self._unsent) > HIGH_WATER_BYTES and not self._is_slow_reader and not self._is_finished:
+        self._env.unsent_bytes += len(data)
+        if (
+            len(self._unsent) > self._env.slow_reader_bytes
+            and not self._is_slow_reader
+            and not self._is_finished
+        ):
             self._is_slow_reader = True
             self.peer.write_paused()
 
@@ -182,6 +188,8 @@
         if not self.closed:
             self.closed = True
             self._env.lingering.pop(self, None)
+            self._env.unsent_bytes -= len(self._unsent)
+            self._unsent.clear()
             if self._events:
                 self._events = 0
                 del self._env.by_fd[self._sock.fileno()]
@@ -239,7 +247,7 @@
 
     def _read(self) -> None:
         try:
-            data = self._sock.recv(IO_CHUNK_BYTES)
+            data = self._sock.recv(self._env.accepted_read_bytes if self._is_accepted else IO_CHUNK_BYTES)
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
@@ -260,12 +268,13 @@
             with memoryview(self._unsent) as view, view[:IO_CHUNK_BYTES] as part:
                 sent = self._sock.send(part)
             del self._unsent[:sent]
+            self._env.unsent_bytes -= sent
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
             self.fail(str(error))
             return
-        if self._is_slow_reader and len(self._unsent) <= HIGH_WATER_BYTES // 2:
+        if self._is_slow_reader and len(self._unsent) <= self._env.slow_reader_bytes // 2:
             self._is_slow_reader = False
             self.peer.write_resumed()
         if not self._unsent and not self.closed:
--- a/banklift/net/env.py
+++ b/banklift/net/env.py
@@ -94,6 +94,13 @@
         `peer.lost`."""
 
 
+class RouterEnv(Env, Protocol):
+    """An `Env` that tells what its connections hold, and reads accepted connections in pieces of a given size."""
+
+    unsent_bytes: int  # that all connections hold because their other ends have not taken them
+    accepted_read_bytes: int  # most bytes of one read of an accepted connection
+
+
 class DeadlineTimer:
     """A timer for a deadline that changes: calls `callback` once the time `due()` has come. `reschedule` has to be
     called after anything that may have made `due()` earlier."""
--- a/banklift/net/router.py
+++ b/banklift/net/router.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from banklift.net.env import DeadlineTimer, Env, Handle, Peer
+from banklift.net.env import DeadlineTimer, Handle, Peer, RouterEnv
 from banklift.proxy import events as ev
 from banklift.proxy.machine import Machine
 
@@ -26,7 +26,7 @@
 
     def __init__(
         self,
-        env: Env,
+        env: RouterEnv,
         machine: Machine,
         address: str,
         log: Log,
@@ -67,7 +67,8 @@
         if self.deferred_calls is not None:
             self.deferred_calls.append(lambda: self.handle_event(event))
             return
-        clients, links = self.clients, self.links
+        clients, links, memory = self.clients, self.links, self.machine.memory
+        memory.unsent_bytes = self.env.unsent_bytes
         for action in self.machine.handle(self.env.now(), event):
             match action:
                 case ev.SendToClient(client, data):
@@ -96,6 +97,7 @@
                     self.request_roster(watch)
                 case ev.LogEvent(text, fields):
                     self.log(text, fields)
+        self.env.accepted_read_bytes = memory.client_read_bytes
         self.timer.reschedule()
 
     def drain(self, end: float) -> None:
--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -16,6 +16,10 @@
 `CLOSE_BEFORE_KILL_SECONDS` before the kill the listener and the remaining connections close, and the program ends once
 all answers are sent.
 
+The configuration states the memory that the process may have (`limits.memory_mb`). What is left of it beside the
+process at rest bounds what is held for clients and members (proxy/memory.py). Without a limit, or without a way to
+measure the process, nothing bounds it in bytes.
+
 SIGHUP reads the configuration again. A valid one moves discovery to its new address; an invalid one changes nothing and
 is reported in the log.
 """
@@ -25,6 +29,7 @@
 import contextlib
 import gc
 import logging
+import math
 import os
 import signal
 import socket
@@ -44,7 +49,7 @@
 from banklift.interface import ListKind, Settings
 from banklift.net.env import Env, Handle, Peer
 from banklift.net.loop_load import report_regularly
-from banklift.net.process_memory import return_large_blocks
+from banklift.net.process_memory import resident_bytes, return_large_blocks
 from banklift.net.router import Log, RouterHost
 from banklift.net.sockets import MAX_LINGERING_CONNECTIONS, SocketEnv
 from banklift.pg.front import PgFront
@@ -75,6 +80,14 @@
 # descriptors for the listener, discovery, logs, the event loop, and connections that are closing
 RESERVED_DESCRIPTORS = 16 + MAX_LINGERING_CONNECTIONS
 CLIENT_DESCRIPTOR_FRACTION = 0.5  # of the descriptors that are not reserved; links to members have the rest
+MEGABYTE = 1_000_000  # of `limits.memory_mb`; the platform may mean 1,048,576, which is more
+# Memory for what one batch of events holds for a moment: copies, and bytes queued until the end of the batch.
+TRANSIENT_BYTES = 3 * 1024 * 1024
+# Part of the remaining memory that may be held. The allocator needs the rest, as it keeps some of what was freed.
+BUDGET_FRACTION = 0.6
+MIN_BUDGET_BYTES = 1024 * 1024  # with less, a router couldn't hold a few of the largest commands
+SLOW_READER_BYTES = 64 * 1024  # unsent bytes of a connection above which it counts as a slow reader
+MEMORY_REPORT_INTERVAL_SECONDS = 1.0
 
 
 class ConfigurationError(Exception):
@@ -95,6 +108,7 @@
     link_idle_timeout: float  # seconds after which members close an idle link
     connect_timeout: float  # seconds within which a link has to be connected
     probe_timeout: float  # seconds within which a probe has to be answered
+    memory_bytes: float = math.inf  # that the process may have
 
 
 def _require_object(value: object, name: str) -> dict[str, Any]:
@@ -120,6 +134,16 @@
     return float(value)
 
 
+def _memory_limit(limits: dict[str, Any]) -> float:
+    """The process's memory in bytes, infinite if it is not limited."""
+    megabytes = limits.get("memory_mb")
+    if megabytes is None:
+        return math.inf
+    if isinstance(megabytes, bool) or not isinstance(megabytes, int | float) or not 0 < megabytes < math.inf:
+        raise ConfigurationError(f"limits.memory_mb: a number above 0 is needed, not {megabytes!r}")
+    return megabytes * MEGABYTE
+
+
 def read_configuration(environment: dict[str, str]) -> StartConfig:
     """Read the environment variables and the file that `ROUTER_CONFIG` names.
 
@@ -180,6 +204,7 @@
         link_idle_timeout=_optional_seconds(allowed, "conn_idle_s", 30.0),
         connect_timeout=_optional_seconds(allowed, "connect_timeout_s", 0.25),
         probe_timeout=PROBE_TIMEOUT_SECONDS,
+        memory_bytes=_memory_limit(limits),
     )
 
 
@@ -209,6 +234,21 @@
     )
 
 
+def memory_budget(memory_bytes: float, at_rest_bytes: int) -> float:
+    """Bytes that a process may hold for clients and members, of the memory that it may have. `at_rest_bytes`: what it
+    needs without any."""
+    return max(MIN_BUDGET_BYTES, BUDGET_FRACTION * (memory_bytes - at_rest_bytes - TRANSIENT_BYTES))
+
+
+def require_memory(config: StartConfig, at_rest_bytes: int | None) -> None:
+    """Check that the process can work within its limit. Errors: `ConfigurationError` with the limit that is needed."""
+    if at_rest_bytes is not None and config.memory_bytes < at_rest_bytes + MIN_BUDGET_BYTES:
+        needed = math.ceil((at_rest_bytes + MIN_BUDGET_BYTES) / MEGABYTE)
+        raise ConfigurationError(
+            f"limits.memory_mb: {config.memory_bytes / MEGABYTE:g} is too little; this process needs {needed}"
+        )
+
+
 class DiscoveryHost:
     """Runs a catalogue client (`client.CatalogueClient`) on connections of `env`. `on_roster` gets each new list of
     members, `log` the failures."""
@@ -363,6 +403,26 @@
             self.discovery.request_roster(True)
         self.log("listening", {"address": self.host.address})
 
+    def limit_memory(self, at_rest_bytes: int | None) -> None:
+        """Bound what is held for clients and members, and report regularly where that was too little.
+
+        `at_rest_bytes`: what the process needs without any clients; None if that is not known.
+        """
+        if at_rest_bytes is None or self.config.memory_bytes == math.inf:
+            return
+        memory = self.machine.memory
+        budget = memory_budget(self.config.memory_bytes, at_rest_bytes)
+        # the members that are known now are a part of the process at rest
+        memory.set_limit(budget + memory.total)
+        self.env.slow_reader_bytes = SLOW_READER_BYTES
+        self.log("memory", {"at_rest_kib": round(at_rest_bytes / 1024), "budget_kib": round(budget / 1024)})
+        self._report_memory()
+
+    def _report_memory(self) -> None:
+        if (fields := self.machine.memory.take_report()) is not None:
+            self.log("memory short", fields)
+        self.env.at(self.env.now() + MEMORY_REPORT_INTERVAL_SECONDS, self._report_memory)
+
     def handle_signal(self, number: int, at: float) -> None:
         """Handle a signal: SIGHUP reads the configuration again, others start a graceful shutdown. `at`: its arrival in
         seconds on the clock of `env`."""
@@ -426,6 +486,7 @@
         gc.collect()  # objects of the start live as long as the process, and requests leave no cycles behind
         gc.freeze()
         gc.set_threshold(2_000, 5, 5)  # few objects are not frozen, so even a full collection is cheap
+        service.limit_memory(resident_bytes())
         signals.listen(env, service.handle_signal)
 
 
@@ -439,6 +500,7 @@
     environment = dict(os.environ)
     try:
         config = read_configuration(environment)
+        require_memory(config, resident_bytes())
     except ConfigurationError as error:
         print(f"banklift: {error}", file=sys.stderr)
         return 2
--- a/banklift/net/sockets.py
+++ b/banklift/net/sockets.py
@@ -46,6 +46,7 @@
 from banklift.net.connections import (
     HALF_CLOSED,
     HIGH_WATER_BYTES,
+    IO_CHUNK_BYTES,
     LISTEN_BACKLOG,
     READABLE,
     WRITABLE,
@@ -103,6 +104,10 @@
         self._deferred: deque[Callable[[], None]] = deque()
         self._to_flush: list[SocketHandle] = []
         self.queued_bytes = 0  # bytes that all connections have queued since the last flush
+        self.unsent_bytes = 0  # bytes of all connections that the kernel did not take at the last flush
+        self.accepted_read_bytes = IO_CHUNK_BYTES
+        # unsent bytes of a connection above which the other end is a slow reader
+        self.slow_reader_bytes = HIGH_WATER_BYTES
         self._flush_scheduled = False  # whether the end of a batch or a timer will flush
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._timer_count = 0  # orders timers of one time by their creation
--- a/banklift/pg/frames.py
+++ b/banklift/pg/frames.py
@@ -5,7 +5,7 @@
 buffer holds at most one message and one read. A wrong length can't be skipped, since the start of the next message is
 unknown: the reader then raises `FrameError`, and its owner closes the connection.
 
-- `ClientReader` returns single messages.
+- `ClientReader` returns single messages. One for which its owner has no room can be discarded as it arrives.
 - `MemberReader` returns whole answers: all messages up to ReadyForQuery, or up to an ErrorResponse of severity FATAL,
   after which a member sends nothing.
 
@@ -27,6 +27,9 @@
 READY_FOR_QUERY = b"Z\0\0\0\x05I"  # ReadyForQuery, outside a transaction
 EMPTY_QUERY_RESPONSE = b"I\0\0\0\x04"  # EmptyQueryResponse
 AUTHENTICATION_OK = b"R\0\0\0\x08\0\0\0\0"  # AuthenticationOk
+CLIENT_MESSAGE_TYPES = b"QXpPBDECSHFdcf"  # what a client may send after its startup
+# Type that `ClientReader` returns in place of a discarded message; the body is the message's own type.
+DISCARDED = b"-"
 MEMBER_MESSAGE_TYPES = frozenset(b"RSKTDCIENZ")  # what an answer to a simple query or a startup may contain
 
 
@@ -109,7 +112,7 @@
 class ClientReader:
     """Splits a client's stream into messages. `limit`: the highest number of bytes in one message's body."""
 
-    __slots__ = ("buffer", "limit", "pos", "started")
+    __slots__ = ("buffer", "bytes_to_discard", "discarded_type", "limit", "pos", "started")
 
     def __init__(self, limit: int) -> None:
         self.buffer = bytearray()
@@ -117,9 +120,15 @@
         self.limit = limit
         # Set by the owner once it has accepted the startup message: from then on messages have types.
         self.started = False
+        self.bytes_to_discard = 0  # of a message that is being discarded
+        self.discarded_type = b""  # type of that message; empty if there is none
 
     def feed(self, data: bytes) -> None:
         """Append bytes that came from the client."""
+        if self.bytes_to_discard:
+            dropped = min(self.bytes_to_discard, len(data))
+            self.bytes_to_discard -= dropped
+            data = data[dropped:]
         self.compact()
         self.buffer += data
 
@@ -133,6 +142,37 @@
         """Buffered bytes that were not returned yet."""
         return len(self.buffer) - self.pos
 
+    def clear(self) -> None:
+        """Drop all that is buffered: nothing more is read."""
+        self.buffer.clear()
+        self.pos = self.bytes_to_discard = 0
+        self.discarded_type = b""
+
+    @property
+    def is_between_messages(self) -> bool:
+        """Whether no part of a message has come that was not returned."""
+        return not self.discarded_type and self.pos == len(self.buffer)
+
+    @property
+    def next_size(self) -> int:
+        """Bytes of the message that begins in the buffer, with its head; 0 before its length is known to be valid."""
+        if not self.started or self.discarded_type or len(self) < 5:
+            return 0
+        message_type, length = _HEAD.unpack_from(self.buffer, self.pos)
+        is_valid = message_type in CLIENT_MESSAGE_TYPES and 4 <= length <= self.limit + 4
+        return 1 + length if is_valid else 0
+
+    def discard_next(self) -> None:
+        """Keep no bytes of the message that begins in the buffer. `next` returns `DISCARDED` once it has arrived.
+
+        Only where `next_size` is above 0.
+        """
+        size = self.next_size
+        self.discarded_type = bytes(self.buffer[self.pos : self.pos + 1])
+        dropped = min(size, len(self))
+        self.bytes_to_discard = size - dropped
+        self._advance(dropped)
+
     def next(self) -> tuple[bytes, bytes] | None:
         """Type and body of the next message; the type is empty before `started`. None while the message is incomplete.
 
@@ -140,17 +180,26 @@
         """
         if not self.started:
             return self._next_startup()
+        if self.discarded_type:
+            return self._end_of_discarded()
         if len(self) < 5:
-            if len(self) and self.buffer[self.pos] not in b"QXpPBDECSHFdcf":
+            if len(self) and self.buffer[self.pos] not in CLIENT_MESSAGE_TYPES:
                 raise FrameError(f"invalid frontend message type {self.buffer[self.pos]}")
             return None
         message_type, length = _HEAD.unpack_from(self.buffer, self.pos)
-        if message_type not in b"QXpPBDECSHFdcf":
+        if message_type not in CLIENT_MESSAGE_TYPES:
             raise FrameError(f"invalid frontend message type {message_type[0]}")
         if not 4 <= length <= self.limit + 4:
             raise FrameError(f"invalid message length {length}")
         return self._take(message_type, 5, 1 + length)
 
+    def _end_of_discarded(self) -> tuple[bytes, bytes] | None:
+        """`next` for a message that is discarded."""
+        if self.bytes_to_discard:
+            return None
+        discarded_type, self.discarded_type = self.discarded_type, b""
+        return DISCARDED, discarded_type
+
     def _next_startup(self) -> tuple[bytes, bytes] | None:
         """`next` for messages without a type."""
         if len(self) < 4:
@@ -164,12 +213,17 @@
         """Remove a message of `size` bytes from the buffer; None while it is incomplete."""
         if len(self) < size:
             return None
-        body = bytes(self.buffer[self.pos + header_size : self.pos + size])
+        with memoryview(self.buffer) as view:  # a slice of the buffer itself would be one more copy
+            body = bytes(view[self.pos + header_size : self.pos + size])
+        self._advance(size)
+        return message_type, body
+
+    def _advance(self, size: int) -> None:
+        """Remove bytes from the front of the buffer."""
         self.pos += size
         if self.pos == len(self.buffer):
             self.buffer.clear()
             self.pos = 0
-        return message_type, body
 
 
 class MemberReader:
--- a/banklift/pg/front.py
+++ b/banklift/pg/front.py
@@ -6,6 +6,17 @@
 After `COMMANDS_PER_TURN` commands a client takes turns with the other connections. While it awaits its turn it is not
 read, and does not count as idle.
 
+What clients make the router hold counts in the core's budget of memory (proxy/memory.py). While that is short, the
+length of each command is looked at before the command is read:
+
+- There is room for it: that is taken at once, for the whole command, and the command is read.
+- There is none, and the client has commands open: it is read no further until some of them are answered.
+- There is none, and the client has no command open: the command is discarded as it arrives, and refused.
+
+An answer for which there is no room, as the client doesn't take the earlier ones or a command ahead is open, is
+replaced by the answer that the request would have got without a result: a refusal where a repeat does no harm, else
+SQLSTATE 40003.
+
 Client faults are answered with an error and never reach a member:
 
 - A bad statement leaves the connection usable, up to `MAX_BAD_STATEMENTS` of them; the last one closes the connection.
@@ -36,13 +47,14 @@
 from dataclasses import dataclass, field
 
 from banklift import interface as io
-from banklift.interface import Need
+from banklift.interface import Effect, Need
 from banklift.pg import frames
 from banklift.pg.frames import ClientReader, FrameError
 from banklift.pg.statement import TEXT_LIMIT, BadStatement, Statement, parse
 from banklift.pg.wire import Query
 from banklift.proxy import events as ev
 from banklift.proxy.machine import Machine
+from banklift.proxy.memory import CONNECTION_BYTES, REQUEST_BYTES, Claim, Holding
 from banklift.proxy.plan import Limits
 from banklift.proxy.wire import COMMANDS_PER_TURN, ClientRequest, Failed, Final, Refused, Served
 
@@ -58,6 +70,7 @@
 DRAIN_CLOSE_DELAY_SECONDS = 0.4
 # All idle connections are closed this long before the router ends.
 DRAIN_CLOSE_LEAD_SECONDS = 1.0
+LARGE_COMMAND_BYTES = 4 * 1024  # a longer command can't take the last part of the memory
 MAX_BAD_STATEMENTS = 3  # the client's last bad statement closes its connection
 MAX_DEADLINE_FACTOR = 10  # a longer `d` than this multiple of the deadline of its class is refused
 MAX_COMMIT_AHEAD_SECONDS = 1.0  # how far the commit time in `after` may lie ahead of this router's clock
@@ -71,6 +84,7 @@
     + frames.parameter_status("standard_conforming_strings", "on")
     + frames.READY_FOR_QUERY
 )
+SHORT_ANSWER_BYTES = 256  # an answer that takes no more memory than a refusal
 OUTCOME_UNKNOWN = frames.error_response("40003", "failed: it may have run") + frames.READY_FOR_QUERY
 
 
@@ -79,6 +93,7 @@
     """One command in a client's queue. `answer` is None until it is known."""
 
     answer: bytes | None = None
+    held_bytes: int = 0  # of a request's answer, as counted in the budget of memory
     request_id: int | None = None  # the core's id; None if the command is no request
     client_request_id: bytes | None = None  # `id` in the statement's comment
 
@@ -93,7 +108,12 @@
     queue: deque[PendingCommand] = field(default_factory=deque)
     has_queried: bool = False
     bad_statements: int = 0
+    # what has come and was not handled, or has room already, as counted in the budget of memory
+    input_bytes: int = 0
+    reserved_bytes: int = 0  # length of an incomplete command that has its room already
     paused: bool = False  # the connection is not read
+    # there is no memory for the next command until one of the open ones is answered
+    awaits_room: bool = False
     awaits_turn: bool = False  # buffered commands are handled after other connections have had their turn
     send_buffer_full: bool = False  # the client doesn't read its answers; no new command is begun
     closing: bool = False  # nothing more is read; the connection is closed once the queue is empty
@@ -128,44 +148,46 @@
 
     def opened(self, client_id: int) -> None:
         """A client connected. At the limit an idle client is closed for it, or the new client gets SQLSTATE 53300."""
-        if len(self.clients) >= self.limits.clients:
-            # Close the client that has been idle longest. A client that has sent a query connects again by itself. A
-            # client that has only started up may be writing its first query, which would be lost, so it stays for
-            # FIRST_QUERY_GRACE_SECONDS. Clients that sent no byte are closed at once: they must not keep others out.
-            evicted = next(
-                (
-                    idle_client
-                    for idle_client in self.idle_clients.values()
-                    if idle_client.has_queried
-                    or not (idle_client.reader.started or len(idle_client.reader))
-                    or idle_client.waiting_since + FIRST_QUERY_GRACE_SECONDS <= self.core.now
-                ),
-                None,
-            )
-            if evicted is not None:
-                self._close(evicted)
-            else:
-                self.core.actions.append(
-                    ev.SendToClient(
-                        client_id, frames.error_response("53300", "too many connections", severity="FATAL")
-                    )
-                )
-                self.core.actions.append(ev.CloseClient(client_id))
-                return
+        if len(self.clients) >= self.limits.clients and (evicted := self._find_evictable()) is not None:
+            self._close(evicted)
+        if len(self.clients) >= self.limits.clients or not self.core.memory.has_room(CONNECTION_BYTES):
+            answer = frames.error_response("53300", "too many connections", severity="FATAL")
+            self.core.actions.append(ev.SendToClient(client_id, answer))
+            self.core.actions.append(ev.CloseClient(client_id))
+            return
         client = Client(client_id, ClientReader(TEXT_LIMIT), self.core.now)
+        self.core.memory.take(Holding.CONNECTIONS, CONNECTION_BYTES)
         self.clients[client_id] = self.idle_clients[client_id] = client
         if not self.sweep_scheduled:
             self.sweep_scheduled = True
             self.core.call_at(self.core.now + SWEEP_INTERVAL_SECONDS, self._sweep)
 
+    def _find_evictable(self) -> Client | None:
+        """The client that has been idle longest, of those that may be closed to make room for another.
+
+        A client that has sent a query connects again by itself. A client that has only started up may be writing its
+        first query, which would be lost, so it stays for `FIRST_QUERY_GRACE_SECONDS`. Clients that sent no byte are
+        closed at once: they must not keep others out.
+        """
+        for client in self.idle_clients.values():
+            if (
+                client.has_queried
+                or not (client.reader.started or len(client.reader))
+                or client.waiting_since + FIRST_QUERY_GRACE_SECONDS <= self.core.now
+            ):
+                return client
+        return None
+
     def data(self, client_id: int, data: bytes) -> None:
         """Bytes came from a client; they are ignored once its connection is closing."""
         client = self.clients.get(client_id)
         if client is not None and not client.closing:
-            if not len(client.reader) and not client.queue:
+            if client.reader.is_between_messages and not client.queue:
                 client.waiting_since = self.core.now
             client.reader.feed(data)
-            if not client.awaits_turn:
+            if client.awaits_turn:
+                self._count_input(client)
+            else:
                 self._read_commands(client)
 
     def take_turn(self, client_id: int) -> None:
@@ -209,12 +231,19 @@
         if command.client_request_id is not None:
             self.pending_ids.discard(command.client_request_id)
         match final:
-            case Served(answer):
+            case Served(answer) if self._has_room_for_answer(client, command, len(answer)):
                 command.answer = answer + frames.READY_FOR_QUERY
+            case Served():
+                is_safe = request.request_class.effect is Effect.SAFE
+                command.answer = (
+                    refusal(self.core.balancer.settings.max_retry_after) if is_safe else OUTCOME_UNKNOWN
+                )
             case Refused(retry_after):
                 command.answer = refusal(retry_after)
             case Failed():
                 command.answer = OUTCOME_UNKNOWN
+        command.held_bytes = len(command.answer)
+        self.core.memory.take(Holding.ANSWERS, command.held_bytes)
         self._flush(client)
 
     def adopt(self, plan: object) -> None:
@@ -243,6 +272,7 @@
         `awaits_turn` keeps its value meanwhile, so that answers which are known at once don't begin another turn.
         """
         commands_left, awaits_turn = COMMANDS_PER_TURN, False
+        client.awaits_room = False
         try:
             while not client.closing:
                 if len(client.queue) >= self.limits.pipeline:
@@ -253,20 +283,63 @@
                 if not commands_left and len(client.reader):
                     awaits_turn = True
                     break
+                if self.core.memory.is_short and not self._make_room_for_next(client):
+                    client.awaits_room = True
+                    self._pause(client)
+                    break
                 message = client.reader.next()
                 if message is None:
                     break
                 commands_left -= 1
+                client.reserved_bytes = 0
+                self._count_input(client)  # as the request counts what it holds itself
                 self._handle_message(client, *message)
         except FrameError as error:
             self._fail_connection(client, "08P01", str(error))
         client.awaits_turn = awaits_turn
         client.reader.compact()
+        self._count_input(client)
         if awaits_turn:
             self._pause(client)
             self.core.defer(client.id)
         self._flush(client)
 
+    def _make_room_for_next(self, client: Client) -> bool:
+        """Decide on the command that begins in the client's buffer. False: it has to wait.
+
+        True: it may be read on, as there is room for it, or as it is discarded.
+        """
+        size = client.reader.next_size
+        if not size or client.reserved_bytes:
+            return True
+        self._send_answers(client)  # may free places in the queue
+        claim = Claim.FURTHER if client.queue else Claim.LARGE if size > LARGE_COMMAND_BYTES else Claim.ANY
+        # a part of it counts as input already
+        if self.core.memory.has_room(max(0, size - client.input_bytes) + REQUEST_BYTES, claim):
+            client.reserved_bytes = size
+        elif client.queue:
+            return False
+        else:
+            client.reader.discard_next()
+        self._count_input(client)
+        return True
+
+    def _count_input(self, client: Client) -> None:
+        """Count what has come from the client and was not handled, and the room that its next command has."""
+        reader = client.reader
+        size = 0 if client.closing else max(len(reader), client.reserved_bytes)
+        if size != client.input_bytes:
+            self.core.memory.take(Holding.CLIENT_INPUT, size - client.input_bytes)
+            client.input_bytes = size
+
+    def _has_room_for_answer(self, client: Client, command: PendingCommand, size: int) -> bool:
+        """Whether an answer of `size` bytes may be held until the client has taken it."""
+        memory = self.core.memory
+        if not memory.is_short or size <= SHORT_ANSWER_BYTES:
+            return True
+        is_late = client.send_buffer_full or client.queue[0] is not command
+        return memory.has_room(size, Claim.FURTHER if is_late else Claim.ANY)
+
     def _pause(self, client: Client) -> None:
         """Stop reading the client's connection."""
         if not client.paused:
@@ -277,6 +350,7 @@
         """Queue a FATAL error with this SQLSTATE, after which the connection is closed and no input is parsed."""
         client.queue.append(PendingCommand(frames.error_response(code, text, severity="FATAL")))
         client.closing = client.discards_input = True
+        client.reader.clear()
         self._pause(client)
 
     def _send_answers(self, client: Client) -> None:
@@ -284,8 +358,9 @@
         queue, answers = client.queue, []
         while queue and (answer := queue[0].answer) is not None:
             answers.append(answer)
-            queue.popleft()
+            self.core.memory.give_back(Holding.ANSWERS, queue.popleft().held_bytes)
         if answers:
+            client.awaits_room = False
             self.core.actions.append(
                 ev.SendToClient(client.id, answers[0] if len(answers) == 1 else b"".join(answers))
             )
@@ -314,12 +389,13 @@
                 )
             )
             and not client.queue
-            and not len(client.reader)
+            and client.reader.is_between_messages
         ):
             self._close(client)
         elif (
             client.paused
             and not client.awaits_turn
+            and not client.awaits_room
             and not client.send_buffer_full
             and len(client.queue) <= self.limits.pipeline // 2
         ):
@@ -336,8 +412,11 @@
     def _abandon_commands(self, client: Client) -> None:
         """Remove every trace of a client that is gone, and abandon its requests in the core."""
         client.closing = True
+        self._count_input(client)
+        self.core.memory.give_back(Holding.CONNECTIONS, CONNECTION_BYTES)
         self.idle_clients.pop(client.id, None)
         for command in client.queue:
+            self.core.memory.give_back(Holding.ANSWERS, command.held_bytes)
             if command.request_id is not None and self.pending.pop(command.request_id, None) is not None:
                 if command.client_request_id is not None:
                     self.pending_ids.discard(command.client_request_id)
@@ -358,7 +437,7 @@
             idle = [
                 client
                 for client in self.idle_clients.values()
-                if client.has_queried and not len(client.reader)
+                if client.has_queried and client.reader.is_between_messages
             ]
             # Spread the closing over the sweeps that remain; clients that have been idle longest come first.
             share = SWEEP_INTERVAL_SECONDS / max(
@@ -368,7 +447,7 @@
                 self._close(client)
         for client in list(self.idle_clients.values()):
             waited = now - client.waiting_since
-            if len(client.reader) or not client.has_queried:
+            if not client.reader.is_between_messages or not client.has_queried:
                 if waited >= READ_TIMEOUT_SECONDS:
                     if client.reader.started:
                         self.core.actions.append(
@@ -397,6 +476,9 @@
             self._handle_startup(client, body)
         elif message_type == b"X":
             self._close(client)
+        elif message_type == frames.DISCARDED and body == b"Q":
+            client.has_queried = True
+            client.queue.append(PendingCommand(refusal(self.core.balancer.settings.max_retry_after)))
         else:
             self._fail_connection(client, "0A000", "simple queries only")
 
@@ -467,6 +549,7 @@
             session=session,
             is_retry=statement.is_retry,
             label=statement.id,
+            size=len(text),
         )
         # `submit` returns the id, but may call `done` before that: the next id is needed in advance.
         command.request_id = core.last_request_id + 1
--- a/banklift/pg/wire.py
+++ b/banklift/pg/wire.py
@@ -64,6 +64,11 @@
     def __init__(self) -> None:
         self._reader = MemberReader(ANSWER_LIMIT)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of an incomplete answer."""
+        return len(self._reader.buffer)
+
     @property
     def is_at_frame_boundary(self) -> bool:
         """Whether no bytes of an incomplete or unreadable answer are left over."""
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -17,6 +17,8 @@
   what was proven about the old data does not hold for the new.
 - The member list arrives unasked, or is requested with `ev.RequestRoster` when the balancer returns `Watch` or `Fetch`.
 - The balancer ends every request in time; `Front.done` is called once for each request.
+- A request counts in the budget of memory (memory.py) until it has its final answer and all its attempts have ended, as
+  those may outlive the answer and the client. A request for which there is no room is refused.
 """
 
 from __future__ import annotations
@@ -33,6 +35,13 @@
 from banklift.decide.queues import Queues
 from banklift.interface import Effect, ListKind, State, Status
 from banklift.proxy import events as ev
+from banklift.proxy.memory import (
+    CONNECTION_BYTES,
+    MEMBER_BYTES,
+    REQUEST_BYTES,
+    Holding,
+    MemoryBudget,
+)
 from banklift.proxy.plan import Limits
 from banklift.proxy.timers import Timer, Timers
 from banklift.proxy.wire import (
@@ -93,6 +102,7 @@
     unused: bool = True  # no request or probe has used it
     attempt: Attempt | None = None  # the attempt that it carries
     idle_since: float = 0.0  # when it last became idle or answered a probe
+    input_bytes: int = 0  # of an incomplete answer, as counted in the budget of memory
 
 
 @dataclass(slots=True, eq=False)
@@ -128,13 +138,15 @@
     has_final_answer: bool = False  # it has its final answer, or needs none any more
     may_have_run: bool = False  # an attempt was written and ended without a statement that nothing ran
     abandoned: bool = False  # its client has disconnected
+    held_bytes: int = 0  # as counted in the budget of memory
 
 
 class Machine:
     """One router. `handle` takes an event at `now` and returns the actions to carry out, in order.
 
     `settings` and `seed` configure the balancer, `limits` bounds connections and queues, `groups` is the number of
-    member groups, `wire` is the protocol towards members, and `front` builds the protocol towards clients.
+    member groups, `wire` is the protocol towards members, and `front` builds the protocol towards clients. `memory` is
+    the budget of what they may hold; None for one without a limit.
     """
 
     def __init__(
@@ -145,8 +157,10 @@
         seed: int,
         wire: Wire,
         front: Callable[[Machine], Front],
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.limits = limits
+        self.memory = MemoryBudget() if memory is None else memory
         self.wire = wire
         self.balancer = Balancer(settings, seed)
         # whether members that vanish from the list without a drain may still get requests
@@ -271,7 +285,12 @@
             request.ids.append(self.last_request_id)
             self.front.done(request, Refused(self.refusal_retry_after))
             return self.last_request_id
-        retry_after = self.queues.enter(request.group, request_class.name, now)
+        held_bytes = request.size + REQUEST_BYTES
+        retry_after = (
+            self.queues.enter(request.group, request_class.name, now)
+            if self.memory.has_room(held_bytes)
+            else self.balancer.settings.max_retry_after
+        )
         if retry_after is not None:  # nothing was sent
             request.ids.append(self.last_request_id)
             self.front.done(request, Refused(retry_after))
@@ -282,6 +301,8 @@
             else request.deadline
         )
         pending = PendingRequest(self.last_request_id, request, now, min(deadline, self.drain_deadline))
+        pending.held_bytes = held_bytes
+        self.memory.take(Holding.REQUESTS, held_bytes)
         self.pending[pending.id] = pending
         request.ids.append(pending.id)
         self._notify_balancer(
@@ -313,6 +334,14 @@
             for attempt in list(pending.attempts):  # unsent attempts end even if the balancer cancels none
                 if not attempt.ended and attempt.link is None:
                     self._end_attempt(attempt, Status.MOOT)
+            self._release_if_over(pending)
+
+    def _release_if_over(self, pending: PendingRequest) -> None:
+        """Give back a request's memory once it has its final answer, or needs none, and all its attempts have ended."""
+        if pending.has_final_answer and all(attempt.ended for attempt in pending.attempts):
+            self.memory.give_back(Holding.REQUESTS, pending.held_bytes)
+            pending.held_bytes = 0
+            pending.attempts.clear()  # breaks reference cycles, so that the garbage collector has no work
 
     def defer(self, client: int) -> None:
         """Call `front.take_turn` soon for a client with buffered commands, in turns with other connections."""
@@ -442,6 +471,7 @@
         if pending is not None:
             pending.has_final_answer = True
             self.queues.leave(pending.request.group, pending.request.request_class.name, self.now)
+            self._release_if_over(pending)
             self.front.done(pending.request, final)
 
     # ---- attempts
@@ -575,6 +605,7 @@
             if status in (Status.TIMEOUT, Status.CANCELLED) and link.id in self.links:
                 self._close_link(link)
         attempt.timers.clear()
+        attempt.frames = []  # a part of them is the answer; the request may go on for longer than that is needed
         finished = pending.has_final_answer or served is not None
         if served is not None:
             self._finish_request(pending.id, served)
@@ -595,8 +626,7 @@
             self.call_at(self.now, lambda: self._notify_balancer(outcome))
         else:
             self._notify_balancer(outcome)
-        if pending.has_final_answer and all(other.ended for other in pending.attempts):
-            pending.attempts.clear()  # breaks reference cycles, so that the garbage collector has no work
+        self._release_if_over(pending)
 
     def _answer_received(self, link: Link, attempt: Attempt, last: bool) -> None:
         """Handle the frames received for an attempt: end it, if they are a whole answer or say that nothing ran.
@@ -687,6 +717,7 @@
         self.last_link_id += 1
         link = Link(self.last_link_id, member, link_variant, self.wire.reader())
         self.links[link.id] = link
+        self.memory.take(Holding.CONNECTIONS, CONNECTION_BYTES)
         if link_variant != PROBE_LINK_VARIANT:
             member.links[link.id] = link
             member.connecting += 1
@@ -781,6 +812,9 @@
         except BrokenFrame as error:
             self._link_lost(link, f"protocol: {error}")
             return
+        if (buffered := link.reader.buffered_bytes) != link.input_bytes:
+            self.memory.take(Holding.MEMBER_INPUT, buffered - link.input_bytes)
+            link.input_bytes = buffered
         at_boundary = link.reader.is_at_frame_boundary
         for count, frame in enumerate(frames, 1):
             if link.id not in self.links:
@@ -900,6 +934,9 @@
         """Remove a closed or lost link from all tables."""
         member = link.member
         del self.links[link.id]
+        self.memory.give_back(Holding.CONNECTIONS, CONNECTION_BYTES)
+        self.memory.give_back(Holding.MEMBER_INPUT, link.input_bytes)
+        link.input_bytes = 0
         if member.probe_link is link:
             member.probe_link = None
         if link.link_variant == PROBE_LINK_VARIANT:
@@ -977,6 +1014,7 @@
                     generation += 1
                     member.balancer_name, member.generation = f"{listed.name}~{generation}", generation
                 self.members[member.name] = self.members_by_balancer_name[member.balancer_name] = member
+                self.memory.take(Holding.MEMBERS, MEMBER_BYTES)
             if member.state is not listed.state:
                 self.log("member", member=member.name, state=listed.state.name.lower())
             member.state, member.started = listed.state, listed.started
@@ -999,6 +1037,7 @@
         self.log("member", member=member.name, state="gone")
         member.state = State.GONE
         del self.members[member.name]
+        self.memory.give_back(Holding.MEMBERS, MEMBER_BYTES)
         self.members_by_balancer_name.pop(member.balancer_name, None)
         self.proofs.forget(member)
         for queue in member.waiting_attempts.values():
--- a/banklift/proxy/wire.py
+++ b/banklift/proxy/wire.py
@@ -36,6 +36,10 @@
         Raises `BrokenFrame` if the stream violates the protocol and can't be read any further.
         """
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Received bytes that no returned frame contains."""
+
     @property
     def is_at_frame_boundary(self) -> bool:
         """Whether no received bytes remain that could be the beginning of another answer."""
@@ -210,6 +214,7 @@
     session: int | None = None
     is_retry: bool = False  # the client marks it as a retry
     label: bytes = b""  # the client's id of the request, for the log
+    size: int = 0  # bytes of the command, as far as the front counts them in the budget of memory
     ids: list[int] = field(default_factory=list)  # the request's id is added when it is accepted
 
 
--- a/banklift/resp/wire.py
+++ b/banklift/resp/wire.py
@@ -50,6 +50,11 @@
         except ProtocolError as error:
             raise BrokenFrame(str(error)) from None
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of an incomplete frame."""
+        return len(self._scanner.buffer)
+
     @property
     def is_at_frame_boundary(self) -> bool:
         """Whether no part of an answer is buffered. A part of a push frame doesn't count: pushes come at any time."""
--- a/banklift/rig/processes.py
+++ b/banklift/rig/processes.py
@@ -27,7 +27,7 @@
 from banklift.fleet.messages import Message, Show, Shown
 from banklift.fleet.placement import Candidate, choose_aggregators
 from banklift.fleet.state import Stage
-from banklift.net.env import Env
+from banklift.net.env import RouterEnv
 from banklift.rig import site
 from banklift.rig.clients import Client
 from banklift.rig.judge import KEY_FAMILIES
@@ -62,7 +62,7 @@
 
     def __init__(
         self,
-        env: Env,
+        env: RouterEnv,
         folder: Path,
         names: list[str],
         voter_count: int,
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -15,6 +15,7 @@
 from banklift.net.sockets import SocketEnv
 from banklift.pg import frames
 from banklift.pg.front import PgFront
+from banklift.proxy.memory import CONNECTION_BYTES, MEMBER_BYTES
 
 SETTINGS: dict[str, Any] = {
     "services": [
@@ -219,7 +220,10 @@
             known = self.machine.balancer.members.get(name)
             assert (len(known.in_flight) if known is not None else 0) == member.in_flight, name
         assert len(self.machine.in_flight) == sum(member.in_flight for member in self.members.values())
+        memory = self.machine.memory
         if not self.machine.in_flight:
+            connections = len(self.front.clients) + len(self.machine.links)
+            assert memory.total == connections * CONNECTION_BYTES + len(self.machine.members) * MEMBER_BYTES
             assert not self.machine.pending and not self.front.pending and not self.front.pending_ids
             assert not self.machine.balancer.requests
 
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -1,4 +1,4 @@
-"""What the process keeps of memory that it has freed. Both tests run in processes of their own, with a fresh allocator."""
+"""What the process keeps of memory that it has freed. Each test runs in a process with a fresh allocator."""
 
 from __future__ import annotations
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -15,6 +15,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +26,8 @@
 
 from banklift.emulator.platform import Catalogue, PgMember
 from banklift.net.sockets import SocketEnv
+from banklift.pg import frames
+from banklift.pg.statement import VALUE_LIMIT
 from tests.platform_site import SETTINGS
 
 COMMENT = "/* id={id},c={class_name},t=acme,d=20000,cluster=0 */"
@@ -196,6 +199,49 @@
         assert save(platform, connection, "k", "02") == b"\x02"
 
 
+def pipelined_writes(platform: Platform, count: int) -> bytes:
+    """So many writes of the largest value as Query messages, behind a startup message."""
+    value = "9f" * VALUE_LIMIT
+    writes = [
+        f"INSERT INTO kv (name, content) VALUES ('k', '\\x{value}') RETURNING content {platform.comment('save')}"
+        for _ in range(count)
+    ]
+    return frames.startup("backend", "store") + b"".join(frames.query(text.encode()) for text in writes)
+
+
+def send_and_count_answers(listen: str, stream: bytes, count: int) -> int:
+    """Send `stream` on a new connection, and return how many of `count` answers came before it was closed."""
+    host, _, port = listen.partition(":")
+    with socket.create_connection((host, int(port)), 60) as connection:
+        connection.settimeout(60)
+        sender = threading.Thread(target=connection.sendall, args=(stream,), daemon=True)
+        sender.start()
+        reader, answers = frames.MemberReader(1 << 20), 0
+        while answers < count + 1 and (data := connection.recv(1 << 16)):  # one answers the startup message
+            answers += len(reader.feed(data))
+        sender.join(60)
+    return answers - 1
+
+
+def test_a_flood_of_large_writes_stays_under_the_limit_of_memory(platform: Platform) -> None:
+    """The platform kills a process over its limit. Forty clients took this one from 27 to over 64 MB (review/3)."""
+    clients, writes, memory_mb = 40, 16, 64
+    platform.config["limits"] = {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}
+    platform.start()
+    assert platform.process is not None
+    streams = [pipelined_writes(platform, writes) for _ in range(clients)]
+    with ThreadPoolExecutor(clients) as pool:
+        answers = list(
+            pool.map(lambda stream: send_and_count_answers(platform.listen, stream, writes), streams)
+        )
+    assert answers == [writes] * clients
+    status = Path(f"/proc/{platform.process.pid}/status").read_text()
+    peak_kib = int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1])
+    assert peak_kib * 1024 <= memory_mb * 1_000_000
+    with platform.connect() as connection:
+        assert save(platform, connection, "k", "01") == b"\x01"
+
+
 def test_a_kill_and_a_restart_on_the_same_address(platform: Platform) -> None:
     platform.start()
     assert platform.process is not None
@@ -253,6 +299,9 @@
             "settings: boot_info: services, class_read and staleness_bound_s differ",
         ),
         (change("limits", "sockets", to="many"), "limits.sockets: a number from 64 is needed, not 'many'"),
+        (change("limits", "memory_mb", to=True), "limits.memory_mb: a number above 0 is needed, not True"),
+        (change("limits", "memory_mb", to=0), "limits.memory_mb: a number above 0 is needed, not 0"),
+        (change("limits", "memory_mb", to=8), "limits.memory_mb: 8 is too little; this process needs "),
         (change("known", "targets", to=[{"uid": 5}]), "the list of members"),
         (change("seed", to="xyz"), "seed"),
         (
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import socket
 from collections.abc import Callable
@@ -272,3 +273,33 @@
     )
     for caller in callers:
         caller.close()
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_unsent_bytes_are_counted_until_they_are_taken_or_their_connection_is_closed(reads: bool) -> None:
+    """What slow readers make the process hold has to be known, and must not count for ever."""
+    slow = SlowReader()
+    counted: list[int] = []
+    callers: list[socket.socket] = []
+
+    def act(env: SocketEnv) -> Callable[[], bool]:
+        callers.extend(open_connections(env, [slow], 1))
+
+        def is_done() -> bool:
+            if not counted and not slow.is_full:
+                slow.handle.send(b"x" * ANSWER_BYTES)
+            elif not counted:
+                counted.append(env.unsent_bytes)
+                if not reads:
+                    slow.handle.close()
+            elif reads:
+                callers[0].setblocking(False)
+                with contextlib.suppress(BlockingIOError):
+                    callers[0].recv(1 << 20)
+            return bool(counted) and env.unsent_bytes == 0
+
+        return is_done
+
+    run_until(act)
+    callers[0].close()
+    assert counted[0] > HIGH_WATER_BYTES
