--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -11,7 +11,8 @@
 from banklift.emulator.platform import Catalogue, PgMember
 from banklift.emulator.world import World
 from banklift.net.env import Handle, Peer
-from banklift.net.service import Service, StartConfig
+from banklift.net.service import Service
+from banklift.net.service_config import StartConfig
 from banklift.net.sockets import SocketEnv
 from banklift.pg import frames
 from banklift.pg.front import PgFront
--- a/tests/test_many_members.py
+++ b/tests/test_many_members.py
@@ -9,7 +9,8 @@
 from banklift.discovery import catalogue as lists
 from banklift.emulator.platform import Catalogue, PgMember
 from banklift.emulator.world import World
-from banklift.net.service import Service, StartConfig, parse
+from banklift.net.service import Service
+from banklift.net.service_config import StartConfig, parse
 from banklift.net.sockets import SocketEnv
 from tests.platform_site import SETTINGS, Site, SiteClient, value
 
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -13,7 +13,8 @@
 from banklift.adapter import WireError, parse_settings
 from banklift.emulator.world import World
 from banklift.interface import State
-from banklift.net.service import ConfigurationError, Service, StartConfig, parse
+from banklift.net.service import Service
+from banklift.net.service_config import ConfigurationError, StartConfig, parse
 from banklift.net.sockets import SocketEnv
 from banklift.pg import frames
 from banklift.proxy.machine import LATE_CONNECT_GRACE_SECONDS
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -18,7 +18,8 @@
 from banklift.net.connections import HIGH_WATER_BYTES, IO_CHUNK_BYTES
 from banklift.net.env import Handle, Peer
 from banklift.net.router import RouterHost
-from banklift.net.service import StartConfig, build_machine
+from banklift.net.service import build_machine
+from banklift.net.service_config import StartConfig
 from banklift.net.sockets import MAX_DEFERRED_CALLS_PER_BATCH, MAX_SOCKETS_PER_BATCH, SocketEnv
 from banklift.pg import frames
 from banklift.proxy import events as ev
