--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -79,7 +79,6 @@
         kinds = ""
         while not kinds.endswith("Z"):
             head = await self.reader.readexactly(5)
-            self.last = (kinds, head)
             body = await self.reader.readexactly(int.from_bytes(head[1:]) - 4)
             kinds += head[:1].decode()
             if head[:1] == b"E":
@@ -176,9 +175,6 @@
             caller = None
         except (OSError, asyncio.IncompleteReadError):
             answers["closed"] += 1
-            print(
-                "closed", repr(caller.last if hasattr(caller, "last") else None), time.monotonic(), flush=True
-            )
             caller = None
 
 
