benchmarks/memory.py runs as its page says, without PYTHONPATH

Change: the benchmark adds the project's folder to the search path before it imports them. No other file is touched.

--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -1,6 +1,6 @@
 """Resident memory of a router at its limit of memory, while clients send or hold as much as they can.
 
-    PYTHONPATH=. .venv/bin/python benchmarks/memory.py [--memory-mb N ...] [--sockets N] [--runs N] [--trouble NAME ...]
+    .venv/bin/python benchmarks/memory.py [--memory-mb N ...] [--sockets N] [--runs N] [--trouble NAME ...]
 
 The router runs as the platform starts it, on sockets, with emulated members in a process of their own. A third of its
 descriptors are clients that make trouble (`TROUBLES`); five usual clients read small values beside them, one after the
@@ -26,13 +26,13 @@
 from collections.abc import Awaitable, Callable
 from multiprocessing.connection import Connection
 from pathlib import Path
+from typing import Any
 
 import anyio
 
 from banklift.emulator.platform import Catalogue, PgMember
 from banklift.net.sockets import SocketEnv
 from banklift.pg import frames
-from tests.platform_site import SETTINGS
 
 VALUE_BYTES = 64 * 1024  # the largest value
 USUAL_CLIENTS = 5
@@ -43,6 +43,14 @@
 MEMBER_DELAY_SECONDS = 0.05
 
 
+def platform_settings() -> dict[str, Any]:
+    """The settings of the tests' platform, which lie outside the folders that Python searches for a script."""
+    sys.path.insert(0, str(Path(__file__).parents[1]))
+    from tests.platform_site import SETTINGS
+
+    return SETTINGS
+
+
 async def serve_members(pipe: Connection) -> None:
     """Run the members and the catalogue until the process is ended."""
     async with anyio.create_task_group() as tasks:
@@ -199,7 +207,7 @@
             "seed": f"{seed:x}",
             "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "known": known,
-            "settings": SETTINGS,
+            "settings": platform_settings(),
         }
         path = Path(folder, "config.json")
         path.write_text(json.dumps(config))
