A limit of memory that the process exceeds once it listens is refused with the figure

Seen on reading the change again: the start compared limits.memory_mb with the process before it listens (22 MB); it has 27 MB then. A limit in between passed, and the process went over it at once, where docs/platform.md promises the figure that is needed.

Change: `Service.limit_memory` checks once more, and main reports it as other invalid configurations, exit code 2.

Guard: tests/test_service.py, test_a_limit_between_what_the_process_has_before_and_after_it_listens_is_refused.

--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -185,8 +185,10 @@
     def limit_memory(self, at_rest_bytes: int | None) -> None:
         """Bound what is held for clients and members, and report regularly where that was too little.
 
-        `at_rest_bytes`: what the process needs without any clients; None if that is not known.
+        `at_rest_bytes`: what the process needs without any clients; None if that is not known. Errors:
+        `ConfigurationError` if the limit leaves nothing beside it.
         """
+        require_memory(self.config, at_rest_bytes)
         if at_rest_bytes is None or self.config.memory_bytes == math.inf:
             return
         memory = self.machine.memory
@@ -286,6 +288,9 @@
     try:
         anyio.run(serve, config, environment, signals)
     except BaseExceptionGroup as group:
+        if (invalid := group.subgroup(ConfigurationError)) is not None:
+            print(f"banklift: {invalid.exceptions[0]}", file=sys.stderr)
+            return 2
         listen_errors = group.subgroup(OSError)
         if listen_errors is None:
             raise
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -329,6 +329,29 @@
     assert finished.stderr.count("\n") == 1
 
 
+def test_a_limit_between_what_the_process_has_before_and_after_it_listens_is_refused(
+    platform: Platform,
+) -> None:
+    """It was only compared with what the process has at first, so such a process went over its limit at once."""
+    needed = 8
+    for _ in range(2):  # the first refusal names what is needed before it listens
+        platform.config["limits"] = {"memory_mb": needed}
+        finished = subprocess.run(
+            [sys.executable, "-m", "banklift.net.service"],
+            env=platform.environment(),
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+        assert finished.returncode == 2 and "Traceback" not in finished.stderr
+        last_line = finished.stderr.splitlines()[-1]
+        assert last_line.startswith(
+            f"banklift: limits.memory_mb: {needed} is too little; this process needs "
+        )
+        needed = int(last_line.rsplit(" ", 1)[1])
+
+
 @pytest.mark.parametrize("variable", ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG"])
 def test_a_missing_variable_is_named(platform: Platform, variable: str) -> None:
     environment = platform.environment()
