The rig's operator tool is a module with typed answers, in place of dicts and tuples

PolicyAnswer, FleetReport and ToolRun (rig/operator_tool.py) take the place of bare dicts and tuples: a change without JSON and with exit code 3 has the result 'unknown', anything else without JSON is ToolFailed with code and text. Rig.state_files replaces two copies of a loop. No check is changed: each comparison is of the same value as before.

--- a/banklift/rig/processes.py
+++ b/banklift/rig/processes.py
@@ -28,10 +28,11 @@
 from banklift.fleet.placement import Candidate, choose_aggregators
 from banklift.fleet.state import Stage
 from banklift.net.env import RouterEnv
-from banklift.rig import site
+from banklift.rig import operator_tool, site
 from banklift.rig.clients import Client
 from banklift.rig.judge import KEY_FAMILIES
 from banklift.rig.operator import Operator
+from banklift.rig.operator_tool import FleetReport, PolicyAnswer
 from banklift.rig.process_faults import ProcessFaults, write_faults
 from banklift.rig.relay import FROM_TARGET, TO_TARGET, Relay
 from banklift.rig.trace import Entry, Trace
@@ -39,7 +40,6 @@
 FLEET = "rig"
 ZONE = "here"
 SHOW_TIMEOUT = 60.0  # seconds for a voter or an aggregator to answer a Show
-UNKNOWN_TRIES = 20  # retries of `policy set` while the outcome is unknown
 START_TIMEOUT = 60.0  # seconds for a process to listen or to end; long, for busy machines
 FINISH_TIMEOUT = 5.0  # seconds for the last requests to be answered, times the rig's time factor
 
@@ -168,6 +168,10 @@
         """The folder of a voter's state."""
         return self.folder / f"{name}.state"
 
+    def state_files(self, name: str) -> dict[str, bytes]:
+        """The content of each file of a voter's state, by its name."""
+        return {path.name: path.read_bytes() for path in self.state_folder(name).iterdir()}
+
     async def start(
         self, name: str, descriptors: int | None = None, faults: ProcessFaults | None = None, **changes: Any
     ) -> None:
@@ -340,11 +344,6 @@
 
     # ---- operators
 
-    async def run_tool(self, *arguments: str) -> tuple[int, str, str]:
-        """Run the `banklift` command with these arguments; its exit code, standard output and standard error."""
-        done = await anyio.run_process([sys.executable, "-m", "banklift", *arguments], check=False)
-        return done.returncode, done.stdout.decode(), done.stderr.decode()
-
     async def show(self, name: str) -> Shown | None:
         """The state that a voter or an aggregator reports, asked directly and not through relays; None if the
         connection broke. Errors: `TimeoutError`."""
@@ -365,43 +364,25 @@
 
     async def set_policy(
         self, variant: int, *more: str, by: str = "", retry_unknown: bool = False, **policy: Any
-    ) -> dict[str, Any]:
-        """Run `banklift policy set`; what it printed as JSON, with its exit `code` and its `errors`.
+    ) -> PolicyAnswer:
+        """Request a change of policy with `banklift policy set`, as `operator_tool.set_policy` does.
 
-        `more`: further arguments. `by`: the router whose configuration the tool uses; by default the last one.
-        `retry_unknown`: ask again by the same id while the outcome is unknown, up to `UNKNOWN_TRIES` times.
-        `policy`: top-level keys of the policy in place of the usual ones.
+        `by`: the router whose configuration the tool uses; by default the last one. `policy`: top-level keys of the
+        policy in place of the usual ones.
         """
         path = self.folder / f"policy-{time.monotonic_ns()}.json"
         path.write_text(site.policy_text(variant, self.time_factor, **policy))
-        arguments = [
-            "policy",
-            "set",
-            str(path),
-            "--config",
-            str(self.write_config(by or self.names[-1])),
-            "--json",
-        ]
         self.record("set", variant=variant)
-        code, out, errors = await self.run_tool(*arguments, *more)
-        answer = json.loads(out) if out.strip() else {}
-        for _ in range(UNKNOWN_TRIES if retry_unknown else 0):
-            if answer.get("result", "unknown") != "unknown":
-                break
-            # no id if no voter had reported its version, so that nothing was proposed yet
-            same = ("--id", answer["id"]) if "id" in answer else ()
-            code, out, errors = await self.run_tool(*arguments, *more, *same)
-            answer = json.loads(out) if out.strip() else {}
-        self.record("told", answer=answer.get("result", "unknown"), variant=variant)
-        return {**answer, "code": code, "errors": errors}
-
-    async def show_fleet(self, by: str = "") -> dict[str, Any]:
-        """What `banklift fleet` prints as JSON, run with the configuration of the router `by`, by default the last one;
-        its exit `code` and its `errors` if it failed."""
-        code, out, errors = await self.run_tool(
-            "fleet", "--config", str(self.write_config(by or self.names[-1])), "--json"
+        answer = await operator_tool.set_policy(
+            path, self.write_config(by or self.names[-1]), *more, retry_unknown=retry_unknown
         )
-        return json.loads(out) if code == 0 else {"code": code, "errors": errors}
+        self.record("told", answer=answer.result, variant=variant)
+        return answer
+
+    async def show_fleet(self, by: str = "") -> FleetReport:
+        """What `banklift fleet` prints, run with the configuration of the router `by`, by default the last one.
+        Errors: `ToolFailed`."""
+        return await operator_tool.show_fleet(self.write_config(by or self.names[-1]))
 
     async def close(self) -> None:
         """Close clients and relays, and kill the processes that still run."""
--- a/tests/test_rig_aggregator.py
+++ b/tests/test_rig_aggregator.py
@@ -54,7 +54,7 @@
 
     async def _set(self) -> None:
         answer = await self.rig.set_policy(1 - self.variant, by="r2")
-        assert answer["result"] == "in force", answer
+        assert answer.result == "in force", answer
         self.variant = 1 - self.variant
 
     async def inject_during(self, stage: Stage, inject: Scenario, repair: Scenario) -> None:
@@ -130,9 +130,9 @@
         await rig.start("r5", descriptors=256)
         await rig.wait_until_serving("r5")
         refused = await rig.set_policy(1 - changes.variant, by="r2", limits={"clients": 5000})
-        assert (refused["result"], refused["code"]) == ("aborted", 1), refused
-        assert refused["reasons"] and all(
-            reason.startswith("r5: $.limits.clients: 5000 clients") for reason in refused["reasons"]
+        assert (refused.result, refused.code) == ("aborted", 1), refused
+        assert refused.reasons and all(
+            reason.startswith("r5: $.limits.clients: 5000 clients") for reason in refused.reasons
         ), refused
         await rig.wait_until_serving(*ROUTERS, variant=changes.variant)
 
--- a/tests/test_rig_faults.py
+++ b/tests/test_rig_faults.py
@@ -39,7 +39,7 @@
     for _ in range(ATTEMPTS):
         variant = 1 - variant
         answer = await rig.set_policy(variant)
-        assert answer["result"] == "in force", (kill_point, stage, answer)
+        assert answer.result == "in force", (kill_point, stage, answer)
         await rig.wait_until_serving(*(other for other in ROUTERS if other != name), variant=variant)
         if process.returncode is not None:
             break
@@ -81,18 +81,18 @@
             await start_voting(rig, name, ProcessFaults())
         rig.set_faults("r1", ProcessFaults(disk=disk))
         answer = await rig.set_policy(1)
-        assert answer["result"] == "in force", answer
+        assert answer.result == "in force", answer
         await rig.wait_until_serving(*ROUTERS, variant=1)
 
         rig.set_faults("r2", ProcessFaults(disk=disk))
         change = f"{await version(rig)}-{disk}"
         unknown = await rig.set_policy(0, "--wait", "5", "--id", change)
-        assert (unknown["result"], unknown["code"]) == ("unknown", 3), unknown
+        assert (unknown.result, unknown.code) == ("unknown", 3), unknown
         await rig.wait_until_serving(*ROUTERS, variant=1)  # the pending change ends no lease
 
         rig.set_faults("r1", ProcessFaults())
         again = await rig.set_policy(0, "--wait", "5", "--id", change)
-        assert again["result"] == "in force", again
+        assert again.result == "in force", again
         await rig.wait_until_serving(*ROUTERS, variant=0)
         if disk is not DiskMode.HANGS:  # a sync that hangs reports no error
             assert DISK_FAILED in rig.log("r1") and DISK_WRITTEN_AGAIN in rig.log("r1")
@@ -103,13 +103,7 @@
 
 async def version(rig: Rig) -> int:
     """The version of the fleet's state."""
-    state = (await rig.show_fleet("r0"))["state"]
-    return int(state["version"])
-
-
-def read_files(folder: Path) -> dict[str, bytes]:
-    """The content of each file of a folder, by name."""
-    return {path.name: path.read_bytes() for path in folder.iterdir()}
+    return (await rig.show_fleet("r0")).state.version
 
 
 def test_voter_whose_disk_lost_all_writes(tmp_path: Path) -> None:
@@ -124,14 +118,14 @@
         # once it takes the vote for written, after any earlier write.
         await rig.kill("r2")
         answer = await rig.set_policy(1)
-        assert answer["result"] == "in force", answer
-        stored = read_files(rig.state_folder("r1"))
+        assert answer.result == "in force", answer
+        stored = rig.state_files("r1")
         await rig.start("r2")
         await rig.wait_until_serving(*ROUTERS, variant=1)
         for variant in (0, 1, 0):
-            assert (await rig.set_policy(variant))["result"] == "in force"
+            assert (await rig.set_policy(variant)).result == "in force"
             await rig.wait_until_serving(*ROUTERS, variant=variant)
-        assert read_files(rig.state_folder("r1")) == stored
+        assert rig.state_files("r1") == stored
         assert DISK_FAILED not in rig.log("r1")  # no write was reported as failed
         await rig.kill("r1")
         await rig.kill("r2")  # so that of the voters that know the last changes only r0 stays up
@@ -139,7 +133,7 @@
         await rig.start("r1")
         await rig.wait_until_serving(*ROUTERS, variant=0)
         answer = await rig.set_policy(1)
-        assert answer["result"] == "in force", answer
+        assert answer.result == "in force", answer
         await rig.wait_until_serving(*ROUTERS, variant=1)
 
     assert play(tmp_path, ROUTERS, len(VOTERS), scenario).violations == []
@@ -160,13 +154,13 @@
             variant = 1 - variant
             if name:
                 rig.jump_clock(name)
-            assert (await rig.set_policy(variant))["result"] == "in force"
+            assert (await rig.set_policy(variant)).result == "in force"
             await rig.wait_until_serving(*ROUTERS, variant=variant)
         for name in ("r3", "r1"):
             await rig.kill(name)
             await rig.start(name, faults=ProcessFaults(wall_offset=-3600.0))
             await rig.wait_until_serving(*ROUTERS, variant=variant)
-        assert (await rig.set_policy(1 - variant))["result"] == "in force"
+        assert (await rig.set_policy(1 - variant)).result == "in force"
         await rig.wait_until_serving(*ROUTERS, variant=1 - variant)
 
     verdict = play(tmp_path, ROUTERS, len(VOTERS), scenario)
--- a/tests/test_rig_fleet.py
+++ b/tests/test_rig_fleet.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from banklift.rig.operator_tool import PolicyAnswer, run_tool
 from banklift.rig.processes import Rig, StartFailed
 from tests.rig_play import play
 
@@ -17,22 +18,22 @@
     names = ["r0", "r1", "r2", "r3", "r4"]
 
     async def scenario(rig: Rig) -> None:
-        assert (await rig.set_policy(1))["result"] == "in force"
+        assert (await rig.set_policy(1)).result == "in force"
         await rig.wait_until_serving(*names, variant=1)
 
         await rig.kill("r4")
         await rig.start("r4", descriptors=256)
         await rig.wait_until_serving("r4")
         refused = await rig.set_policy(0, limits={"clients": 5000})
-        assert (refused["result"], refused["code"]) == ("aborted", 1)
-        assert any(
-            reason.startswith("r4: $.limits.clients: 5000 clients") for reason in refused["reasons"]
-        ), refused
-        assert all(reason.startswith("r4: ") for reason in refused["reasons"])
+        assert (refused.result, refused.code) == ("aborted", 1)
+        assert any(reason.startswith("r4: $.limits.clients: 5000 clients") for reason in refused.reasons), (
+            refused
+        )
+        assert all(reason.startswith("r4: ") for reason in refused.reasons)
         await rig.wait_until_serving(*names, variant=1)
 
         await rig.kill("r4")
-        assert (await rig.set_policy(0))["result"] == "in force"
+        assert (await rig.set_policy(0)).result == "in force"
         await rig.start("r4")
         await rig.wait_until_serving(*names, variant=0)
 
@@ -44,7 +45,7 @@
 
         async with anyio.create_task_group() as both:
             both.start_soon(kill_in_the_change)
-            assert (await rig.set_policy(1))["result"] == "in force"
+            assert (await rig.set_policy(1)).result == "in force"
         await rig.wait_until_serving("r0", "r2", "r3", "r4", variant=1)
         await rig.start("r1")
         await rig.wait_until_serving(*names, variant=1)
@@ -122,17 +123,17 @@
 
     async def scenario(rig: Rig) -> None:
         rig.pause("r4")
-        assert (await rig.set_policy(1))["result"] == "in force"
+        assert (await rig.set_policy(1)).result == "in force"
         rig.resume("r4")  # its client has sent requests all the time
         await rig.wait_until_serving(*names, variant=1)
 
         rig.inject_link_fault("r3", "back")
-        assert (await rig.set_policy(0))["result"] == "in force"
+        assert (await rig.set_policy(0)).result == "in force"
         rig.heal()
         await rig.wait_until_serving(*names, variant=0)
 
         earlier = {path.name: path.read_bytes() for path in rig.state_folder("r1").iterdir()}
-        assert (await rig.set_policy(1))["result"] == "in force"
+        assert (await rig.set_policy(1)).result == "in force"
         await rig.wait_until_serving(*names, variant=1)
         for name in ("r0", "r1", "r2"):
             await rig.kill(name)
@@ -142,7 +143,7 @@
             for name in ("r0", "r1", "r2"):
                 starts.start_soon(rig.start, name)
         await rig.wait_until_serving(*names, variant=1)
-        assert (await rig.set_policy(0))["result"] == "in force"
+        assert (await rig.set_policy(0)).result == "in force"
         await rig.wait_until_serving(*names, variant=0)
 
         await rig.kill("r0")
@@ -150,7 +151,7 @@
             path.unlink()
         await rig.start("r0")
         await rig.wait_until_serving(*names, variant=0)
-        assert (await rig.set_policy(1))["result"] == "in force"
+        assert (await rig.set_policy(1)).result == "in force"
         await rig.wait_until_serving(*names, variant=1)
 
     verdict = play(tmp_path, names, 3, scenario)
@@ -169,9 +170,9 @@
     names = ["r0", "r1", "r2", "r3"]
 
     async def scenario(rig: Rig) -> None:
-        version = (await rig.show_fleet("r2"))["state"]["version"]
+        version = (await rig.show_fleet("r2")).state.version
         rig.pause("r3")  # so that the change waits for the end of r3's lease
-        answers: list[dict[str, Any]] = []
+        answers: list[PolicyAnswer] = []
 
         async def request_change() -> None:
             answers.append(await rig.set_policy(1))
@@ -180,7 +181,7 @@
             both.start_soon(request_change)
             checked = rig.log("r1").count("policy checked")
             await rig.wait_until(lambda: rig.log("r1").count("policy checked") > checked)
-            other = await rig.run_tool(
+            other = await run_tool(
                 "policy",
                 "set",
                 str(next(rig.folder.glob("policy-*.json"))),
@@ -192,23 +193,23 @@
             )
             # the first change is still under way; or, on a slow machine, it is over, and the other request is for the
             # version before it
-            assert other[0] == 4 and ("under way" in other[2] or f"made for version {version}" in other[2]), (
-                other
-            )
+            assert other.code == 4 and (
+                "under way" in other.errors or f"made for version {version}" in other.errors
+            ), other
         first = answers[0]
-        assert first["result"] == "in force"
+        assert first.result == "in force"
         rig.resume("r3")
         path = next(rig.folder.glob("policy-*.json"))
-        again = await rig.run_tool(
-            "policy", "set", str(path), "--config", str(rig.write_config("r2")), "--json", "--id", first["id"]
+        again = await run_tool(
+            "policy", "set", str(path), "--config", str(rig.write_config("r2")), "--json", "--id", first.id
         )
-        assert again[0] == 0 and '"in force"' in again[1], again
-        shown = await rig.run_tool("policy", "show", "--config", str(rig.write_config("r2")))
-        assert '"epoch": 2' in shown[1], shown  # the change was made once
-        dry = await rig.run_tool("policy", "check", str(path), "--config", str(rig.write_config("r2")))
-        assert dry[0] == 0 and dry[1].startswith("fine"), dry
+        assert again.code == 0 and '"in force"' in again.output, again
+        shown = await run_tool("policy", "show", "--config", str(rig.write_config("r2")))
+        assert '"epoch": 2' in shown.output, shown  # the change was made once
+        dry = await run_tool("policy", "check", str(path), "--config", str(rig.write_config("r2")))
+        assert dry.code == 0 and dry.output.startswith("fine"), dry
         fleet = await rig.show_fleet()
-        assert {holder["name"] for holder in fleet["holders"]} == set(names) and fleet["state"]["epoch"] == 2
+        assert {holder.name for holder in fleet.holders} == set(names) and fleet.state.epoch == 2
         bad = rig.folder / "bad.json"
         for text, reason in (
             ("{", "bad.json"),
@@ -216,7 +217,7 @@
             ('{"listen": "x:1"}', "a policy can't change it"),
         ):
             bad.write_text(text)
-            refused = await rig.run_tool("policy", "set", str(bad), "--config", str(rig.write_config("r2")))
-            assert refused[0] == 2 and reason in refused[2], refused
+            refused = await run_tool("policy", "set", str(bad), "--config", str(rig.write_config("r2")))
+            assert refused.code == 2 and reason in refused.errors, refused
 
     assert play(tmp_path, names, 3, scenario).violations == []
--- a/tests/test_rig_splits.py
+++ b/tests/test_rig_splits.py
@@ -8,13 +8,13 @@
 
 import anyio
 
+from banklift.rig.operator_tool import NOT_MADE, PolicyAnswer
 from banklift.rig.processes import Rig
 from tests.rig_play import play
 
 ROUTERS_BESIDE_VOTERS = 40
 FLAPS = 30  # links that break, one after another
 CHANGES_WHILE_FLAPPING = 4
-NOT_MADE = "not made"  # result of a change that was refused as the state has moved on
 
 
 def test_two_of_five_voters_are_rolled_back(tmp_path: Path) -> None:
@@ -24,12 +24,9 @@
     names = [*voters, "r5"]
 
     async def scenario(rig: Rig) -> None:
-        earlier = {
-            name: {path.name: path.read_bytes() for path in rig.state_folder(name).iterdir()}
-            for name in ("r1", "r3")
-        }
+        earlier = {name: rig.state_files(name) for name in ("r1", "r3")}
         for variant in (1, 0, 1):
-            assert (await rig.set_policy(variant))["result"] == "in force"
+            assert (await rig.set_policy(variant)).result == "in force"
             await rig.wait_until_serving(*names, variant=variant)
         for name in earlier:
             await rig.kill(name)
@@ -41,7 +38,7 @@
                 starts.start_soon(rig.start, name)
         await rig.wait_until_serving(*names, variant=1)
         await rig.kill("r0")  # now two of the four voters that are up were rolled back
-        assert (await rig.set_policy(0, by="r5"))["result"] == "in force"
+        assert (await rig.set_policy(0, by="r5")).result == "in force"
         await rig.wait_until_serving(*names[1:], variant=0)
         await rig.start("r0")
         await rig.wait_until_serving(*names, variant=0)
@@ -56,18 +53,18 @@
     names = ["r0", "r1", "r2", "r3"]
 
     async def scenario(rig: Rig) -> None:
-        version = (await rig.show_fleet("r3"))["state"]["version"]
+        version = (await rig.show_fleet("r3")).state.version
         rig.inject_link_fault("r0")
         answer = await rig.set_policy(1, "--wait", "1", "--id", f"{version}-minority", by="r0")
-        assert (answer["result"], answer["code"]) == ("unknown", 3), answer
-        assert (await rig.set_policy(1, by="r3"))[
-            "result"
-        ] == "in force"  # through the voters that this operator reaches
+        assert (answer.result, answer.code) == ("unknown", 3), answer
+        assert (
+            await rig.set_policy(1, by="r3")
+        ).result == "in force"  # through the voters that this operator reaches
         await rig.wait_until_serving("r1", "r2", "r3", variant=1)
         rig.heal()
         await rig.wait_until_serving(*names, variant=1)
         late = await rig.set_policy(0, "--id", f"{version}-minority", by="r0")
-        assert (late["result"], late["code"]) == ("not made", 4), late  # requested for a version that is over
+        assert (late.result, late.code) == ("not made", 4), late  # requested for a version that is over
         await rig.wait_until_serving(*names, variant=1)
 
     verdict = play(tmp_path, names, 3, scenario)
@@ -92,16 +89,20 @@
                 await rig.wait_until_serving(random.choice(names))
                 relay.heal()
 
+        async def change(variant: int) -> PolicyAnswer:
+            return await rig.set_policy(variant, "--wait", "30", retry_unknown=True)
+
         variant = 0
         async with anyio.create_task_group() as both:
             both.start_soon(flap)
             for _ in range(CHANGES_WHILE_FLAPPING):
                 variant = 1 - variant
-                answer = {"result": NOT_MADE}
-                # ask again while the voter that was asked has not learned of the last change yet
-                while answer["result"] == NOT_MADE:
-                    answer = await rig.set_policy(variant, "--wait", "30", retry_unknown=True)
-                assert answer["result"] == "in force", answer
+                answer = await change(variant)
+                while (
+                    answer.result == NOT_MADE
+                ):  # the voter that was asked has not learned of the last change yet
+                    answer = await change(variant)
+                assert answer.result == "in force", answer
         rig.heal()
         await rig.wait_until_serving(*names, variant=variant)
 
@@ -118,7 +119,7 @@
     async def scenario(rig: Rig) -> None:
         async def change(variant: int) -> None:
             answer = await rig.set_policy(variant, "--wait", "60", retry_unknown=True)
-            assert answer.get("result") == "in force", answer
+            assert answer.result == "in force", answer
             await rig.wait_until_serving(*names, variant=variant)
 
         rig.inject_link_fault("r1", fault="delay", value=0.3)
