The rig keeps its members' ports reserved until it is closed

The rig bound a socket for each voter's port to choose it, and closed all of them before the processes started. Until then, and again while a killed voter is down, the kernel may give the port to any other socket: a relay, a client, or a test of another worker. Which one had it was not recorded. Now these sockets stay bound, with SO_REUSEADDR, to the rig's end: nobody is given the port, and the process, which sets the option as well, can listen at it.

The new test fails on the code before (a stranger's bind succeeds) and passes now. The address that a router's own clients use is still chosen by the router at its first start and is free while that router is down; not seen to fail.

--- a/banklift/rig/processes.py
+++ b/banklift/rig/processes.py
@@ -79,8 +79,11 @@
         self.roles = {entry["member"]: entry["role"] for entry in self.stand.describe()}
         self.aggregators = list(aggregators)
         listeners = (*self.voters, *aggregators)
-        reserved = [_reserve_port() for _ in listeners]  # so that no relay gets the port of a member
-        self.ports = {name: int(one.getsockname()[1]) for name, one in zip(listeners, reserved, strict=True)}
+        # one socket for each port of `ports`, open until `close`, so that nobody else gets it while its member is down
+        self.reserved = [_reserve_port() for _ in listeners]
+        self.ports = {
+            name: int(one.getsockname()[1]) for name, one in zip(listeners, self.reserved, strict=True)
+        }
         self.addresses: dict[str, str] = {}  # of routers, for clients
         self.processes: dict[str, Process] = {}
         self.clients: dict[str, Client] = {}
@@ -95,8 +98,6 @@
         for name in names[voter_count:]:
             for aggregator in aggregators:
                 self._add_relay(name, aggregator)
-        for port_socket in reserved:
-            port_socket.close()
 
     def _add_relay(self, source: str, target: str) -> None:
         address = f"127.0.0.1:{self.ports[target]}"
@@ -397,10 +398,16 @@
             await process.aclose()
         for relay in self.relays.values():
             relay.close()
+        for port_socket in self.reserved:
+            port_socket.close()
 
 
 def _reserve_port() -> socket.socket:
-    """A socket bound to a port that the kernel chose; nobody else gets the port until the socket is closed."""
+    """A socket bound to a port that the kernel chose; until it is closed, the kernel gives that port to nobody else.
+
+    With SO_REUSEADDR a process that sets it as well, as `banklift` does, can listen at the port meanwhile.
+    """
     bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     bound.bind(("127.0.0.1", 0))
     return bound
--- a/tests/test_rig_fleet.py
+++ b/tests/test_rig_fleet.py
@@ -2,16 +2,39 @@
 
 from __future__ import annotations
 
+import socket
 from pathlib import Path
 from typing import Any
 
 import anyio
+import pytest
 
+from banklift.net.env import Peer
+from banklift.net.sockets import SocketEnv
 from banklift.rig.operator_tool import PolicyAnswer, run_tool
 from banklift.rig.processes import Rig, StartFailed
 from tests.rig_play import play
 
 
+def test_port_of_a_member_stays_reserved_while_it_is_down(tmp_path: Path) -> None:
+    """A voter could not listen once: its port had gone to another test between the rig's choice and its start."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            env = SocketEnv(tasks)
+            rig = Rig(env, tmp_path, ["r0"], 1, lease=3.0)
+            address = "127.0.0.1", rig.ports["r0"]
+            with socket.socket() as stranger, pytest.raises(OSError, match="in use"):
+                stranger.bind(address)
+            env.listen(f"{address[0]}:{address[1]}", Peer).close()  # as the member does
+            await rig.close()
+            with socket.socket() as stranger:
+                stranger.bind(address)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 def test_change_is_in_force_everywhere_or_nowhere(tmp_path: Path) -> None:
     """A fleet of five routers, three of them voters, makes a change that all accept, one that a router refuses, one
     while a router is down, and one in the middle of which a voter is killed."""
