A test that takes discovery down keeps its port reserved meanwhile

The test closes the catalogue's listener, opens 192 connections, and listens at the same port again: the kernel may give the port to one of these connections, or to another worker's test, meanwhile. Which one had it was not recorded. Checks are unchanged.

--- a/tests/test_renewed_terms.py
+++ b/tests/test_renewed_terms.py
@@ -30,7 +30,7 @@
 from banklift.proxy import events as ev
 from tests import test_crowd
 from tests.platform_site import SETTINGS, Site, SiteClient, value
-from tests.surroundings import TEST_TIMEOUT_SECONDS, open_connections, run_until
+from tests.surroundings import TEST_TIMEOUT_SECONDS, open_connections, reserve_port, run_until
 from tests.test_balance import SETTINGS as MODULE_SETTINGS
 from tests.test_balance import actions_of_type
 from tests.test_rare_moments import is_draining, pushed_settings
@@ -377,6 +377,7 @@
     sockets = 96
     platform.config["limits"] = {"cores": 1.0, "memory_mb": 192, "sockets": sockets}
     platform.portal.call(platform.catalogue.listener.close)  # type: ignore[union-attr]
+    catalogue_port = reserve_port(platform.catalogue.address)  # one of the many clients could get it
     platform.process = subprocess.Popen(
         [sys.executable, "-m", "banklift.net.service"],
         env=platform.environment(),
@@ -413,6 +414,7 @@
         assert called.wait(60)
         assert platform.process.poll() is None
     finally:
+        catalogue_port.close()
         stopping.set()
         for client in clients:
             client.join()
