--- a/banklift/rig/operator_tool.py
+++ b/banklift/rig/operator_tool.py
@@ -89,6 +89,7 @@
     for _ in range(UNKNOWN_TRIES if retry_unknown else 0):
         if answer.result != UNKNOWN:
             break
+        # no id if no voter had reported its version, so that nothing was proposed yet
         same_change = ("--id", answer.id) if answer.id else ()
         answer = await _set_policy_once(policy, config, *more, *same_change)
     return answer
--- a/banklift/rig/processes.py
+++ b/banklift/rig/processes.py
@@ -80,7 +80,7 @@
         self.aggregators = list(aggregators)
         listeners = (*self.voters, *aggregators)
         # one socket for each port of `ports`, open until `close`, so that nobody else gets it while its member is down
-        self.reserved = [_reserve_port() for _ in listeners]
+        self.reserved = [reserve_port() for _ in listeners]
         self.ports = {
             name: int(one.getsockname()[1]) for name, one in zip(listeners, self.reserved, strict=True)
         }
@@ -402,12 +402,15 @@
             port_socket.close()
 
 
-def _reserve_port() -> socket.socket:
-    """A socket bound to a port that the kernel chose; until it is closed, the kernel gives that port to nobody else.
+def reserve_port(address: str = "127.0.0.1:0") -> socket.socket:
+    """A socket bound to `address` (host:port; port 0: a free one); until it is closed, the kernel gives that port to
+    nobody else.
 
-    With SO_REUSEADDR a process that sets it as well, as `banklift` does, can listen at the port meanwhile.
+    With SO_REUSEADDR a process that sets it as well, as `banklift` does, can listen at the port meanwhile. Errors:
+    `OSError` if the address is in use.
     """
+    host, _, port = address.rpartition(":")
     bound = socket.socket()
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind(("127.0.0.1", 0))
+    bound.bind((host, int(port)))
     return bound
--- a/tests/surroundings.py
+++ b/tests/surroundings.py
@@ -47,13 +47,3 @@
     connections = [socket.create_connection((host, int(port)), timeout=20) for _ in range(many)]
     listener.close()
     return connections
-
-
-def reserve_port(address: str) -> socket.socket:
-    """Bind a socket to `address` (host:port), so that the kernel gives the port to nobody while a server is down. With
-    SO_REUSEADDR a server that sets it as well can listen there meanwhile."""
-    host, _, port = address.rpartition(":")
-    bound = socket.socket()
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind((host, int(port)))
-    return bound
--- a/tests/test_renewed_terms.py
+++ b/tests/test_renewed_terms.py
@@ -28,9 +28,10 @@
 from banklift.net.sockets import MAX_SOCKETS_PER_BATCH, SocketEnv
 from banklift.pg import frames
 from banklift.proxy import events as ev
+from banklift.rig.processes import reserve_port
 from tests import test_crowd
 from tests.platform_site import SETTINGS, Site, SiteClient, value
-from tests.surroundings import TEST_TIMEOUT_SECONDS, open_connections, reserve_port, run_until
+from tests.surroundings import TEST_TIMEOUT_SECONDS, open_connections, run_until
 from tests.test_balance import SETTINGS as MODULE_SETTINGS
 from tests.test_balance import actions_of_type
 from tests.test_rare_moments import is_draining, pushed_settings
--- a/tests/test_rig_fleet.py
+++ b/tests/test_rig_fleet.py
@@ -11,7 +11,7 @@
 
 from banklift.net.env import Peer
 from banklift.net.sockets import SocketEnv
-from banklift.rig.operator_tool import PolicyAnswer, run_tool
+from banklift.rig.operator_tool import UNKNOWN, PolicyAnswer, ToolFailed, run_tool
 from banklift.rig.processes import Rig, StartFailed
 from tests.rig_play import play
 
@@ -35,6 +35,23 @@
     anyio.run(main)
 
 
+def test_change_that_no_voter_answers_is_unknown_and_an_invalid_one_is_refused(tmp_path: Path) -> None:
+    """A change without an outcome ended a CI run with a KeyError that hid what the operator's tool had said."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            rig = Rig(SocketEnv(tasks), tmp_path, ["r0"], 1, lease=3.0)
+            answer = await rig.set_policy(1)  # r0 is not started
+            assert (answer.result, answer.id, answer.code) == (UNKNOWN, "", 3)
+            assert "no voter answers" in answer.errors
+            with pytest.raises(ToolFailed, match=r"exit 2: .*a policy can't change it"):
+                await rig.set_policy(1, listen="x:1")
+            await rig.close()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 def test_change_is_in_force_everywhere_or_nowhere(tmp_path: Path) -> None:
     """A fleet of five routers, three of them voters, makes a change that all accept, one that a router refuses, one
     while a router is down, and one in the middle of which a voter is killed."""
@@ -155,7 +172,7 @@
         rig.heal()
         await rig.wait_until_serving(*names, variant=0)
 
-        earlier = {path.name: path.read_bytes() for path in rig.state_folder("r1").iterdir()}
+        earlier = rig.state_files("r1")
         assert (await rig.set_policy(1)).result == "in force"
         await rig.wait_until_serving(*names, variant=1)
         for name in ("r0", "r1", "r2"):
--- a/tests/test_rig_splits.py
+++ b/tests/test_rig_splits.py
@@ -57,9 +57,8 @@
         rig.inject_link_fault("r0")
         answer = await rig.set_policy(1, "--wait", "1", "--id", f"{version}-minority", by="r0")
         assert (answer.result, answer.code) == ("unknown", 3), answer
-        assert (
-            await rig.set_policy(1, by="r3")
-        ).result == "in force"  # through the voters that this operator reaches
+        # through the voters that this operator reaches
+        assert (await rig.set_policy(1, by="r3")).result == "in force"
         await rig.wait_until_serving("r1", "r2", "r3", variant=1)
         rig.heal()
         await rig.wait_until_serving(*names, variant=1)
@@ -98,9 +97,8 @@
             for _ in range(CHANGES_WHILE_FLAPPING):
                 variant = 1 - variant
                 answer = await change(variant)
-                while (
-                    answer.result == NOT_MADE
-                ):  # the voter that was asked has not learned of the last change yet
+                # ask again while the voter that was asked has not learned of the last change yet
+                while answer.result == NOT_MADE:
                     answer = await change(variant)
                 assert answer.result == "in force", answer
         rig.heal()
