--- a/review/6/case.py
+++ b/review/6/case.py
@@ -19,11 +19,8 @@
     Node,
     Record,
     Router,
-    Statement,
-    parameter,
     play,
     query,
-    row,
     select,
 )
 
@@ -41,34 +38,27 @@
 
 async def case(folder: Path, record: Record) -> int:
     draw = random.Random(6)
+    here = Path(__file__).resolve().parent
 
-    def status(node: Node) -> bytes:
-        role = "writer" if node.name == "p" else "reader"
-        return parameter("server_role", role) + parameter("commit_clock", str(int(time.time() * 1000)))
-
-    def answer(node: Node, statement: Statement) -> bytes:
-        record.note(f"{node.name} ran {statement.id}")
-        return row(main_value(statement.key), b"SELECT 1") + status(node)
-
-    def usage(node: Node) -> str:
-        return f"x0={time.time():.3f},x1={int(node.name == 'p')},outstanding={node.held},backlog=0"
-
-    def second_copy(node: Node, statement: Statement) -> bytes:
-        if not TROUBLE or draw.random() >= SPOILT_SHARE:
-            return b""
-        record.note(f"{node.name} sends a second copy of {statement.id}")
-        return row(main_value(statement.key), b"SELECT 1") + status(node) + b"Z\0\0\0\x05I"
-
-    nodes = [Node(name, record, answer, usage) for name in ("p", "r1", "r2")]
     lists = Lists(record)
     await lists.start()
-    for node in nodes:
-        node.extra = second_copy
-        await node.start()
-        lists.set(node, 0, access="writer" if node.name == "p" else "reader")
-    router = Router(folder, lists, record)
+    nodes: list[asyncio.subprocess.Process] = []
     counts = {"served": 0, "foreign": 0, "not served": 0, "no answer": 0}
+    router = None
     try:
+        for name in ("p", "r1", "r2"):
+            place = folder / name
+            place.mkdir()
+            share = SPOILT_SHARE if TROUBLE else 0.0
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, here / "node.py", name, str(share), place, stdout=asyncio.subprocess.PIPE
+            )
+            nodes.append(process)
+            assert process.stdout is not None
+            node = Node(name, record, lambda node, statement: None, lambda node: "")
+            node.address = (await process.stdout.readline()).decode().strip()
+            lists.set(node, 0, access="writer" if name == "p" else "reader")
+        router = Router(folder, lists, record)
         await router.start()
         number = 0
 
@@ -103,7 +93,14 @@
         began = time.time() + 0.2
         await asyncio.gather(*(bursts(index) for index in range(CLIENTS)))
     finally:
-        await router.stop()
+        if router is not None:
+            await router.stop()
+        for process in nodes:
+            process.kill()
+            await process.wait()
+        for path in sorted(folder.glob("*/record.txt")):
+            record.note(f"record of node {path.parent.name}, in seconds since its own start:")
+            record.file.write(path.read_text())
     record.say(f"{number} requests: {counts}")
     if counts["served"] < 100:
         raise CouldNotRun("too few requests were served")
--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+EXTRA_WITHIN_SECONDS = 0.001  # after an answer
 READY = b"Z\0\0\0\x05I"
 AUTH_OK = b"R\0\0\0\x08\0\0\0\0"
 
@@ -96,12 +97,15 @@
 class Record:
     """Writes record.txt: what was sent, answered and run, with the seconds since the start."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, flushes: bool = False) -> None:
+        self.flushes = flushes
         self.file = open(folder / "record.txt", "w", encoding="utf-8")  # noqa: SIM115
         self.began = time.time()
 
     def note(self, text: str) -> None:
         self.file.write(f"{time.time() - self.began:9.4f} {text}\n")
+        if self.flushes:
+            self.file.flush()
 
     def say(self, text: str) -> None:
         self.note(text)
@@ -124,6 +128,7 @@
     ) -> None:
         self.name, self.record, self.answer, self.usage, self.delay = name, record, answer, usage, delay
         self.extra: Callable[[Node, Statement], bytes] = lambda node, statement: b""
+        self.work: Callable[[Statement], float] = lambda statement: self.delay
         self.hung = False  # takes requests and answers nothing
         self.held = 0  # statements without an answer
         self.server: asyncio.Server | None = None
@@ -194,7 +199,7 @@
             )
             self.waiting += 1
             node.held += 1
-            asyncio.get_running_loop().call_later(node.delay, self.finish, statement)
+            asyncio.get_running_loop().call_later(node.work(statement), self.finish, statement)
 
     def finish(self, statement: Statement) -> None:
         node = self.node
@@ -207,12 +212,19 @@
         node.held -= 1
         self.transport.write(answer + READY)
         if extra := node.extra(node, statement):
-            asyncio.get_running_loop().call_soon(self.send_extra, extra)
+            asyncio.get_running_loop().call_soon(self.send_extra, extra, statement, time.time())
 
-    def send_extra(self, extra: bytes) -> None:
-        """Send more than belongs to an answer, right behind it, if nothing else waits on the connection."""
-        if not self.waiting and not self.transport.is_closing():
+    def send_extra(self, extra: bytes, statement: Statement, answered_at: float) -> None:
+        """Send more than belongs to an answer, right behind it, if nothing else waits on the connection.
+
+        It is the node's next write on the connection, and left out if that comes later than `EXTRA_WITHIN_SECONDS`.
+        """
+        late = time.time() - answered_at
+        if late <= EXTRA_WITHIN_SECONDS and not self.waiting and not self.transport.is_closing():
             self.transport.write(extra)
+            self.node.record.note(
+                f"{self.node.name} sent more behind {statement.id}, {1e6 * late:.0f} us later"
+            )
 
 
 # ---- discovery
