--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -128,6 +128,7 @@
     ) -> None:
         self.name, self.record, self.answer, self.usage, self.delay = name, record, answer, usage, delay
         self.extra: Callable[[Node, Statement], bytes] = lambda node, statement: b""
+        self.gone: Callable[[Node, Statement], None] = lambda node, statement: None
         self.work: Callable[[Statement], float] = lambda statement: self.delay
         self.hung = False  # takes requests and answers nothing
         self.held = 0  # statements without an answer
@@ -206,7 +207,10 @@
         if node.hung:
             return
         answer = node.answer(node, statement)
-        if self.transport.is_closing() or answer is None:
+        if self.transport.is_closing():
+            node.gone(node, statement)
+            return
+        if answer is None:
             return
         self.waiting -= 1
         node.held -= 1
