--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -128,6 +128,7 @@
     ) -> None:
         self.name, self.record, self.answer, self.usage, self.delay = name, record, answer, usage, delay
         self.extra: Callable[[Node, Statement], bytes] = lambda node, statement: b""
+        self.piece_seconds = 0.0  # from an answer's first piece to its second
         self.gone: Callable[[Node, Statement], None] = lambda node, statement: None
         self.work: Callable[[Statement], float] = lambda statement: self.delay
         self.hung = False  # takes requests and answers nothing
@@ -214,7 +215,12 @@
             return
         self.waiting -= 1
         node.held -= 1
-        self.transport.write(answer + READY)
+        if node.piece_seconds:  # the last 20 bytes come later
+            whole = answer + READY
+            self.transport.write(whole[:-20])
+            asyncio.get_running_loop().call_later(node.piece_seconds, self.transport.write, whole[-20:])
+        else:
+            self.transport.write(answer + READY)
         if extra := node.extra(node, statement):
             asyncio.get_running_loop().call_soon(self.send_extra, extra, statement, time.time())
 
