--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -160,6 +160,9 @@
     primary: Member | None = None  # None: unknown
     primary_lost_at: float = -math.inf
     primary_known_at: float = -math.inf  # time at which the newest fact on who is primary was true
+    # The primary that the list names counts. No longer so once a member has told that it is the primary, or that it is
+    # not although the list names it: a list may name the first primary of the day for ever.
+    trusts_listed_primary: bool = True
     # held requests by class name and request id, in the order in which they are retried
     held: dict[str, OrderedDict[int, Pending]] = field(default_factory=lambda: defaultdict(OrderedDict))
     hold_ends: list[tuple[float, int]] = field(default_factory=list)  # heap: end of holding, request id
@@ -282,8 +285,9 @@
         """Add or update one member of the list.
 
         A restart clears the member's failures, and the member's role as primary unless a newer fact confirms
-        it, because a restarted primary comes back as a replica. The list names the primary only while none is
-        known.
+        it, because a restarted primary comes back as a replica. Whom the list names as primary counts only
+        while none is known and members have told nothing else: what a member says of its own role is never
+        undone by the list (rule 5).
         """
         group = self.groups.setdefault(entry.group, Group())
         member = self.members.get(entry.member)
@@ -296,8 +300,9 @@
             if group.primary is member and entry.started > group.primary_known_at:
                 self.clear_primary(group)
         self.set_state(member, entry.state)
-        if entry.primary and group.primary is None:
-            self.record_primary(member, group.primary_known_at)
+        is_role_untold = member.role_known_at == -math.inf
+        if entry.primary and group.primary is None and group.trusts_listed_primary and is_role_untold:
+            self.record_primary(member, -math.inf)
 
     def set_state(self, member: Member, state: State) -> None:
         """Set what the list says of a member; one that is gone is forgotten once its last attempt has ended.
@@ -343,11 +348,15 @@
             (self.record_primary if report.primary else self.record_replica)(member, role_at)
 
     def record_primary(self, member: Member, at: float) -> None:
-        """Make a ready member its group's primary, if nothing newer is known of its role or the primary."""
+        """Make a ready member its group's primary, if nothing newer is known of its role or the primary.
+
+        `at`: when it was primary; -inf where only the list says so.
+        """
         group = member.group
         if at < max(group.primary_known_at, member.role_known_at) or member.state is not State.READY:
             return
         member.role_known_at = group.primary_known_at = at
+        group.trusts_listed_primary &= at == -math.inf
         if group.primary is not member:
             group.primary = member
             self.actions.append(interface.Log(f"primary learnt: {member.name}"))
@@ -357,6 +366,7 @@
         if at >= member.role_known_at:
             member.role_known_at = at
             if member.group.primary is member:
+                member.group.trusts_listed_primary = False
                 self.clear_primary(member.group)
 
     def clear_primary(self, group: Group) -> None:
--- a/banklift/emulator/platform.py
+++ b/banklift/emulator/platform.py
@@ -196,7 +196,8 @@
     """The emulated catalogue of members: an HTTP server whose clients fetch a snapshot and then watch for changes.
 
     A watch (`after=REVISION&wait_ms=MILLISECONDS`) is a long poll: it is answered at the next change, or with an empty
-    list once the wait is over. `version`: revision of the list. `failing`: each call is answered with status 503.
+    list once the wait is over. `revision`: of the list. `failing`: each call is answered with status 503.
+    `sends_whole_lists`: a change is answered with all members.
     """
 
     env: Env
@@ -204,6 +205,7 @@
     targets: dict[str, dict[str, object]] = field(default_factory=dict)  # entries by uid
     revision: int = 1
     failing: bool = False
+    sends_whole_lists: bool = False
     calls: list[str] = field(default_factory=list)  # path and query of each call
     on_call: Callable[[], None] = lambda: None  # called at each call, before it is answered
     # Long polls without an answer: the connection, and the revision that its client has.
@@ -250,7 +252,7 @@
             self.targets[uid] = entry
         waiting, self.long_polls = self.long_polls, []
         for peer, after in waiting:
-            peer.answer(self.changes_after(after))
+            peer.answer(self.news_since(after))
 
     def snapshot(self) -> dict[str, object]:
         """The snapshot: all members."""
@@ -261,6 +263,10 @@
         changed = {str(entry["uid"]): entry for version, entry in self.changes if version > after}
         return {"rev": self.revision, "all": False, "targets": list(changed.values())}
 
+    def news_since(self, after: int) -> dict[str, object]:
+        """The answer to a watch of revision `after` when there is a newer one."""
+        return self.snapshot() if self.sends_whole_lists else self.changes_after(after)
+
 
 class _CataloguePeer(Peer):
     """A connection that the catalogue accepted. It serves HTTP/1.1 GET requests, one after the other."""
@@ -291,7 +297,7 @@
             return self.answer(catalogue.snapshot())
         after = int(watch[1])
         if catalogue.revision > after:
-            return self.answer(catalogue.changes_after(after))
+            return self.answer(catalogue.news_since(after))
         catalogue.long_polls.append((self, after))
         catalogue.env.at(catalogue.env.now() + int(watch[2]) / 1000, lambda: self.end_long_poll(after))
 
