--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -115,6 +115,16 @@
 MAX_ASK_WITHIN = 10.0
 
 
+@dataclass(slots=True, eq=False)
+class InFlightAttempt:
+    """An attempt in flight. It outlives its request, whose client may leave before the member answers."""
+
+    sent_at: float
+    usual_latency: float  # of its class, in seconds, when it was sent
+    load: float  # of the member when it was sent; 0: unknown
+    write_session: int | None  # session whose write it is; None for reads and for writes without a session
+
+
 @dataclass(slots=True, eq=False)
 class Member:
     """What this router knows of one member. Times are clock times, -inf where the event has not happened."""
@@ -137,9 +147,8 @@
     answer_rate: float = 0.0  # work answered a second, in seconds of usual latency, as of `answer_rate_at`
     answer_rate_at: float = 0.0
     probed_at: float = -math.inf
-    # attempts in flight by request and attempt: time sent, usual latency, load of the member then (0:
-    # unknown)
-    in_flight: dict[tuple[int, int], tuple[float, float, float]] = field(default_factory=dict)
+    # attempts in flight by request and attempt
+    in_flight: dict[tuple[int, int], InFlightAttempt] = field(default_factory=dict)
     in_flight_work: float = 0.0  # sum of the usual latencies of the attempts in flight
     expected_rate: float = 0.0  # answers a second expected of them: the sum of the inverse usual latencies
     overloaded_at: float = (
@@ -420,7 +429,8 @@
         the position of the session's last write.
         """
         known = member.in_flight.pop((event.request, event.attempt), None)
-        sent_at, usual_latency, load = known or (self.now - event.latency, math.inf, 1.0)
+        attempt = known or InFlightAttempt(self.now - event.latency, math.inf, 1.0, None)
+        sent_at, usual_latency = attempt.sent_at, attempt.usual_latency
         member.in_flight_work -= usual_latency if known else 0.0
         member.expected_rate -= 1 / usual_latency
         member.lateness_offset -= max(0.0, sent_at - member.lateness_base) / usual_latency if known else 0.0
@@ -461,13 +471,14 @@
         self.apply_report(member, event.report or interface.Report(), sent_at)
         if event.position is not None:
             member.position = max(member.position, event.position)
+            if status is Status.OK and attempt.write_session is not None:
+                self.remember_write(attempt.write_session, event.position)
         if pending is not None and status is Status.OK:
             request_class = pending.request_class
-            session = pending.request.session
             self.update_answer_rate(member, self.usual_latency[request_class.name])
-            if load > 0:
+            if attempt.load > 0:
                 self.pace_measured_at = self.now
-                self.pace_load += SAMPLE_WEIGHT * (load - self.pace_load)
+                self.pace_load += SAMPLE_WEIGHT * (attempt.load - self.pace_load)
                 self.pace_latency += SAMPLE_WEIGHT * (event.latency - self.pace_latency)
             previous_latency = self.usual_latency[request_class.name]
             usual_latency = previous_latency + SAMPLE_WEIGHT * (event.latency - previous_latency)
@@ -475,16 +486,18 @@
             self.usual_latency[request_class.name] = max(
                 usual_latency, TICK_SHORTEST_AIMS * self.shortest_aim
             )
-            if request_class.need is Need.WRITE and session is not None and event.position is not None:
-                self.sessions[session] = max(event.position, self.sessions.pop(session, event.position))
-                if len(self.sessions) > MAX_SESSIONS:
-                    self.dropped_sessions_position = max(
-                        self.dropped_sessions_position, self.sessions.pop(next(iter(self.sessions)))
-                    )
         elif pending is not None and status is Status.MISS and pending.request_class.need is not Need.WRITE:
             member.replication_lag = sent_at - self.required_position(pending, sent_at)
         return sent_at
 
+    def remember_write(self, session: int, position: float) -> None:
+        """Remember the position of a session's write, which its later reads must see (rule 5)."""
+        self.sessions[session] = max(position, self.sessions.pop(session, position))
+        if len(self.sessions) > MAX_SESSIONS:
+            self.dropped_sessions_position = max(
+                self.dropped_sessions_position, self.sessions.pop(next(iter(self.sessions)))
+            )
+
     # ---- routing
     def on_request(self, request: interface.Request) -> None:
         """Route a new request, after setting how recent its member must be and until when it may be sent.
@@ -751,9 +764,12 @@
         """Start the next attempt of a request, and check on it later if it is safe to move elsewhere."""
         usual_latency = self.usual_latency[pending.request_class.name]
         attempt = len(pending.tried)
+        is_write = pending.request_class.need is Need.WRITE
         pending.in_flight[attempt] = member
         member.load = max(member.load, len(member.in_flight)) + 1
-        member.in_flight[pending.request.id, attempt] = self.now, usual_latency, member.load
+        member.in_flight[pending.request.id, attempt] = InFlightAttempt(
+            self.now, usual_latency, member.load, pending.request.session if is_write else None
+        )
         member.in_flight_work += usual_latency
         member.expected_rate += 1 / usual_latency
         member.lateness_base = self.now if member.lateness_base == -math.inf else member.lateness_base
--- a/banklift/emulator/platform.py
+++ b/banklift/emulator/platform.py
@@ -38,7 +38,8 @@
     """An emulated PostgreSQL member that listens at `address` (host:port; port 0: a free one) once it is started.
 
     `primary`: it accepts writes. `answer_delay_seconds`: from a statement to its answer. `store`: values by
-    key; a primary and its replicas share one store, so replication takes no time.
+    key; a primary and its replicas share one store, so replication takes no time. `lag_seconds`: how far its position
+    is behind the clock.
     """
 
     env: Env
@@ -46,6 +47,7 @@
     primary: bool = False
     answer_delay_seconds: float = 0.0
     store: dict[bytes, bytes] = field(default_factory=dict)
+    lag_seconds: float = 0.0
     next_answers: deque[Answer] = field(
         default_factory=deque
     )  # to the next statements, in place of `default_answer`
@@ -70,16 +72,21 @@
             if peer.handle is not None:
                 peer.handle.close()
 
+    @property
+    def position(self) -> float:
+        """The time up to which it has applied all commits."""
+        return self.env.now() - self.lag_seconds
+
     def status_messages(self) -> bytes:
         """ParameterStatus messages with the member's role and its commit clock in milliseconds."""
         return frames.parameter_status(
             "server_role", "writer" if self.primary else "reader"
-        ) + frames.parameter_status("commit_clock", str(int(self.env.now() * 1000)))
+        ) + frames.parameter_status("commit_clock", str(int(self.position * 1000)))
 
     def usage_answer(self) -> bytes:
         """The answer to SHOW usage, without ReadyForQuery: position (the clock), role and load."""
         return single_value_answer(
-            b"x0=%.3f,x1=%d,outstanding=%d,backlog=0" % (self.env.now(), self.primary, self.in_flight),
+            b"x0=%.3f,x1=%d,outstanding=%d,backlog=0" % (self.position, self.primary, self.in_flight),
             b"SHOW",
             b"usage",
         )
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -601,8 +601,8 @@
             in_flight.append((send.request, len(pending.tried) - 1, send.member))
         for member_state in driver.balancer.members.values():
             by_loop = sum(
-                (driver.now - max(sent, member_state.last_answer_at)) / usual_latency
-                for sent, usual_latency, _ in member_state.in_flight.values()
+                (driver.now - max(attempt.sent_at, member_state.last_answer_at)) / attempt.usual_latency
+                for attempt in member_state.in_flight.values()
             )
             by_sums = (
                 (driver.now - member_state.lateness_base) * member_state.expected_rate
