The test of freed blocks takes up the small blocks of the imports first

Seen: test_large_blocks_are_given_back_as_soon_as_they_are_freed[kept] failed on this arm64 machine on the code as it landed: 8 KiB kept, more than 20 MiB expected.

Cause: the test's own set-up. Its small blocks have to lie between the large ones, so that the heap can't shrink; here the imports had freed enough small blocks for all of them, below the large ones, and the heap shrank by itself. Ruled out: the kernel's counting (29.2 MB resident before the free) and the allocator (with PYTHONMALLOC=malloc 28.9 MB stay).

Change: such blocks are taken up before the measurement. Bounds and both modes are as they were.

--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -14,6 +14,8 @@
     return_large_blocks()
 first = bytes(140 * 1024)
 del first
+# takes up the small blocks that the imports have freed, so that those below lie between the large ones
+fillers = [bytearray(1000) for _ in range(5000)]
 before = resident_bytes()
 blocks = []
 for _ in range(200):
