--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -169,7 +169,7 @@
     primary: Member | None = None  # None: unknown
     primary_lost_at: float = -math.inf
     primary_known_at: float = -math.inf  # time at which the newest fact on who is primary was true
-    # The primary that the list names counts. No longer so once a member has told that it is the primary, or that it is
+    # Whom the list names as primary counts, until a member has told that it is the primary, or that it is
     # not although the list names it: a list may name the first primary of the day for ever.
     trusts_listed_primary: bool = True
     # held requests by class name and request id, in the order in which they are retried
