--- a/banklift/emulator/world.py
+++ b/banklift/emulator/world.py
@@ -4,8 +4,9 @@
 event, so a run takes as long as its events take to compute. All random draws come from one seed, so the same seed
 gives the same run to the byte.
 
-Connections deliver data in order. When one end closes, the other end first gets what was sent before. A connection to
-an address at which nobody listens is refused after one way there and one way back.
+Connections deliver data in order. When one end closes, the other end first gets what was sent before. A paused end is
+told of the close nevertheless, unless more data is unread than a receive buffer holds: the close is behind the rest
+then. A connection to an address at which nobody listens is refused after one way there and one way back.
 """
 
 from __future__ import annotations
@@ -91,7 +92,7 @@
         if self.closed:
             return
         if self.paused:
-            if self.closed_by_other_end:
+            if self.closed_by_other_end and len(self.unread) <= self.world.receive_buffer_bytes:
                 self.peer.half_closed()
             return
         if self.unread:
@@ -139,6 +140,7 @@
         self.last_free_port = LAST_FIXED_PORT
         self.unsent_bytes = 0  # always: a connection takes all that is sent
         self.accepted_read_bytes = READ_BYTES
+        self.receive_buffer_bytes = math.inf  # of each connection; only the report of a close depends on it
 
     def now(self) -> float:
         """The virtual clock, in seconds."""
--- a/banklift/pg/front.py
+++ b/banklift/pg/front.py
@@ -2,9 +2,13 @@
 
 A client sends a startup message, then simple queries. Each command is appended to the client's queue. A command that is
 a request is submitted to the core at once, so requests of one client run concurrently; answers are sent in the order of
-the commands. With `limits.pipeline` commands pending, a client is no longer read until at most half of them are left.
-After `COMMANDS_PER_TURN` commands a client takes turns with the other connections. While it awaits its turn it is not
-read, and does not count as idle.
+the commands. With `limits.pipeline` commands pending, no further one is begun until at most half of them are left.
+After `COMMANDS_PER_TURN` commands a client takes turns with the other connections. While it awaits its turn it does not
+count as idle.
+
+A client whose commands are held back is read ahead, because its close can only be noticed once all input before it was
+read, and no request may be begun for a client that has left. The budget of memory bounds what is read ahead; beyond
+that the connection is not read, and a close behind more input than that goes unnoticed until the input is handled.
 
 What clients make the router hold counts in the core's budget of memory (proxy/memory.py). While that is short, the
 length of each command is looked at before the command is read:
@@ -111,7 +115,8 @@
     # what has come and was not handled, or has room already, as counted in the budget of memory
     input_bytes: int = 0
     reserved_bytes: int = 0  # length of an incomplete command that has its room already
-    paused: bool = False  # the connection is not read
+    is_held_back: bool = False  # no further command is begun for now; input is read ahead
+    paused: bool = False  # the connection is not read, as it is held back and there is no room, or is closing
     # there is no memory for the next command until one of the open ones is answered
     awaits_room: bool = False
     awaits_turn: bool = False  # buffered commands are handled after other connections have had their turn
@@ -185,8 +190,9 @@
             if client.reader.is_between_messages and not client.queue:
                 client.waiting_since = self.core.now
             client.reader.feed(data)
-            if client.awaits_turn:
+            if client.is_held_back:
                 self._count_input(client)
+                self._read_ahead(client)
             else:
                 self._read_commands(client)
 
@@ -218,7 +224,7 @@
         if client is not None:
             client.send_buffer_full = is_full
             if is_full:
-                self._pause(client)
+                self._hold_back(client)
             else:
                 self._flush(client)
 
@@ -272,20 +278,19 @@
         `awaits_turn` keeps its value meanwhile, so that answers which are known at once don't begin another turn.
         """
         commands_left, awaits_turn = COMMANDS_PER_TURN, False
-        client.awaits_room = False
+        client.awaits_room = client.is_held_back = False
         try:
             while not client.closing:
                 if len(client.queue) >= self.limits.pipeline:
                     self._send_answers(client)  # may free places in the queue
                 if len(client.queue) >= self.limits.pipeline or client.send_buffer_full:
-                    self._pause(client)
+                    client.is_held_back = True
                     break
                 if not commands_left and len(client.reader):
                     awaits_turn = True
                     break
                 if self.core.memory.is_short and not self._make_room_for_next(client):
-                    client.awaits_room = True
-                    self._pause(client)
+                    client.awaits_room = client.is_held_back = True
                     break
                 message = client.reader.next()
                 if message is None:
@@ -300,8 +305,12 @@
         client.reader.compact()
         self._count_input(client)
         if awaits_turn:
-            self._pause(client)
+            client.is_held_back = True
             self.core.defer(client.id)
+        if client.is_held_back:
+            self._read_ahead(client)
+        elif not client.closing:
+            self._resume(client)
         self._flush(client)
 
     def _make_room_for_next(self, client: Client) -> bool:
@@ -340,12 +349,33 @@
         is_late = client.send_buffer_full or client.queue[0] is not command
         return memory.has_room(size, Claim.FURTHER if is_late else Claim.ANY)
 
+    def _hold_back(self, client: Client) -> None:
+        """Begin no further command of the client until `_flush` finds that it may go on."""
+        client.is_held_back = True
+        self._read_ahead(client)
+
+    def _read_ahead(self, client: Client) -> None:
+        """Read the connection of a client that is held back as far as there is room, to notice its close.
+
+        One that does not read its answers is not read either: nothing is begun for it before it has read them.
+        """
+        if not client.send_buffer_full and len(client.reader) < self.core.memory.read_ahead_bytes:
+            self._resume(client)
+        else:
+            self._pause(client)
+
     def _pause(self, client: Client) -> None:
         """Stop reading the client's connection."""
         if not client.paused:
             client.paused = True
             self.core.actions.append(ev.PauseClient(client.id))
 
+    def _resume(self, client: Client) -> None:
+        """Read the client's connection again."""
+        if client.paused:
+            client.paused = False
+            self.core.actions.append(ev.ResumeClient(client.id))
+
     def _fail_connection(self, client: Client, code: str, text: str) -> None:
         """Queue a FATAL error with this SQLSTATE, after which the connection is closed and no input is parsed."""
         client.queue.append(PendingCommand(frames.error_response(code, text, severity="FATAL")))
@@ -393,14 +423,12 @@
         ):
             self._close(client)
         elif (
-            client.paused
+            client.is_held_back
             and not client.awaits_turn
             and not client.awaits_room
             and not client.send_buffer_full
             and len(client.queue) <= self.limits.pipeline // 2
         ):
-            client.paused = False
-            self.core.actions.append(ev.ResumeClient(client.id))
             self._read_commands(client)
 
     def _close(self, client: Client) -> None:
--- a/banklift/proxy/memory.py
+++ b/banklift/proxy/memory.py
@@ -14,6 +14,10 @@
 
 What is refused for want of room is up to the callers; the rules for clients are in pg/front.py. Without a limit all
 claims are granted, and the ledger only counts.
+
+Reading ahead is the least urgent use. The close of a client is behind all that it has sent, so a client whose commands
+have to wait is read on, as long as there is room for it (`read_ahead_bytes`). Each client may read ahead as much as is
+left for all of them (the dynamic thresholds of shared buffers: Choudhury and Hahne, 1998), so one can't take it all.
 """
 
 from __future__ import annotations
@@ -30,6 +34,8 @@
 USUAL_READ_BYTES = 64 * 1024
 MIN_READ_BYTES, MAX_SHORTAGE_READ_BYTES = 2 * 1024, 16 * 1024
 SHORTAGE_READ_SHARE = 1 / 1024
+READ_AHEAD_SHARE = 0.4  # of the budget, up to which input is read ahead; below `Claim.FURTHER`
+MAX_READ_AHEAD_BYTES = 2 * 1024 * 1024  # of one client: as much as it may have in 16 of the largest commands
 
 
 class Holding(IntEnum):
@@ -102,6 +108,12 @@
         """Most bytes of one read of a client's connection."""
         return self._shortage_read_bytes if self.is_short else USUAL_READ_BYTES
 
+    @property
+    def read_ahead_bytes(self) -> float:
+        """Bytes up to which the input of one client may be read ahead now; 0 or less where there is no room."""
+        left = READ_AHEAD_SHARE * self.limit_bytes - self.total - self.unsent_bytes
+        return min(MAX_READ_AHEAD_BYTES, left)
+
     def has_room(self, size: int, claim: Claim = Claim.ANY) -> bool:
         """Whether `size` more bytes may be held. A refusal is counted."""
         if self.total + self.unsent_bytes + size <= self._bounds[claim]:
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -17,6 +17,7 @@
 from banklift.net.service_config import ConfigurationError, StartConfig, parse
 from banklift.net.sockets import SocketEnv
 from banklift.pg import frames
+from banklift.proxy import memory
 from banklift.proxy.machine import LATE_CONNECT_GRACE_SECONDS
 from tests.platform_site import SETTINGS, Site, SiteClient, code, value
 
@@ -265,8 +266,14 @@
 # ---- clients that leave while they are not read
 
 
-def test_a_client_that_leaves_with_a_full_pipeline_takes_with_it_what_has_not_begun() -> None:
-    """The end of a paused client's stream is behind commands that are never read, but must still be noticed."""
+@pytest.mark.parametrize("reads_ahead", [True, False])
+def test_a_client_that_leaves_with_a_full_pipeline_takes_with_it_what_has_not_begun(
+    reads_ahead: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The end of its stream is behind commands that are not begun, and that are not even read where there is no room
+    to read ahead. It must still be noticed."""
+    if not reads_ahead:
+        monkeypatch.setattr(memory, "MAX_READ_AHEAD_BYTES", 0)
     site = Site()
     caller = SiteClient(site)
     assert value(caller.query(site.write("k", "01")))
@@ -277,7 +284,7 @@
     before = sum(len(member.statements) for member in site.members.values())
     caller.send(b"".join(frames.query(site.write(f"k{index}").encode()) for index in range(40)), 0.01)
     (state,) = site.front.clients.values()
-    assert state.paused and len(site.machine.pending) == 16
+    assert state.is_held_back and state.paused is not reads_ahead and len(site.machine.pending) == 16
     caller.handle.close()
     site.run(0.01)
     assert not site.machine.pending and not site.front.clients
