--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -40,6 +40,10 @@
 SECONDS = 6.0  # of each run
 ANSWER_SECONDS = 5.0  # in which a usual client has to get an answer
 SAMPLE_SECONDS = 0.005
+SLOW_PIECE_BYTES, SLOW_PIECE_SECONDS = (
+    4 * 1024,
+    0.04,
+)  # of a slow writer, and the longest time between two pieces
 MEMBER_DELAY_SECONDS = 0.05
 
 
@@ -133,13 +137,63 @@
     await caller.reader.read()
 
 
+async def write_slowly(port: int, draw: random.Random) -> None:
+    """Send the largest write a few KiB at a time, as a client behind a slow link does, and never its end."""
+    caller = await Caller.connect(port)
+    command = caller.write(bytes(VALUE_BYTES))
+    for start in range(0, len(command) - 1, SLOW_PIECE_BYTES):
+        caller.writer.write(command[start : min(start + SLOW_PIECE_BYTES, len(command) - 1)])
+        await asyncio.sleep(SLOW_PIECE_SECONDS * draw.random())
+    await caller.reader.read()
+
+
+def startup_of_short_fields(size: int) -> bytes:
+    """A startup message of `size` bytes with as many parameters as go into it."""
+    body = b"\0\x03\0\0user\0backend\0database\0store\0"
+    body += b"a\0b\0" * ((size - 5 - len(body)) // 4)
+    return (len(body) + 5).to_bytes(4) + body + b"\0"
+
+
+async def start_with_short_fields(port: int, draw: random.Random) -> None:
+    """Send a startup message of very many short parameters but for its last byte, then that too, and again."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    head = startup_of_short_fields(frames.STARTUP_LIMIT)
+    writer.write(head[:-1])
+    await asyncio.sleep(draw.random())
+    writer.write(head[-1:])
+    await Caller(reader, writer).answer()
+    writer.close()
+
+
+async def query_short_fields(port: int, draw: random.Random) -> None:
+    """Send statements whose comment is full of short pairs, many at once."""
+    caller = await Caller.connect(port)
+    pairs = ",".join(f"{chr(97 + number // 26)}{chr(97 + number % 26)}=1" for number in range(170))
+    while True:
+        command = caller.read("small").replace(b" */", b"," + pairs.encode() + b" */")[5:-1]
+        for _ in range(PIPELINE):
+            caller.writer.write(frames.query(command))
+        for _ in range(PIPELINE):
+            await caller.answer()
+
+
 Trouble = Callable[[int, random.Random], Awaitable[None]]
 TROUBLES: dict[str, tuple[Trouble, ...]] = {
     "writes": (write_much,),
     "slow readers": (read_nothing,),
     "half commands": (send_half,),
+    "slow writers": (write_slowly,),
+    "short fields": (start_with_short_fields, query_short_fields),
+    "heads": (start_with_short_fields,),
     "both": (read_nothing, send_half),
-    "all": (write_much, read_nothing, send_half),
+    "all": (
+        write_much,
+        read_nothing,
+        send_half,
+        write_slowly,
+        start_with_short_fields,
+        query_short_fields,
+    ),
 }
 
 
