RESP commands are read into one growing buffer, and can be discarded as they arrive

Cause: CommandReader joined what it had with each piece that came: 0.7 s of the processor for one write of 8 MB in pieces of 4 KiB, and its arguments were kept beside the buffer.

Tests: three new ones in tests/test_resp_frames.py (cuts and discards at random, one buffer, short arguments); all as before pass.

--- a/banklift/resp/frames.py
+++ b/banklift/resp/frames.py
@@ -27,6 +27,9 @@
 MAX_LINE_BYTES = 64 * 1024  # of an inline command or of a header line
 MAX_DEPTH = 512  # open aggregates of one frame
 MAX_ARGS = 1024 * 1024  # of one command, with its name
+ARG_BYTES = 80  # what an argument takes beside its bytes: its place, and later its object
+STRING_TYPE, ARRAY_TYPE = ord("$"), ord("*")
+MAX_SHORT_HEADER_BYTES = 12  # of an argument, with its end; a longer one is read by a call of its own
 # counts on the stack that stand for an unknown number of elements
 OPEN_AGGREGATE = -1  # an aggregate that ends with a mark
 OPEN_STRING = -2  # a string that comes in chunks
@@ -196,89 +199,201 @@
     """Reads the commands of a client: lists of byte strings.
 
     `limit`: bytes that one command may have. Errors: `ProtocolError` from `next`, which has returned the commands
-    before the fault. An incomplete command is read on where it stopped.
+    before the fault. An incomplete command is read on where it stopped; until it is complete, only its bytes and the
+    places of its arguments are kept. A command for which its owner has no room can be discarded as it arrives.
     """
 
-    __slots__ = ("_args", "_remaining_args", "_size", "_start", "buffer", "limit", "pos", "raw")
+    __slots__ = (
+        "_arg_ends",
+        "_arg_starts",
+        "_bytes_to_discard",
+        "_is_discarding",
+        "_is_reading",
+        "_remaining_args",
+        "_size",
+        "_start",
+        "buffer",
+        "limit",
+        "pos",
+        "raw",
+    )
 
     def __init__(self, limit: int) -> None:
-        self.buffer = b""
+        self.buffer = bytearray()
         self.limit = limit
         self.pos = 0  # everything before it has been read
         self.raw: bytes | None = None  # the last command as it arrived; None if it was an inline one
-        self._args: list[bytes] | None = None  # arguments read of a command that is incomplete; None: none is
+        self._is_reading = False  # a part of a command has been read
+        # where the arguments of that command are, counted from its begin
+        self._arg_starts: list[int] = []
+        self._arg_ends: list[int] = []
         self._remaining_args = 0  # arguments still to come of that command
         self._size = 0  # bytes of its arguments so far
         self._start = 0  # where it begins in the buffer
+        self._is_discarding = False  # nothing of that command is kept
+        self._bytes_to_discard = 0  # of its current argument
 
     def __len__(self) -> int:
         """The number of bytes that are not read yet."""
         return len(self.buffer) - self.pos
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that it holds of what was not returned, and that the arguments of an incomplete command will take."""
+        return len(self.buffer) - self._start + ARG_BYTES * len(self._arg_starts)
+
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether a part of a command has come that was not returned, and is not discarded."""
+        return not self._is_discarding and (self._is_reading or self.pos < len(self.buffer))
+
     def feed(self, data: bytes) -> None:
         """Adds bytes of the client."""
-        if self.pos < len(self.buffer):
-            # drops what was read already, except for the command that is being read
-            self.buffer = self.buffer[self._start :] + data
-            self.pos -= self._start
-        else:
-            self.buffer = self.buffer[self._start :] + data if self._args is not None else data
-            self.pos = self.pos - self._start if self._args is not None else 0
-        self._start = 0
+        kept_from = self._start if self._is_reading else self.pos
+        if kept_from:  # what was read already
+            del self.buffer[:kept_from]
+            self.pos -= kept_from
+            self._start = 0
+        self.buffer += data
+
+    def discard(self) -> None:
+        """Keeps nothing of the command that is being read. `next` returns an empty list once all of it has arrived.
+
+        Without effect on an inline command, whose length is bounded.
+        """
+        if self._is_reading and not self._is_discarding:
+            self._is_discarding = True
+            del self.buffer[self._start : self.pos]
+            self.pos = self._start
+            self._forget_args()
 
     def next(self) -> list[bytes] | None:
-        """The next complete command; None if more bytes are needed. Errors: `ProtocolError`."""
+        """The next complete command; None if more bytes are needed. Errors: `ProtocolError`.
+
+        An empty list stands for a command that was discarded.
+        """
+        while self._is_reading or self.pos < len(self.buffer):
+            if not self._is_reading and (words := self._begin()) is not None:
+                return words
+            if not self._is_reading or not (
+                self._discard_args() if self._is_discarding else self._read_args()
+            ):
+                return None
+            self._is_reading = False
+            if self._is_discarding:
+                self._is_discarding = False
+                return []
+            if self._arg_starts:
+                return self._take_command()
+        return None
+
+    def _begin(self) -> list[bytes] | None:
+        """Reads the head of the next command. The words of an inline command; None for others, or if more is needed."""
+        buffer = self.buffer
         while True:
-            buffer, pos = self.buffer, self.pos
-            if self._args is None:
-                self._start = pos
-                end = buffer.find(b"\n", pos)
-                if (len(buffer) if end < 0 else end) - pos > MAX_LINE_BYTES:
-                    raise ProtocolError(
-                        "too big mbulk count string"
-                        if buffer[pos : pos + 1] == b"*"
-                        else "too big inline request"
-                    )
-                if end < 0:
-                    return None
-                self.pos = end + 1
-                if buffer[pos] != 42:  # no "*": an inline command
-                    if words := split_inline(buffer[pos:end].removesuffix(b"\r")):
-                        self.raw = None
-                        return words
-                    continue
+            pos = self._start = self.pos
+            end = buffer.find(b"\n", pos)
+            if (len(buffer) if end < 0 else end) - pos > MAX_LINE_BYTES:
+                raise ProtocolError(
+                    "too big mbulk count string" if buffer[pos] == ARRAY_TYPE else "too big inline request"
+                )
+            if end < 0:
+                return None
+            self.pos = end + 1
+            if buffer[pos] == ARRAY_TYPE:
                 self._remaining_args = parse_length(
                     buffer[pos + 1 : end], "invalid multibulk length", MAX_ARGS
                 )
-                self._args, self._size = [], 0
-                pos = end + 1
-            args = self._args
-            while self._remaining_args > 0:
-                end = buffer.find(b"\r\n", pos)
-                if (len(buffer) if end < 0 else end) - pos > MAX_LINE_BYTES:
-                    raise ProtocolError("too big bulk count string")
-                if end < 0:
-                    return None
-                if buffer[pos] != 36:  # no "$"
-                    raise ProtocolError(f"expected '$', got '{chr(buffer[pos])}'")
-                size = parse_length(buffer[pos + 1 : end], "invalid bulk length", self.limit)
-                self._size += size
-                if size < 0 or self._size > self.limit:
-                    raise ProtocolError("invalid bulk length")
-                begin = end + 2
-                if len(buffer) < begin + size + 2:
-                    self._size -= size  # the header is read again with the rest
-                    return None
-                args.append(buffer[begin : begin + size])
-                self.pos = pos = begin + size + 2
-                self._remaining_args -= 1
-            self._args = None
-            if args:
-                self.raw = buffer[self._start : pos]
-                return args
-
-
-def parse_length(digits: bytes, error: str, limit: int) -> int:
+                self._is_reading = True
+                self._size = 0
+                return None
+            if words := split_inline(bytes(buffer[pos:end]).removesuffix(b"\r")):
+                self.raw = None
+                self._start = self.pos
+                return words
+
+    def _read_args(self) -> bool:
+        """Reads arguments of a command as far as they have come; whether it is complete.
+
+        The header of a short argument is read here, without a call, as this is the longest part of reading.
+        """
+        buffer, pos, available = self.buffer, self.pos, len(self.buffer)
+        add_start, add_end, offset = self._arg_starts.append, self._arg_ends.append, -self._start
+        remaining, total, limit = self._remaining_args, self._size, self.limit
+        while remaining > 0:
+            end = buffer.find(b"\r\n", pos, pos + MAX_SHORT_HEADER_BYTES)
+            size = -1
+            if end > 0 and buffer[pos] == STRING_TYPE:
+                try:
+                    size = int(buffer[pos + 1 : end])
+                except ValueError:
+                    size = -1
+            if size < 0 or total + size > limit:
+                self.pos, self._remaining_args, self._size = pos, remaining, total
+                found = self._arg_size(pos)  # it needs more bytes, is long, or is a fault
+                if found is None:
+                    return False
+                size, end = found, buffer.find(b"\r\n", pos)
+            begin = end + 2
+            after = begin + size + 2
+            if available < after:  # the header is read again with the rest
+                break
+            add_start(begin + offset)
+            add_end(begin + size + offset)
+            pos = after
+            total += size
+            remaining -= 1
+        self.pos, self._remaining_args, self._size = pos, remaining, total
+        return not remaining > 0
+
+    def _arg_size(self, pos: int) -> int | None:
+        """The length of the argument whose header begins at `pos`; None if more bytes are needed."""
+        buffer = self.buffer
+        end = buffer.find(b"\r\n", pos)
+        if (len(buffer) if end < 0 else end) - pos > MAX_LINE_BYTES:
+            raise ProtocolError("too big bulk count string")
+        if end < 0:
+            return None
+        if buffer[pos] != STRING_TYPE:
+            raise ProtocolError(f"expected '$', got '{chr(buffer[pos])}'")
+        size = parse_length(buffer[pos + 1 : end], "invalid bulk length", self.limit)
+        if size < 0 or self._size + size > self.limit:
+            raise ProtocolError("invalid bulk length")
+        return size
+
+    def _discard_args(self) -> bool:
+        """Drops arguments of a command as far as they have come; whether all of it was dropped."""
+        while True:
+            dropped = min(self._bytes_to_discard, len(self.buffer) - self.pos)
+            self._bytes_to_discard -= dropped
+            self.pos += dropped
+            del self.buffer[self._start : self.pos]
+            self.pos = self._start
+            if self._bytes_to_discard:
+                return False
+            if not self._remaining_args:
+                return True
+            size = self._arg_size(self.pos)
+            if size is None:
+                return False
+            self._size += size
+            self.pos = self.buffer.find(b"\n", self.pos) + 1
+            self._bytes_to_discard = size + 2
+            self._remaining_args -= 1
+
+    def _take_command(self) -> list[bytes]:
+        """The arguments of the command that is complete; `raw` is the whole of it."""
+        raw = self.raw = bytes(self.buffer[self._start : self.pos])
+        args = [raw[begin:end] for begin, end in zip(self._arg_starts, self._arg_ends, strict=True)]
+        self._start = self.pos
+        self._forget_args()
+        return args
+
+    def _forget_args(self) -> None:
+        self._arg_starts, self._arg_ends = [], []
+
+
+def parse_length(digits: bytes | bytearray, error: str, limit: int) -> int:
     """The length in a header. Errors: `ProtocolError` with the text `error` if it is no number or above `limit`."""
     try:
         value = int(digits)
--- a/tests/test_resp_frames.py
+++ b/tests/test_resp_frames.py
@@ -6,7 +6,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banklift.resp.frames import CommandReader, ProtocolError, Scanner, command, encode, split_inline
+from banklift.resp.frames import (
+    ARG_BYTES,
+    CommandReader,
+    ProtocolError,
+    Scanner,
+    command,
+    encode,
+    split_inline,
+)
 from banklift.resp.slots import slot
 
 FRAMES = [
@@ -86,6 +94,57 @@
     assert reader.pos == len(reader.buffer)
 
 
+@given(
+    st.lists(st.lists(st.binary(max_size=30), min_size=1, max_size=4), min_size=1, max_size=5),
+    st.lists(st.tuples(st.integers(1, 30), st.booleans()), max_size=40),
+)
+@settings(max_examples=200)
+def test_a_command_may_be_discarded_wherever_it_is_cut(
+    commands: list[list[bytes]], cuts: list[tuple[int, bool]]
+) -> None:
+    """What is discarded stands as an empty list in its place, and the commands behind it are read as ever."""
+    stream = b"".join(command(*args) for args in commands)
+    reader = CommandReader(1000)
+    found = []
+    for size, discards in [*cuts, (len(stream) + 1, False)]:
+        reader.feed(stream[:size])
+        stream = stream[size:]
+        while (args := reader.next()) is not None:
+            found.append(args)
+        if discards:
+            reader.discard()
+            assert not reader.is_incomplete or reader.held_bytes <= 30
+    assert [args or expected for args, expected in zip(found, commands, strict=True)] == commands
+    assert reader.held_bytes == 0 and not reader.is_incomplete
+
+
+def test_a_long_command_in_small_pieces_is_kept_in_one_buffer() -> None:
+    """Each piece was appended by a copy of all that had come, so a slow writer of a large command took seconds of the
+    processor, and its arguments were kept twice."""
+    reader = CommandReader(1 << 20)
+    buffer = reader.buffer
+    sent = command("SET", "k", b"x" * 500_000)
+    for start in range(0, len(sent) - 1, 4096):
+        reader.feed(sent[start : min(start + 4096, len(sent) - 1)])
+        assert reader.next() is None
+    assert reader.buffer is buffer and reader.is_incomplete
+    assert len(sent) <= reader.held_bytes <= len(sent) + 3 * ARG_BYTES
+    reader.feed(sent[-1:])
+    assert reader.next() == [b"SET", b"k", b"x" * 500_000] and reader.raw == sent
+    reader.feed(b"")
+    assert not buffer
+
+
+def test_a_command_of_very_many_short_arguments_counts_what_they_will_take() -> None:
+    reader = CommandReader(1 << 20)
+    reader.feed(b"*10000\r\n" + b"$2\r\nab\r\n" * 9_000)
+    assert reader.next() is None and reader.held_bytes > 9_000 * ARG_BYTES
+    reader.discard()
+    assert reader.held_bytes == 0
+    reader.feed(b"$2\r\nab\r\n" * 1_000 + command("PING"))
+    assert [reader.next() for _ in range(3)] == [[], [b"PING"], None]
+
+
 @pytest.mark.parametrize(
     ("sent", "text"),
     [
