--- a/banklift/net/daemon.py
+++ b/banklift/net/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from pathlib import Path
 
@@ -12,7 +13,15 @@
 from banklift.config.check import warnings
 from banklift.config.load import ConfigError, load_roster
 from banklift.net import fleet_daemon
+from banklift.net.memory_limit import (
+    LARGE_COMMANDS_BUDGET_FRACTION,
+    MEGABYTE,
+    MemoryTooSmall,
+    limit_memory,
+    require_memory,
+)
 from banklift.net.process import announce, clock, new_seed, running, stop_signals, tune_collector
+from banklift.net.process_memory import resident_bytes, return_large_blocks
 from banklift.net.router import RouterHost
 from banklift.net.sockets import SocketEnv
 from banklift.proxy.plan import Config
@@ -25,8 +34,9 @@
 
     Once the router listens, it prints one line of JSON with its name and address on standard output.
 
-    Errors: `OSError` if the address can't be bound, `ConfigError` if the roster file is invalid at the start (later, an
-    invalid one is logged and ignored), `MembershipRefused` if the fleet refuses this router as a member.
+    Errors: `OSError` if the address can't be bound, `ConfigError` if `memory_mb` is too little or the roster file is
+    invalid at the start (later, an invalid one is logged and ignored), `MembershipRefused` if the fleet refuses this
+    router as a member.
     """
     log = structlog.get_logger().bind(router=config.name)
 
@@ -35,6 +45,8 @@
 
     for text in warnings(config):
         log.warning("configuration", text=text)
+    _require_memory(config)
+    return_large_blocks()
     machine = build.machine(config, new_seed())
     path = folder / config.roster if config.roster is not None else None
     groups = load_roster(path, config) if path is not None and path.exists() else config.groups
@@ -49,6 +61,15 @@
             if path is not None:
                 run.tasks.start_soon(_watch_roster, router, config, path, log)
             tune_collector()
+            memory_bytes = math.inf if config.memory_mb is None else config.memory_mb * MEGABYTE
+            limit_memory(
+                env,
+                machine.memory,
+                memory_bytes,
+                resident_bytes(),
+                log_event,
+                LARGE_COMMANDS_BUDGET_FRACTION,
+            )
             log.info("listening", address=router.address)
             announce("router", config.name, router.address)
             log.info("stopping", signal=await signals.wait())
@@ -56,6 +77,15 @@
                 await fleet_daemon.leave(fleet_host, env)
 
 
+def _require_memory(config: Config) -> None:
+    """Check that the process can work within its limit. Errors: `ConfigError`."""
+    if config.memory_mb is not None:
+        try:
+            require_memory(config.memory_mb * MEGABYTE, resident_bytes())
+        except MemoryTooSmall as error:
+            raise ConfigError(f"memory_mb: {error}") from None
+
+
 async def _watch_roster(
     host: RouterHost, config: Config, path: Path, log: structlog.stdlib.BoundLogger
 ) -> None:
--- a/banklift/net/service.py
+++ b/banklift/net/service.py
@@ -29,7 +29,6 @@
 import contextlib
 import gc
 import logging
-import math
 import os
 import signal
 import socket
@@ -46,14 +45,14 @@
 from banklift.interface import ListKind
 from banklift.net.discovery_host import DiscoveryHost
 from banklift.net.loop_load import report_regularly
+from banklift.net.memory_limit import limit_memory
 from banklift.net.process_memory import resident_bytes, return_large_blocks
 from banklift.net.router import Log, RouterHost
 from banklift.net.service_config import (
     ConfigurationError,
     StartConfig,
-    memory_budget,
     read_configuration,
-    require_memory,
+    require_configured_memory,
 )
 from banklift.net.sockets import MAX_LINGERING_CONNECTIONS, SocketEnv
 from banklift.pg.front import PgFront
@@ -82,8 +81,6 @@
 # descriptors for the listener, discovery, logs, the event loop, and connections that are closing
 RESERVED_DESCRIPTORS = 16 + MAX_LINGERING_CONNECTIONS
 CLIENT_DESCRIPTOR_FRACTION = 0.5  # of the descriptors that are not reserved; links to members have the rest
-SLOW_READER_BYTES = 64 * 1024  # unsent bytes of a connection above which it counts as a slow reader
-MEMORY_REPORT_INTERVAL_SECONDS = 1.0
 
 
 def build_machine(config: StartConfig) -> Machine:
@@ -188,21 +185,8 @@
         `at_rest_bytes`: what the process needs without any clients; None if that is not known. Errors:
         `ConfigurationError` if the limit leaves nothing beside it.
         """
-        require_memory(self.config, at_rest_bytes)
-        if at_rest_bytes is None or self.config.memory_bytes == math.inf:
-            return
-        memory = self.machine.memory
-        budget = memory_budget(self.config.memory_bytes, at_rest_bytes)
-        # the members that are known now are a part of the process at rest
-        memory.set_limit(budget + memory.total)
-        self.env.slow_reader_bytes = SLOW_READER_BYTES
-        self.log("memory", {"at_rest_kib": round(at_rest_bytes / 1024), "budget_kib": round(budget / 1024)})
-        self._report_memory()
-
-    def _report_memory(self) -> None:
-        if (fields := self.machine.memory.take_report()) is not None:
-            self.log("memory short", fields)
-        self.env.at(self.env.now() + MEMORY_REPORT_INTERVAL_SECONDS, self._report_memory)
+        require_configured_memory(self.config, at_rest_bytes)
+        limit_memory(self.env, self.machine.memory, self.config.memory_bytes, at_rest_bytes, self.log)
 
     def handle_signal(self, number: int, at: float) -> None:
         """Handle a signal: SIGHUP reads the configuration again, others start a graceful shutdown. `at`: its arrival in
@@ -281,7 +265,7 @@
     environment = dict(os.environ)
     try:
         config = read_configuration(environment)
-        require_memory(config, resident_bytes())
+        require_configured_memory(config, resident_bytes())
     except ConfigurationError as error:
         print(f"banklift: {error}", file=sys.stderr)
         return 2
--- a/banklift/net/service_config.py
+++ b/banklift/net/service_config.py
@@ -11,15 +11,10 @@
 from banklift.adapter import WireError, parse_settings
 from banklift.discovery import catalogue
 from banklift.interface import Settings
+from banklift.net.memory_limit import MEGABYTE, MemoryTooSmall, require_memory
 
 ENVIRONMENT_VARIABLES = ("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG")
 PROBE_TIMEOUT_SECONDS = 0.25  # time for a probe's answer; the platform's settings have no value for it
-MEGABYTE = 1_000_000  # of `limits.memory_mb`; the platform may mean 1,048,576, which is more
-# Memory for what one batch of events holds for a moment: copies, and bytes queued until the end of the batch.
-TRANSIENT_BYTES = 3 * 1024 * 1024
-# Part of the remaining memory that may be held. The allocator needs the rest, as it keeps some of what was freed.
-BUDGET_FRACTION = 0.6
-MIN_BUDGET_BYTES = 1024 * 1024  # with less, a router couldn't hold a few of the largest commands
 
 
 class ConfigurationError(Exception):
@@ -140,16 +135,9 @@
     )
 
 
-def memory_budget(memory_bytes: float, at_rest_bytes: int) -> float:
-    """Bytes that a process may hold for clients and members, of the memory that it may have. `at_rest_bytes`: what it
-    needs without any."""
-    return max(MIN_BUDGET_BYTES, BUDGET_FRACTION * (memory_bytes - at_rest_bytes - TRANSIENT_BYTES))
-
-
-def require_memory(config: StartConfig, at_rest_bytes: int | None) -> None:
+def require_configured_memory(config: StartConfig, at_rest_bytes: int | None) -> None:
     """Check that the process can work within its limit. Errors: `ConfigurationError` with the limit that is needed."""
-    if at_rest_bytes is not None and config.memory_bytes < at_rest_bytes + MIN_BUDGET_BYTES:
-        needed = math.ceil((at_rest_bytes + MIN_BUDGET_BYTES) / MEGABYTE)
-        raise ConfigurationError(
-            f"limits.memory_mb: {config.memory_bytes / MEGABYTE:g} is too little; this process needs {needed}"
-        )
+    try:
+        require_memory(config.memory_bytes, at_rest_bytes)
+    except MemoryTooSmall as error:
+        raise ConfigurationError(f"limits.memory_mb: {error}") from None
--- a/banklift/proxy/plan.py
+++ b/banklift/proxy/plan.py
@@ -123,6 +123,9 @@
     default_write: str  # class of writing commands that match no route
     listen: str = "127.0.0.1:6380"  # host:port for clients
     name: Name = "router"
+    memory_mb: Positive | None = (
+        None  # memory that the process may have; null: it does not bound what it holds
+    )
     source: str | None = None  # local address of connections to members
     sessions: str = "roaming"  # roaming: a session may write at another router; connection: it may not
     users: list[User] = msgspec.field(default_factory=list)  # empty: no authentication
--- a/banklift/resp/frames.py
+++ b/banklift/resp/frames.py
@@ -259,13 +259,13 @@
     def discard(self) -> None:
         """Keeps nothing of the command that is being read. `next` returns an empty list once all of it has arrived.
 
-        Without effect on an inline command, whose length is bounded.
+        Only after `next` has found that more bytes are needed. Without effect on an inline command, whose length is
+        bounded.
         """
         if self._is_reading and not self._is_discarding:
             self._is_discarding = True
-            del self.buffer[self._start : self.pos]
-            self.pos = self._start
             self._forget_args()
+            self._discard_args()
 
     def next(self) -> list[bytes] | None:
         """The next complete command; None if more bytes are needed. Errors: `ProtocolError`.
--- a/banklift/resp/front.py
+++ b/banklift/resp/front.py
@@ -34,13 +34,14 @@
 from dataclasses import dataclass, field
 
 from banklift.decide.offsets import SessionMark
-from banklift.interface import Need, RequestClass
+from banklift.interface import Effect, Need, RequestClass
 from banklift.proxy import events as ev
 from banklift.proxy.machine import Machine
+from banklift.proxy.memory import CONNECTION_BYTES, REQUEST_BYTES, Claim, Holding
 from banklift.proxy.plan import Config
 from banklift.proxy.wire import COMMANDS_PER_TURN, ClientRequest, Failed, Final, Refused, Served
 from banklift.resp.commands import COMMANDS, Command, CommandKind, find_command
-from banklift.resp.frames import CommandReader, Error, ProtocolError, Simple, command, encode
+from banklift.resp.frames import ARG_BYTES, CommandReader, Error, ProtocolError, Simple, command, encode
 from banklift.resp.proofs import RespProofs
 from banklift.resp.routes import CrossGroupKeys, Routes, UnownedKey, strictest_class
 from banklift.resp.wire import SingleCommand, Transaction
@@ -52,6 +53,11 @@
 # Bytes of replies sent by one flush beyond which reading pauses until it is known whether the client takes them.
 FLUSH_PAUSE_BYTES = 1024 * 1024
 WAIT_POLL_SECONDS = 0.02  # between two polls of the replicas' offsets for WAIT
+LARGE_COMMAND_BYTES = 4 * 1024  # a longer command can't take the last part of the memory
+SHORT_REPLY_BYTES = 256  # a reply that takes no more memory than a refusal
+# While memory is short, a command of which nothing has come for so long is discarded.
+UNFINISHED_COMMAND_SECONDS = 2.0
+UNFINISHED_CHECK_SECONDS = 0.5  # time between two looks for such commands
 UNCERTAIN_ERROR = encode(Error("UNCERTAIN failed: it may have run"))
 
 
@@ -72,6 +78,7 @@
     request: int | None = None  # the core's id of its request
     # computes the reply once all commands before it are answered; may return `NOT_READY`
     deferred: Callable[[], object] | None = None
+    held_bytes: int = 0  # of its command or reply, as counted in the budget of memory
     queue: GroupQueue | None = None  # the queue in which its request counts as active
     request_class: RequestClass | None = None  # the class under which its request counts there
 
@@ -84,6 +91,7 @@
     request_class: RequestClass
     exchange: SingleCommand | Transaction
     arrived: float  # router's clock, seconds
+    size: int  # bytes of the command
 
 
 @dataclass(slots=True, eq=False)
@@ -125,11 +133,14 @@
     name: str = ""  # set by the client; connections of one user and name share a session
     # command, arguments, class and group of each command queued by MULTI; None outside a transaction
     transaction: list[tuple[Command, list[bytes], RequestClass, int]] | None = None
+    transaction_bytes: int = 0  # what the commands queued by MULTI take
+    input_bytes: int = 0  # what has come and is not handled, as counted in the budget of memory
     transaction_failed: bool = False  # a command of the transaction was refused, so EXEC aborts
     marks: dict[int, SessionMark] = field(default_factory=dict)  # by group: what the session has seen
     queues: dict[int, GroupQueue] = field(default_factory=dict)  # by group
     sent_token: bool = False  # the client hands over its marks (BANKLIFT.SEEN) when it changes router
     paused: bool = False  # the connection is not being read
+    awaits_room: bool = False  # there is no memory for more until commands of the pipeline are answered
     awaits_turn: bool = False  # buffered commands are run after other connections have had their turn
     output_full: bool = False  # the client does not read its replies
     closing: bool = False  # nothing more is read; the connection is closed once the pipeline is empty
@@ -159,15 +170,20 @@
         self.passwords = {user.name: user.password for user in config.users}
         self.group_names = [group.name for group in config.groups]
         self.leaving = False
+        # clients with an incomplete command, and when the last bytes of it came; the longest ago first
+        self.unfinished: OrderedDict[int, float] = OrderedDict()
+        self.unfinished_check_scheduled = False
 
     # ---- events of the core
 
     def opened(self, client: int) -> None:
-        """A client connected; it is turned away if `limits.clients` connections are open."""
-        if len(self.clients) >= self.config.limits.clients:
+        """A client connected; it is turned away if `limits.clients` connections are open, or there is no memory."""
+        memory = self.core.memory
+        if len(self.clients) >= self.config.limits.clients or not memory.has_room(CONNECTION_BYTES):
             self.core.actions.append(ev.SendToClient(client, b"-ERR max number of clients reached\r\n"))
             self.core.actions.append(ev.CloseClient(client))
             return
+        memory.take(Holding.CONNECTIONS, CONNECTION_BYTES)
         self.clients[client] = ClientConnection(client, CommandReader(self.config.limits.frame))
 
     def data(self, client: int, data: bytes) -> None:
@@ -175,7 +191,10 @@
         state = self.clients.get(client)
         if state is not None and not state.closing:
             state.reader.feed(data)
-            if not state.awaits_turn:
+            self.unfinished.pop(client, None)  # it goes to the end, as something has come
+            if state.awaits_turn:
+                self._count_input(state)
+            else:
                 self._read_commands(state)
 
     def take_turn(self, client: int) -> None:
@@ -217,9 +236,10 @@
         state = self.clients.pop(client, None)
         if state is None:
             return
-        state.closing = True
+        self._forget(state)
         state.queues.clear()
         for entry in state.pipeline:
+            self._hold(entry, 0)
             if entry.request is not None and entry.answer is None:
                 self.entries_by_request.pop(entry.request, None)
                 self.core.abandon(entry.request)
@@ -242,13 +262,14 @@
         state, entry = found
         match final:
             case Served(answer, seen):
-                entry.answer = answer
+                entry.answer = self._reply_within_room(state, entry, request, answer)
                 if seen is not None:
                     self._merge_mark(self._session_marks(state), request.group, seen)
             case Refused(retry_after, may_have_run):
                 entry.answer = encode_refusal(retry_after, may_have_run)
             case Failed():
                 entry.answer = UNCERTAIN_ERROR
+        self._hold(entry, len(entry.answer))
         if entry.queue is not None:
             entry.queue.release(request.request_class)
             self._start_waiting(state, request.group, entry.queue)
@@ -324,11 +345,16 @@
         """
         limit = self.config.limits.pipeline
         commands_left, awaits_turn = COMMANDS_PER_TURN, False
+        state.awaits_room = False
         try:
             while not state.closing:
                 if len(state.pipeline) >= limit or state.output_full:
                     self._pause(state)
                     break
+                if self.core.memory.is_short and self._must_await_room(state):
+                    state.awaits_room = True
+                    self._pause(state)
+                    break
                 if not commands_left and len(state.reader):
                     awaits_turn = True
                     break
@@ -338,11 +364,18 @@
                 commands_left -= 1
                 entry = PipelineEntry()
                 state.pipeline.append(entry)
-                self._dispatch(state, entry, args)
+                self._count_input(state)  # as a request counts what it holds itself
+                if args:
+                    self._dispatch(state, entry, args)
+                else:
+                    self._refuse_discarded(state, entry)
         except ProtocolError as error:
             state.pipeline.append(PipelineEntry(encode(Error(f"ERR Protocol error: {error}"))))
             state.closing = True
         state.awaits_turn = awaits_turn
+        if not state.pipeline and not self._has_room_for_more(state):
+            state.reader.discard()
+        self._count_input(state)
         if awaits_turn:
             self._pause(state)
             self.core.defer(state.id)
@@ -359,8 +392,8 @@
             state.paused = True
             self.core.actions.append(ev.PauseClient(state.id))
 
-    def _flush(self, state: ClientConnection) -> None:
-        """Sends the replies at the head of the pipeline, then closes, pauses or resumes the connection as needed."""
+    def _send_replies(self, state: ClientConnection) -> int:
+        """Sends the replies at the head of the pipeline; returns how many bytes they have."""
         line = state.pipeline
         out = []
         while line:
@@ -371,20 +404,29 @@
             if head.answer is None:
                 break
             out.append(head.answer)
-            line.popleft()
+            self._hold(line.popleft(), 0)
+        if out and state.id in self.clients:
+            state.awaits_room = False
+            self.core.actions.append(ev.SendToClient(state.id, out[0] if len(out) == 1 else b"".join(out)))
+        return sum(map(len, out))
+
+    def _flush(self, state: ClientConnection) -> None:
+        """Sends the replies at the head of the pipeline, then closes, pauses or resumes the connection as needed."""
+        line = state.pipeline
+        sent_bytes = self._send_replies(state)
         if state.id not in self.clients:
             return
-        if out:
-            self.core.actions.append(ev.SendToClient(state.id, out[0] if len(out) == 1 else b"".join(out)))
         if state.closing and not line:
             del self.clients[state.id]
+            self._forget(state)
             self.core.actions.append(ev.CloseClient(state.id))
-        elif sum(map(len, out)) > FLUSH_PAUSE_BYTES:  # the core's next turn knows whether the client is slow
+        elif sent_bytes > FLUSH_PAUSE_BYTES:  # the core's next turn knows whether the client is slow
             self._pause(state)
             self.core.call_at(self.core.now, lambda: self._flush(state))
         elif (
             state.paused
             and not state.awaits_turn
+            and not state.awaits_room
             and not state.output_full
             and len(line) <= self.config.limits.pipeline // 2
         ):
@@ -392,6 +434,91 @@
             self.core.actions.append(ev.ResumeClient(state.id))
             self._read_commands(state)
 
+    # ---- the budget of memory
+
+    def _count_input(self, state: ClientConnection) -> None:
+        """Counts what has come from a client and was not handled, and the commands that it has queued by MULTI."""
+        if state.transaction is None:
+            state.transaction_bytes = 0
+        size = 0 if state.closing else state.reader.held_bytes + state.transaction_bytes
+        if size != state.input_bytes:
+            self.core.memory.take(Holding.CLIENT_INPUT, size - state.input_bytes)
+            state.input_bytes = size
+        if state.closing or not state.reader.is_incomplete:
+            self.unfinished.pop(state.id, None)
+        elif state.id not in self.unfinished:
+            self.unfinished[state.id] = self.core.now
+            self._schedule_unfinished_check()
+
+    def _hold(self, entry: PipelineEntry, size: int) -> None:
+        """Counts what a command that waits, or its reply, takes from now on."""
+        if size != entry.held_bytes:
+            self.core.memory.take(Holding.ANSWERS, size - entry.held_bytes)
+            entry.held_bytes = size
+
+    def _forget(self, state: ClientConnection) -> None:
+        """Gives back what a connection that ends has taken, but for the entries of its pipeline."""
+        state.closing = True
+        state.transaction = None
+        self._count_input(state)
+        self.core.memory.give_back(Holding.CONNECTIONS, CONNECTION_BYTES)
+
+    def _has_room_for_more(self, state: ClientConnection) -> bool:
+        """Whether more of the client's commands may be read: always while memory is not short.
+
+        Clients without open commands, and small commands, may take more of it than others.
+        """
+        memory = self.core.memory
+        if not memory.is_short:
+            return True
+        is_large = state.reader.held_bytes > LARGE_COMMAND_BYTES
+        claim = Claim.FURTHER if state.pipeline else Claim.LARGE if is_large else Claim.ANY
+        return memory.has_room(REQUEST_BYTES, claim)
+
+    def _must_await_room(self, state: ClientConnection) -> bool:
+        """Whether the next command has to wait until open ones of its client are answered."""
+        self._send_replies(state)  # what is answered needs no room any more
+        return bool(state.pipeline) and not self._has_room_for_more(state)
+
+    def _refuse_discarded(self, state: ClientConnection, entry: PipelineEntry) -> None:
+        """Answers a command that was discarded for want of memory; a transaction that it stood in is aborted."""
+        state.transaction_failed = True
+        entry.answer = encode_refusal(self.core.balancer.settings.max_retry_after, False)
+
+    def _reply_within_room(
+        self, state: ClientConnection, entry: PipelineEntry, request: ClientRequest, answer: bytes
+    ) -> bytes:
+        """The reply to a command that was served: its answer, or a word on its outcome if there is no room for that."""
+        memory = self.core.memory
+        if not memory.is_short or len(answer) <= SHORT_REPLY_BYTES:
+            return answer
+        is_late = state.output_full or state.pipeline[0] is not entry
+        if memory.has_room(len(answer), Claim.FURTHER if is_late else Claim.ANY):
+            return answer
+        is_safe = request.request_class.effect is Effect.SAFE
+        retry_after = self.core.balancer.settings.max_retry_after
+        return encode_refusal(retry_after, True) if is_safe else UNCERTAIN_ERROR
+
+    def _schedule_unfinished_check(self) -> None:
+        """Sets the timer for the next look at incomplete commands, unless it is set."""
+        if not self.unfinished_check_scheduled:
+            self.unfinished_check_scheduled = True
+            self.core.call_at(self.core.now + UNFINISHED_CHECK_SECONDS, self._discard_unfinished)
+
+    def _discard_unfinished(self) -> None:
+        """While memory is short, discards incomplete commands of which nothing has come for too long."""
+        self.unfinished_check_scheduled = False
+        oldest = self.core.now - UNFINISHED_COMMAND_SECONDS
+        while (
+            self.unfinished and self.core.memory.is_short and next(iter(self.unfinished.values())) <= oldest
+        ):
+            client, _ = self.unfinished.popitem(last=False)
+            state = self.clients[client]
+            state.reader.discard()
+            self._count_input(state)
+        if self.unfinished:
+            self._schedule_unfinished_check()
+
     # ---- commands
 
     def _dispatch(self, state: ClientConnection, entry: PipelineEntry, args: list[bytes]) -> None:
@@ -458,6 +585,7 @@
                     state, entry, Error("CROSSSLOT Keys of one MULTI belong to different groups")
                 )
             state.transaction.append((spec, args, request_class, group))
+            state.transaction_bytes += sum(map(len, args)) + ARG_BYTES * len(args)
             return self._reply(state, entry, Simple("QUEUED"))
         self._submit(
             state,
@@ -487,10 +615,11 @@
             self.core.call_at(deadline, lambda: self._expire(state, entry))
         else:
             state.latest_deadline = deadline
-        waiting = WaitingCommand(entry, request_class, exchange, arrived)
+        waiting = WaitingCommand(entry, request_class, exchange, arrived, exchange.size)
         self._drop_answered(queue)
         if not queue.waiting and queue.admits(request_class):
             return self._start_request(state, queue, waiting, group)
+        self._hold(entry, waiting.size)
         # its wait is bounded: each command ahead of it ends in time, or `_expire` gives it up
         queue.waiting.append(waiting)
 
@@ -523,8 +652,15 @@
             queue.active_writes += 1
         else:
             queue.active_reads += 1
+        self._hold(entry, 0)  # the core counts it from here on
         request = ClientRequest(
-            state.id, request_class, group, waiting.exchange, tenant=state.user, arrived=waiting.arrived
+            state.id,
+            request_class,
+            group,
+            waiting.exchange,
+            tenant=state.user,
+            arrived=waiting.arrived,
+            size=waiting.size,
         )
         if request_class.need is Need.SESSION:
             marks = self._session_marks(state)
--- a/banklift/resp/wire.py
+++ b/banklift/resp/wire.py
@@ -153,6 +153,11 @@
     data: bytes
     writes: bool
 
+    @property
+    def size(self) -> int:
+        """Bytes of the command."""
+        return len(self.data)
+
     def payload(self, status_query: StatusQuery, left: float = 0.0) -> bytes:
         """The bytes to send: the command and the status commands of this query. `left` is not used."""
         return (
@@ -202,6 +207,11 @@
     commands: tuple[bytes, ...]
     writes: bool
 
+    @property
+    def size(self) -> int:
+        """Bytes of the commands."""
+        return sum(map(len, self.commands))
+
     def payload(self, status_query: StatusQuery, left: float = 0.0) -> bytes:
         """The bytes to send: MULTI, the commands, EXEC and the status commands of this query. `left` is not used."""
         body = MULTI + b"".join(self.commands) + EXEC
--- a/tests/test_resp_frames.py
+++ b/tests/test_resp_frames.py
@@ -114,6 +114,7 @@
         if discards:
             reader.discard()
             assert not reader.is_incomplete or reader.held_bytes <= 30
+            assert reader.held_bytes <= 30  # at most the part of a header
     assert [args or expected for args, expected in zip(found, commands, strict=True)] == commands
     assert reader.held_bytes == 0 and not reader.is_incomplete
 
