--- a/banklift/balance.py
+++ b/banklift/balance.py
@@ -776,7 +776,7 @@
         member.lateness_offset += (self.now - member.lateness_base) / usual_latency
         pending.tried.append(member)
         self.actions.append(
-            interface.Send(pending.request.id, member.name, pending.request.deadline - self.now)
+            interface.Send(pending.request.id, member.name, pending.request.deadline - self.now, attempt)
         )
         if pending.request_class.effect is Effect.SAFE:
             self.schedule(
--- a/banklift/interface.py
+++ b/banklift/interface.py
@@ -270,11 +270,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Action: start the next attempt of a request."""
+    """Action: start the next attempt of a request. It ends by an `Outcome`, also if it can't be started."""
 
     request: int
     member: str
     timeout: float  # seconds
+    attempt: int = 0  # its number
 
 
 @dataclass(frozen=True, slots=True)
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -135,7 +135,6 @@
     arrived: float
     deadline: float
     attempts: list[Attempt] = field(default_factory=list)
-    send_count: int = 0  # the balancer's `Send` actions, also those to members that no longer exist
     has_final_answer: bool = False  # it has its final answer, or needs none any more
     may_have_run: bool = False  # an attempt was written and ended without a statement that nothing ran
     abandoned: bool = False  # its client has disconnected
@@ -415,8 +414,8 @@
     def _carry_out(self, action: io.Action) -> None:
         """Carry out one action that the balancer returned."""
         match action:
-            case io.Send(request, member, timeout):
-                self._start_attempt(request, member, timeout)
+            case io.Send(request, member, timeout, number):
+                self._start_attempt(request, number, member, timeout)
             case io.SetTimer(delay, token):
                 self.call_at(self.now + delay, lambda: self._notify_balancer(io.Timer(token)))
             case io.Refuse(request, retry_after, reason):
@@ -480,14 +479,16 @@
 
     # ---- attempts
 
-    def _start_attempt(self, request: int, member: str, timeout: float) -> None:
-        """Start an attempt at the member of that `balancer_name`: on an idle link, or in the queue for one."""
+    def _start_attempt(self, request: int, number: int, member: str, timeout: float) -> None:
+        """Start an attempt at the member of that `balancer_name`: on an idle link, or in the queue for one.
+
+        The balancer has counted the attempt, so one that can't be started needs an outcome as well. Its request may be
+        gone: an earlier action of the same event may have answered another request of the same client, which let more
+        of that client's input be read, and with it its leave.
+        """
         pending, record = self.pending.get(request), self.members_by_balancer_name.get(member)
-        if pending is None:
-            return
-        number, pending.send_count = pending.send_count, pending.send_count + 1
-        if record is None:  # the balancer has counted this attempt, so it needs an outcome
-            self._notify_balancer(io.Outcome(request, number, member, Status.MOOT, False, 0.0))
+        if pending is None or record is None:
+            self._notify_balancer(io.Outcome(request, number, member, Status.MOOT, pending is None, 0.0))
             return
         expires_at = min(self.now + timeout, pending.deadline)
         attempt = Attempt(pending, number, record, member, self.now, expires_at)
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -194,8 +194,8 @@
 class SendsReadsTwice(Machine):
     """Sends one read in twenty to two members at once."""
 
-    def _start_attempt(self, request: int, member: str, timeout: float) -> None:
-        super()._start_attempt(request, member, timeout)
+    def _start_attempt(self, request: int, number: int, member: str, timeout: float) -> None:
+        super()._start_attempt(request, number, member, timeout)
         pending, record = self.pending.get(request), self.members_by_balancer_name.get(member)
         if (
             pending is None
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -16,7 +16,9 @@
 from banklift.net.sockets import SocketEnv
 from banklift.pg import frames
 from banklift.pg.front import PgFront
+from banklift.proxy import events as ev
 from banklift.proxy.memory import CONNECTION_BYTES, MEMBER_BYTES, Holding
+from tests.accounts import assert_accounts_balance
 
 SETTINGS: dict[str, Any] = {
     "services": [
@@ -131,7 +133,7 @@
 
 
 class Site:
-    """One router and one group: the primary p and the replicas r1 and r2.
+    """One router and one group: the primary p and the replicas r1 and r2. Checks its accounts at each event.
 
     `sockets`: descriptors that the router may use. `delay`: seconds in which a member answers. `world`: network and
     clock, if they are shared or special. `settings`: as the platform sends them.
@@ -173,6 +175,14 @@
         self.catalogue_client, self.discovery = self.service.catalogue_client, self.service.discovery
         assert isinstance(self.machine.front, PgFront)
         self.front = self.machine.front
+        handle = self.machine.handle
+
+        def checked_handle(now: float, event: ev.Event) -> list[ev.Action]:
+            actions = handle(now, event)
+            assert_accounts_balance(self.machine)
+            return actions
+
+        self.machine.handle = checked_handle  # type: ignore[method-assign]
         self.run(0.05)
 
     def note(self, event: str, fields: dict[str, object]) -> None:
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -18,6 +18,7 @@
 from banklift.resp.frames import command
 from banklift.resp.proofs import RespProofs
 from banklift.resp.wire import INFO, ROLE, SingleCommand
+from tests.accounts import assert_accounts_balance
 
 A, B = "a" * 40, "b" * 40
 
@@ -45,7 +46,10 @@
 
 
 class Rig:
-    """A machine with one group, a primary p and a replica r; the test plays clients, members and the clock."""
+    """A machine with one group, a primary p and a replica r; the test plays clients, members and the clock.
+
+    Its accounts are checked at each event.
+    """
 
     def __init__(self, **limits: object) -> None:
         example = load(EXAMPLE)
@@ -98,6 +102,7 @@
                     self.closed_clients.append(client)
                 case ev.DeferClient(client, sent_at_earliest):
                     turns.append(ev.ClientTurn(client, sent_at_earliest))
+        assert_accounts_balance(self.machine)
         for turn in turns:
             self.handle(turn)
         for link in opened:
