--- a/banklift/emulator/world.py
+++ b/banklift/emulator/world.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable
 from random import Random
 
-from banklift.net.env import Handle, Peer
+from banklift.net.env import Peer
 
 MAX_LATENCY_FACTOR = 1.5
 READ_BYTES = 64 * 1024  # most bytes of one read of an accepted connection, unless a router sets another size
@@ -46,6 +46,17 @@
         if not self.closed and self.other_end is not None:
             self._deliver(lambda other_end: other_end._data_arrived(data))
 
+    def send_if_quiet(self, data: bytes) -> None:
+        """As `send`, unless data of the other end is unread: the peer is told soon then."""
+        if self.unread and not self.closed:
+            self.world.at(self.world.now(), self._tell_unread)
+        else:
+            self.send(data)
+
+    def _tell_unread(self) -> None:
+        if not self.closed:
+            self.peer.input_unread()
+
     def finish(self, discard_input: bool = False) -> None:
         """Close; what was sent before still arrives, so this equals `close`."""
         self.close()
@@ -174,7 +185,7 @@
         listener = self.listeners[address] = WorldListener(self, address, accept)
         return listener
 
-    def connect(self, address: str, peer: Peer, source: str | None = None) -> Handle:
+    def connect(self, address: str, peer: Peer, source: str | None = None) -> WorldHandle:
         """Start to connect to `address`. `peer` is told when the connection is up, or that it was refused.
 
         `source`: the IP address that the other end sees, 127.0.0.1 by default.
--- a/banklift/net/connections.py
+++ b/banklift/net/connections.py
@@ -21,6 +21,8 @@
 import select
 import socket
 from collections.abc import Callable
+from fcntl import ioctl
+from termios import FIONREAD
 from typing import TYPE_CHECKING, Protocol
 
 from banklift.net.env import Peer
@@ -38,6 +40,7 @@
 # time for the other end to read the unsent bytes of a finished connection; clients give up on answers earlier
 SLOW_READER_CLOSE_SECONDS = 3.0
 DISCARD_LIMIT_BYTES = 256 * 1024  # input of a finished connection that is read and discarded
+_unread_count = bytearray(4)  # filled by `ioctl`: bytes that can be read, as an integer of the machine
 READABLE, WRITABLE, HALF_CLOSED = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
 FAILED = select.EPOLLERR | select.EPOLLHUP  # epoll always reports these, whether they were requested or not
 RESOURCE_EXHAUSTION_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -63,6 +66,7 @@
         "_is_connecting",
         "_is_finished",
         "_is_slow_reader",
+        "_must_be_quiet",
         "_queued",
         "_sock",
         "_unsent",
@@ -83,6 +87,7 @@
         self._is_finished = False
         self._discardable_bytes = 0  # bytes that may still be read and discarded, once it is finished
         self._is_slow_reader = False
+        self._must_be_quiet = False  # what is queued is written only if no input is unread
         self.closed = False
 
     @property
@@ -124,10 +129,26 @@
         self._queued.append(data)
         self._env.queued_bytes += len(data)
 
+    def send_if_quiet(self, data: bytes) -> None:
+        """As `send`, unless input is unread when it is written: `Peer.input_unread` is called then."""
+        self._must_be_quiet = True
+        self.send(data)
+
+    def _has_unread_input(self) -> bool:
+        """Whether the kernel has bytes of the other end that were not read."""
+        ioctl(self._sock.fileno(), FIONREAD, _unread_count)
+        return any(_unread_count)
+
     def flush(self) -> None:
         """Write the queued chunks, as far as the socket takes them."""
         if not self._queued:  # `finish` has flushed them already
             return
+        if self._must_be_quiet:
+            self._must_be_quiet = False
+            if not self.closed and self._has_unread_input():
+                self._queued.clear()
+                self.peer.input_unread()
+                return
         data = self._queued[0] if len(self._queued) == 1 else b"".join(self._queued)
         self._queued.clear()
         if self.closed:
@@ -296,6 +317,10 @@
         """Do nothing."""
         return
 
+    def send_if_quiet(self, data: bytes) -> None:
+        """Do nothing."""
+        return
+
     def finish(self, discard_input: bool = False) -> None:
         """Close; the peer is then not told of the failure."""
         self.closed = True
--- a/banklift/net/env.py
+++ b/banklift/net/env.py
@@ -34,6 +34,14 @@
         """The other end's address, without port."""
 
 
+class LinkHandle(Handle, Protocol):
+    """An outgoing connection on which each request waits for its answer."""
+
+    def send_if_quiet(self, data: bytes) -> None:
+        """As `send`, unless bytes of the other end are unread at the moment of writing: then nothing is written, and
+        the peer is told by `input_unread`."""
+
+
 class Peer(Protocol):
     """Receives the events of one connection: `connected` first, `lost` at most once and last."""
 
@@ -53,6 +61,10 @@
     def lost(self, reason: str) -> None:
         """The connection could not be established, or broke."""
 
+    def input_unread(self) -> None:
+        """Nothing was written by `LinkHandle.send_if_quiet`, as bytes of the other end are unread."""
+        return
+
     def write_paused(self) -> None:
         """The other end is a slow reader, and much unsent data is held at this end."""
         return
@@ -100,6 +112,9 @@
     unsent_bytes: int  # that all connections hold because their other ends have not taken them
     accepted_read_bytes: int  # most bytes of one read of an accepted connection
 
+    def connect(self, address: str, peer: Peer, source: str | None = None) -> LinkHandle:
+        """As `Env.connect`."""
+
 
 class DeadlineTimer:
     """A timer for a deadline that changes: calls `callback` once the time `due()` has come. `reschedule` has to be
--- a/banklift/net/router.py
+++ b/banklift/net/router.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from banklift.net.env import DeadlineTimer, Handle, Peer, RouterEnv
+from banklift.net.env import DeadlineTimer, Handle, LinkHandle, Peer, RouterEnv
 from banklift.proxy import events as ev
 from banklift.proxy.machine import Machine
 
@@ -39,7 +39,7 @@
         self.source = source
         self.request_roster = request_roster
         self.clients: dict[int, Handle] = {}
-        self.links: dict[int, Handle] = {}
+        self.links: dict[int, LinkHandle] = {}
         self.last_client_id = 0
         self.dead = False  # killed: nothing acts any more
         self.last_check = env.now()
@@ -74,14 +74,14 @@
                 case ev.SendToClient(client, data):
                     if client in clients:
                         clients[client].send(data)
-                case ev.SendToLink(link, data):
+                case ev.SendToLink(link, data, only_if_quiet):
                     if link in links:
-                        links[link].send(data)
+                        (links[link].send_if_quiet if only_if_quiet else links[link].send)(data)
                 case ev.OpenLink(link, address):
                     links[link] = self.env.connect(address, _LinkPeer(self, link), self.source)
                 case ev.CloseLink(link):
-                    if (handle := links.pop(link, None)) is not None:
-                        handle.close()
+                    if (link_handle := links.pop(link, None)) is not None:
+                        link_handle.close()
                 case ev.CloseClient(client, discard_input):
                     if (handle := clients.pop(client, None)) is not None:
                         handle.finish(discard_input)
@@ -230,6 +230,9 @@
     def data(self, data: bytes) -> None:
         self.host.handle_event(ev.LinkData(self.id, data))
 
+    def input_unread(self) -> None:
+        self.host.handle_event(ev.LinkUnclean(self.id))
+
     def eof(self) -> None:
         self.lost("closed by the member")
 
--- a/banklift/proxy/events.py
+++ b/banklift/proxy/events.py
@@ -87,6 +87,12 @@
     reason: str  # for the log
 
 
+class LinkUnclean(msgspec.Struct, frozen=True, gc=False):
+    """Nothing was sent of a `SendToLink` with `only_if_quiet`, as bytes of the member are unread."""
+
+    link: int
+
+
 class Drain(msgspec.Struct, frozen=True, gc=False):
     """The router begins to drain: everything pending or still to come gets its final answer by the time `end`."""
 
@@ -146,6 +152,7 @@
     | LinkUp
     | LinkData
     | LinkLost
+    | LinkUnclean
     | Drain
     | Stop
     | Wake
@@ -200,6 +207,8 @@
 
     link: int
     data: bytes
+    # Nothing is sent if bytes of the member are unread when it would be; a `LinkUnclean` event follows then.
+    only_if_quiet: bool = False
 
 
 class CloseLink(msgspec.Struct, frozen=True, gc=False):
--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -12,7 +12,8 @@
   (proxy/wire.py). The machine asks it which status query goes with an attempt and what an answer means, and passes
   the result to the balancer.
 - A link on which more bytes arrive than were asked for, with an answer or after it, is closed: the surplus could be
-  taken for the answer to another request.
+  taken for the answer to another request. For the same reason a request is only written if no bytes of the member are
+  unread at that moment. A copy of an answer that comes after that can't be told from the request's own answer.
 - A member that restarted with new data is listed to the balancer as gone, and as a new member under a new name:
   what was proven about the old data does not hold for the new.
 - The member list arrives unasked, or is requested with `ev.RequestRoster` when the balancer returns `Watch` or `Fetch`.
@@ -63,6 +64,7 @@
 PROBE_LINK_VARIANT = -1  # variant of links that carry only probes
 # seconds that a link may take beyond the connect timeout: TCP resends a lost SYN after one second
 LATE_CONNECT_GRACE_SECONDS = 1.75
+MAX_UNCLEAN_LINES = 5  # log lines per second about links that members have written on unasked
 MAX_UNSERVED_LINES = 20  # log lines per second about unserved requests: an overload must not flood the log
 NO_MEMBER_INFO = MemberInfo()
 
@@ -190,6 +192,7 @@
         self.front = front(self)
         self.sweep_scheduled = False  # a timer for `_close_idle` is set
         self.unserved_lines = LineLimit(MAX_UNSERVED_LINES)
+        self.unclean_lines = LineLimit(MAX_UNCLEAN_LINES)
         self.drain_deadline = math.inf  # when the last request must be answered, once the router is draining
         # requests are refused from the first time on, with the second as retry-after in seconds
         self.accept_until, self.refusal_retry_after = math.inf, 0.0
@@ -231,6 +234,9 @@
             case ev.LinkLost(link, reason):
                 if link in self.links:
                     self._link_lost(self.links[link], reason)
+            case ev.LinkUnclean(link):
+                if link in self.links:
+                    self._link_unclean(self.links[link])
             case ev.Drain(end):
                 self._begin_drain(end)
             case ev.Stop():
@@ -494,19 +500,24 @@
         attempt = Attempt(pending, number, record, member, self.now, expires_at)
         pending.attempts.append(attempt)
         self.in_flight[request, number] = attempt
-        link_variant = pending.request.exchange.link_variant
+        attempt.timers.append(self.call_at(expires_at, lambda: self._attempt_expired(request, number)))
+        self._find_link(attempt)
+
+    def _find_link(self, attempt: Attempt) -> None:
+        """Write an attempt on an idle link, or put it into the queue for one."""
+        request, number, record = attempt.pending.id, attempt.number, attempt.member
+        link_variant = attempt.pending.request.exchange.link_variant
         idle = record.idle_links.get(link_variant)
         link = self._take_rested(idle) if idle else None
         if not idle and record.waiting_count >= self.limits.waiting:  # the balancer may choose another member
             self._end_attempt(attempt, Status.MOOT)
             return
-        attempt.timers.append(self.call_at(expires_at, lambda: self._attempt_expired(request, number)))
         if link is not None:
             self._write_attempt(link, attempt)
             return
         record.waiting_attempts.setdefault(link_variant, OrderedDict())[attempt] = None
         self._count_waiting(record, 1)
-        connect_expires_at = min(expires_at, self.now + self.limits.connect)
+        connect_expires_at = min(attempt.expires_at, self.now + self.limits.connect)
         attempt.timers.append(
             self.call_at(connect_expires_at, lambda: self._connect_timeout(request, number))
         )
@@ -561,7 +572,7 @@
         payload = attempt.pending.request.exchange.payload(
             attempt.status_query, attempt.expires_at - self.now
         )
-        self.actions.append(ev.SendToLink(link.id, payload))
+        self.actions.append(ev.SendToLink(link.id, payload, only_if_quiet=True))
 
     def _attempt_expired(self, request: int, number: int) -> None:
         """End an attempt whose time is over."""
@@ -669,12 +680,9 @@
                 return
             link = member.probe_link = link or self._open_link(member, PROBE_LINK_VARIANT if apart else 0)
         member.pending_probes.append(asked_at)
-        if (
-            link.up
-            and not link.greeting_frames
-            and (self.wire.pipelines_probes or len(member.pending_probes) == 1)
-        ):
-            self.actions.append(ev.SendToLink(link.id, self.wire.probe()))
+        is_first = len(member.pending_probes) == 1  # no answer to an earlier one may be unread
+        if link.up and not link.greeting_frames and (self.wire.pipelines_probes or is_first):
+            self.actions.append(ev.SendToLink(link.id, self.wire.probe(), only_if_quiet=is_first))
         self.call_at(asked_at + self.limits.probe, lambda: self._probe_expired(member, link, asked_at))
 
     def _probe_expired(self, member: MemberRecord, link: Link, asked_at: float) -> None:
@@ -907,6 +915,26 @@
         self._open_for_waiting(member)
         self._open_for_others()
 
+    def _link_unclean(self, link: Link) -> None:
+        """Close a link on which nothing was written, as bytes are unread that belong to no request.
+
+        The attempt that should have been written was not sent, so it looks for another link.
+        """
+        if self.unclean_lines.allows(self.now):
+            self.log("link out of step", member=link.member.name)
+        attempt = link.attempt
+        if attempt is None:
+            self._link_lost(link, "unexpected bytes before a probe")
+            return
+        link.attempt = attempt.link = None
+        attempt.written_at = math.inf
+        self._close_link(link)
+        may_be_sent = self.balancer.may_still_send(self.now, attempt.pending.id, attempt.number)
+        if may_be_sent and attempt.member.state is State.READY:
+            self._find_link(attempt)
+        else:
+            self._end_attempt(attempt, Status.MOOT)
+
     def _open_for_waiting(self, member: MemberRecord) -> None:
         """Open a link to a member if attempts wait for one and no link is connecting."""
         if (
