--- a/banklift/proxy/machine.py
+++ b/banklift/proxy/machine.py
@@ -64,6 +64,10 @@
 PROBE_LINK_VARIANT = -1  # variant of links that carry only probes
 # seconds that a link may take beyond the connect timeout: TCP resends a lost SYN after one second
 LATE_CONNECT_GRACE_SECONDS = 1.75
+# A member that has written unasked does so again, and later than usual: its links rest for longer then. An answer that
+# is one request behind arrives within that rest, and ends its link.
+ODDITY_MEMORY_SECONDS = 60.0
+ODDITY_REST_FACTOR = 10.0  # times `Wire.settle_time`
 MAX_UNCLEAN_LINES = 5  # log lines per second about links that members have written on unasked
 MAX_UNSERVED_LINES = 20  # log lines per second about unserved requests: an overload must not flood the log
 NO_MEMBER_INFO = MemberInfo()
@@ -88,6 +92,7 @@
     waiting_count: int = 0  # attempts in `waiting_attempts`, of all link variants
     connecting: int = 0  # links that are not yet ready for requests
     probe_link: Link | None = None  # the link that carries its probes now
+    odd_until: float = -math.inf  # until when its links rest for longer, as it has written unasked
     pending_probes: deque[float] = field(default_factory=deque)  # when each unanswered probe was asked for
     protocol_state: Any = None  # state that `Proofs` keeps about this member
 
@@ -524,7 +529,8 @@
         # each gets a link as soon as these have rested
         if idle and len(idle) >= len(record.waiting_attempts[link_variant]):
             self.call_at(
-                idle[-1].idle_since + self.wire.settle_time, lambda: self._serve_rested(record, link_variant)
+                idle[-1].idle_since + self._rest_seconds(record),
+                lambda: self._serve_rested(record, link_variant),
             )
         elif len(record.links) < self.limits.links:
             if self._make_room():
@@ -665,6 +671,8 @@
             if complete:
                 self._link_free(link)
             else:
+                if not last:  # more than the answer has come
+                    self._note_oddity(link.member)
                 self._close_link(link)
 
     # ---- probes
@@ -792,14 +800,25 @@
         self.idle_links[link.id] = link
         if must_rest and member.waiting_count:
             self.call_at(
-                self.now + self.wire.settle_time, lambda: self._serve_rested(member, link.link_variant)
+                self.now + self._rest_seconds(member), lambda: self._serve_rested(member, link.link_variant)
             )
 
+    def _rest_seconds(self, member: MemberRecord) -> float:
+        """Seconds for which a link of this member rests after an answer."""
+        is_odd = self.now < member.odd_until
+        return self.wire.settle_time * (ODDITY_REST_FACTOR if is_odd else 1.0)
+
+    def _note_oddity(self, member: MemberRecord) -> None:
+        """A member has written on a link what no request asked for; the link is closed by the caller."""
+        member.odd_until = self.now + ODDITY_MEMORY_SECONDS
+        if self.unclean_lines.allows(self.now):
+            self.log("link out of step", member=member.name)
+
     def _take_rested(self, idle: list[Link]) -> Link | None:
-        """Take the most recently used link that may be used now: it is unused, or idle for `Wire.settle_time` or
-        longer."""
+        """Take the most recently used link that may be used now: it is unused, or has rested."""
+        rest_seconds = self._rest_seconds(idle[0].member) if idle else 0.0
         for index in range(len(idle) - 1, -1, -1):
-            if idle[index].unused or idle[index].idle_since + self.wire.settle_time <= self.now:
+            if idle[index].unused or idle[index].idle_since + rest_seconds <= self.now:
                 link = idle.pop(index)
                 del self.idle_links[link.id]
                 return link
@@ -823,6 +842,8 @@
         try:
             frames = link.reader.feed(data)
         except BrokenFrame as error:
+            if link.attempt is None:
+                self._note_oddity(link.member)
             self._link_lost(link, f"protocol: {error}")
             return
         if (buffered := link.reader.buffered_bytes) != link.input_bytes:
@@ -853,9 +874,11 @@
                 )
                 self._answer_received(link, link.attempt, last)
             else:  # an answer without a request: nothing on this link can be trusted
+                self._note_oddity(link.member)
                 self._close_link(link)
                 return
         if link.attempt is None and link.id in self.links and not at_boundary:  # bytes without a request
+            self._note_oddity(link.member)
             # a probe's answer would be lost with the link
             if link is link.member.probe_link and link.member.pending_probes:
                 self._link_lost(link, "unexpected bytes after an answer")
@@ -920,8 +943,7 @@
 
         The attempt that should have been written was not sent, so it looks for another link.
         """
-        if self.unclean_lines.allows(self.now):
-            self.log("link out of step", member=link.member.name)
+        self._note_oddity(link.member)
         attempt = link.attempt
         if attempt is None:
             self._link_lost(link, "unexpected bytes before a probe")
--- a/tests/test_links_in_step.py
+++ b/tests/test_links_in_step.py
@@ -15,6 +15,7 @@
 from banklift.pg import frames
 from banklift.pg.wire import LINK_REST_SECONDS
 from banklift.proxy import events as ev
+from banklift.proxy.machine import ODDITY_MEMORY_SECONDS
 from tests.platform_site import SETTINGS, Site, SiteClient, value
 from tests.surroundings import run_until
 from tests.test_crossings import RecordingPeer
@@ -92,6 +93,59 @@
     assert len(primary.statements) == 1 and not site.machine.in_flight
 
 
+# ---- members that have written unasked
+
+SHORT_PAUSE_SECONDS = (
+    2.5 * LINK_REST_SECONDS
+)  # a link has rested after it, but not that of a member that was odd
+
+
+def used_link(site: Site) -> int:
+    """The link on which the primary has answered last."""
+    return site.machine.members_by_balancer_name["p"].idle_links[0][-1].id
+
+
+def write_on_noise(site: Site) -> None:
+    """The primary answers a write, and later writes noise on the same link."""
+    assert value(SiteClient(site).query(site.write("first", "aa"))) == b"\xaa"
+    (connection,) = [peer for peer in site.members["p"].connections if peer.statement_count]
+    connection.send(b"\0noise")
+    site.run(0.01)
+
+
+def test_a_late_copy_of_a_member_that_was_odd_meets_a_link_that_still_rests() -> None:
+    """The copy comes just after the next request: on the same link it would start its answer, and the link would stay
+    one answer behind."""
+    site = Site()
+    caller, primary = SiteClient(site), site.members["p"]
+    write_on_noise(site)
+    assert value(caller.query(site.write("second", "bb"), SHORT_PAUSE_SECONDS)) == b"\xbb"
+    before = used_link(site)
+    (connection,) = [peer for peer in primary.connections if peer.statement_count]
+    copy = PgMember.default_answer(primary, primary.statements[-1])
+    primary.answer_delay_seconds = 0.01
+    caller.handle.send(frames.query(site.write("third", "cc").encode()))
+    site.run_later(0.0012, lambda: connection.send(copy))
+    site.run(0.1)
+    assert value(caller.received_messages()) == b"\xcc"
+    assert before not in site.machine.links  # the copy has ended it
+    site.assert_no_leftovers()
+
+
+def test_links_of_other_members_and_later_ones_rest_as_usual() -> None:
+    site = Site()
+    caller = SiteClient(site)
+    write_on_noise(site)
+    for name in ("r1", "r2"):
+        assert site.machine.members[name].odd_until < site.world.now()
+    site.run(ODDITY_MEMORY_SECONDS)
+    caller = SiteClient(site)
+    assert value(caller.query(site.write("second", "bb"), SHORT_PAUSE_SECONDS)) == b"\xbb"
+    before = used_link(site)
+    assert value(caller.query(site.write("third", "cc"), SHORT_PAUSE_SECONDS)) == b"\xcc"
+    assert used_link(site) == before
+
+
 # ---- on sockets
 
 
